--- /dev/null
+++ b/.ci/check_core.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# The decision modules must stay free of sockets, threads, clocks and serialization.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+modules="Core Ownership Sessions Admission Configuration Membership Routing"
+forbidden='#include *[<"](asio|google/|boost/(asio|thread|lockfree)|thread>|mutex>|condition_variable>|atomic>|semaphore>|future>|sys/|unistd|jsonrpccpp|json/|log4cxx|prometheus|sqlite3|mustardrouter/(Schema|Runtime|Network|Platform|Instance|Operators|StandIn|Load))|(system|steady|high_resolution)_clock|std::random_device|[^a-zA-Z_]time\('
+bad=0
+for module in $modules; do
+    if grep -nE "$forbidden" "mustardrouter/$module"/*; then
+        echo "core check: mustardrouter/$module uses something that decision modules may not" >&2
+        bad=1
+    fi
+done
+# Modules include only those above them in this order.
+order="Core Schema Ownership Sessions Admission Configuration Membership Routing Runtime Network Platform Instance StandIn Load Operators"
+seen=""
+for module in $order; do
+    seen="$seen|$module"
+    below=$(grep -hoE '#include "mustardrouter/[A-Za-z]+/' "mustardrouter/$module"/*.h "mustardrouter/$module"/*.cpp 2>/dev/null | sed 's|.*mustardrouter/||; s|/||' | sort -u | grep -vE "^(${seen#|})$" || true)
+    if [ -n "$below" ]; then
+        echo "core check: mustardrouter/$module includes a later module: $below" >&2
+        bad=1
+    fi
+done
+if nm -C --undefined-only build/libmustardrouter_core.a 2>/dev/null | grep -E ' (asio::|google::protobuf|pthread_create|std::thread::|std::chrono::_V2::)' ; then
+    echo "core check: the decision library links to something that it may not" >&2
+    bad=1
+fi
+[ "$bad" = 0 ] && echo "core check: clean"
+exit "$bad"
--- /dev/null
+++ b/mustardrouter/Admission/waiting_request.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/statement.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace mustardrouter
+{
+
+/// A request that an owner has taken in.
+struct waiting_request {
+    request_id id;
+    statement what;
+    time_point arrived{};
+    /// Floor that a replica must have applied to serve this read.
+    log_entry floor;
+    /// Round of reports that must confirm the term before the answer goes out; zero for none.
+    std::uint64_t round = 0;
+    std::uint32_t attempts = 0;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Configuration/change_set.cpp
@@ -0,0 +1,119 @@
+#include "mustardrouter/Configuration/change_set.h"
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Calls `visit(kind, map)` for the objects of each kind, in one or in two snapshots.
+template<typename Visit, typename... Snapshots>
+void forEachKind(const Visit &visit, Snapshots &...snapshots)
+{
+    visit("place", snapshots.places...);
+    visit("service", snapshots.services...);
+    visit("database_group", snapshots.groups...);
+    visit("read_rule", snapshots.readRules...);
+    visit("session_policy", snapshots.policies...);
+}
+
+struct object_storer {
+    configuration_snapshot &snapshot;
+
+    void operator()(const place &object) const
+    {
+        snapshot.places.insert_or_assign(object.name, object);
+    }
+    void operator()(const service &object) const
+    {
+        snapshot.services.insert_or_assign(object.name, object);
+    }
+    void operator()(const database_group &object) const
+    {
+        snapshot.groups.insert_or_assign(object.name, object);
+    }
+    void operator()(const named_read_rule &object) const
+    {
+        snapshot.readRules.insert_or_assign(object.name, object);
+    }
+    void operator()(const session_policy &object) const
+    {
+        snapshot.policies.insert_or_assign(object.name, object);
+    }
+};
+
+struct kind_namer {
+    const char *operator()(const place &) const
+    {
+        return "place";
+    }
+    const char *operator()(const service &) const
+    {
+        return "service";
+    }
+    const char *operator()(const database_group &) const
+    {
+        return "database_group";
+    }
+    const char *operator()(const named_read_rule &) const
+    {
+        return "read_rule";
+    }
+    const char *operator()(const session_policy &) const
+    {
+        return "session_policy";
+    }
+};
+
+} // namespace
+
+object_reference referenceOf(const configuration_object &object)
+{
+    const std::string name = std::visit(
+        [](const auto &item) {
+            return item.name;
+        },
+        object);
+    return {std::visit(kind_namer{}, object), name};
+}
+
+configuration_snapshot applyChanges(configuration_snapshot snapshot, const change_set &changes)
+{
+    for (const object_reference &gone : changes.removed) {
+        forEachKind(
+            [&](const std::string &kind, auto &objects) {
+                if (kind == gone.kind) {
+                    objects.erase(gone.name);
+                }
+            },
+            snapshot);
+    }
+    for (const configuration_object &object : changes.changed) {
+        std::visit(object_storer{snapshot}, object);
+    }
+    return snapshot;
+}
+
+change_set differenceOf(const configuration_snapshot &from, const configuration_snapshot &to)
+{
+    change_set changes;
+    forEachKind(
+        [&](const std::string &kind, const auto &before, const auto &after) {
+            for (const auto &[name, object] : after) {
+                const auto old = before.find(name);
+                if (old == before.end() || old->second != object) {
+                    changes.changed.emplace_back(object);
+                }
+            }
+            for (const auto &[name, object] : before) {
+                if (!after.contains(name)) {
+                    changes.removed.push_back({kind, name});
+                }
+            }
+        },
+        from,
+        to);
+    return changes;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Configuration/configuration_snapshot.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/statement.h"
+#include "mustardrouter/Core/virtual_clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Where instances and databases stand.
+struct place {
+    std::string name;
+    std::string region;
+    auto operator<=>(const place &) const = default;
+};
+
+/// One database of a group.
+struct database {
+    database_name name;
+    std::string place;
+    std::string address;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+    std::uint32_t connectionCostMs = 0;
+    auto operator<=>(const database &) const = default;
+};
+
+/// Databases that replicate one another.
+struct database_group {
+    std::string name;
+    std::vector<database> databases;
+    std::uint32_t confirmReplicas = 1;
+    auto operator<=>(const database_group &) const = default;
+};
+
+/// How fresh reads must be, by name.
+struct named_read_rule {
+    std::string name;
+    read_rule rule = read_rule::session;
+    duration maxAge{};
+    auto operator<=>(const named_read_rule &) const = default;
+};
+
+/// What sessions of a service get when a request does not say otherwise.
+struct session_policy {
+    std::string name;
+    std::string readRule;
+    std::uint32_t weight = 1;
+    duration deadline = std::chrono::seconds(5);
+    duration idleInTransaction = std::chrono::seconds(10);
+    auto operator<=>(const session_policy &) const = default;
+};
+
+/// What callers name: a set of groups and the policy of its sessions.
+struct service {
+    std::string name;
+    std::vector<std::string> groups;
+    std::string sessionPolicy;
+    /// Retries allowed for each request that succeeds.
+    double retryBudget = 0.1;
+    /// Callers that may use the service; empty admits everyone.
+    std::vector<std::string> callers;
+    auto operator<=>(const service &) const = default;
+};
+
+/// All objects of one revision.
+struct configuration_snapshot {
+    revision_number revision;
+    std::map<std::string, place> places;
+    std::map<std::string, service> services;
+    std::map<std::string, database_group> groups;
+    std::map<std::string, named_read_rule> readRules;
+    std::map<std::string, session_policy> policies;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/decision_duty.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "mustardrouter/Instance/link.h"
+#include "mustardrouter/Instance/network_duty.h"
+#include "mustardrouter/Instance/operator_command.h"
+#include "mustardrouter/Instance/platform_duty.h"
+#include "mustardrouter/Instance/telemetry_duty.h"
+#include "mustardrouter/Membership/instance_directory.h"
+#include "mustardrouter/Routing/entry_router.h"
+#include "mustardrouter/Routing/group_engine.h"
+#include "mustardrouter/Runtime/metrics.h"
+#include "mustardrouter/Runtime/ring.h"
+
+#include <json/value.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+
+namespace mustardrouter
+{
+
+/// Rings through which the decision thread is told things.
+struct decision_inputs {
+    explicit decision_inputs(std::size_t capacity);
+
+    ring_signal signal;
+    ring<link_event> links;
+    ring<platform_event> records;
+    ring<platform_event> discoveries;
+    ring<operator_command> commands;
+};
+
+/// What the decision thread works with.
+struct decision_outputs {
+    network_duty &network;
+    platform_duty &platform;
+    telemetry_duty &telemetry;
+    metrics &figures;
+};
+
+/// Identity of the instance and what all instances share.
+struct decision_identity {
+    instance_view self;
+    std::string tokenKey;
+    double traceSample = 0;
+};
+
+/// The thread that owns all decision modules of an instance: the entry, and an engine for each
+/// group. It is the one place where their actions are applied.
+class decision_duty
+{
+public:
+    decision_duty(decision_identity identity, decision_inputs &inputs, decision_outputs outputs);
+    ~decision_duty();
+    decision_duty(const decision_duty &) = delete;
+    decision_duty &operator=(const decision_duty &) = delete;
+
+    void start();
+    void stop();
+    /// Whether everything has been handed over and nothing is in flight; any thread.
+    bool isDrained() const;
+    /// State as shown to operators; any thread.
+    Json::Value status() const;
+
+private:
+    /// A request that an engine works on, and where its answer goes.
+    struct owner_request {
+        group_name group;
+        /// Number at the entry that sent it.
+        std::uint64_t entryRequest = 0;
+        /// The peer's link; nothing for this instance's own entry.
+        std::optional<link_id> from;
+        trace_context trace;
+        statement_kind kind = statement_kind::read;
+        std::uint64_t startNanos = 0;
+    };
+
+    struct caller_link {
+    };
+    struct peer_link {
+        /// Set on links that this instance opened.
+        instance_name peer;
+    };
+    struct control_link {
+        group_name group;
+        database_name database;
+    };
+    struct statement_link {
+        group_name group;
+        connection_id connection;
+    };
+    using link_use = std::variant<caller_link, peer_link, control_link, statement_link>;
+
+    struct entry_trace {
+        trace_context context;
+        std::string parentId;
+        std::uint64_t startNanos = 0;
+    };
+
+    void run();
+    time_point now() const;
+    static std::uint64_t unixNanos();
+
+    // Links.
+    void onLink(link_event &event);
+    void onMessage(link_id link, wire::caller_request &request);
+    void onMessage(link_id link, wire::peer_message &message);
+    void onMessage(link_id link, wire::database_message &message);
+    void onMessage(link_id link, wire::caller_response &response);
+    void onClosed(const link_closed &event);
+    void dropPeerWork(link_id link);
+    void send(link_id link, link_message message);
+    link_id openLink(link_kind kind, const std::string &address, link_use use);
+
+    // Peers.
+    void onForward(link_id link, const wire::forward &forward);
+    void onAbandon(link_id link, const wire::abandon &message);
+    void onHeartbeat(const instance_name &from, const wire::heartbeat &beat);
+    bool sendToPeer(const instance_name &peer, wire::peer_message message);
+
+    // Platform and operators.
+    void onPlatform(platform_event &event);
+    void adopt(std::shared_ptr<const configuration_snapshot> snapshot);
+    void updateRankings();
+    void onCommand(const operator_command &command);
+    void beginDraining();
+    void post(platform_job job);
+
+    // Engines.
+    void stepEngine(const group_name &group, const engine_event &event);
+    void apply(const group_name &group, engine_action &action);
+    void apply(const group_name &group, ownership_action &action);
+    void apply(const group_name &group, const open_connection &action);
+    void apply(const group_name &group, const close_connection &action);
+    void apply(const group_name &group, run_statement &action);
+    void apply(const group_name &group, answer_request &action);
+    void sendOrder(const group_name &group, const database_name &database, wire::database_order order);
+    void acceptRequest(const group_name &group, owner_request origin, statement what);
+    void abandonRequest(const owner_request &origin);
+    std::optional<instance_name> believedOwner(const group_name &group) const;
+    void endOwnedLinks(const group_name &group);
+    const database *findConfigured(const group_name &group, const database_name &name) const;
+
+    // Entry.
+    void stepEntry(const entry_event &event);
+    void apply(forward_statement &action);
+    void apply(const find_owner &action);
+    void apply(answer_caller &action);
+    void apply(const abandon_at_owner &action);
+
+    // Telemetry.
+    void publishStatus();
+    trace_context newSpan(const trace_context &parent);
+    void recordOwnerSpan(const owner_request &origin, const answer_request &action);
+    std::string newId(std::size_t letters);
+
+    decision_identity m_identity;
+    decision_inputs &m_inputs;
+    decision_outputs m_outputs;
+
+    entry_router m_entry;
+    std::map<group_name, group_engine> m_engines;
+    instance_directory m_directory;
+    /// Addresses of instances that only records and messages name.
+    std::map<instance_name, std::string> m_addresses;
+    std::shared_ptr<const configuration_snapshot> m_configuration;
+    std::set<group_name> m_recordsWanted;
+
+    std::unordered_map<link_id, link_use> m_links;
+    std::map<instance_name, link_id> m_peerLinks;
+    std::map<database_name, link_id> m_controlLinks;
+    std::unordered_map<connection_id, link_id> m_statementLinks;
+    std::uint64_t m_nextLink = 1;
+
+    std::unordered_map<request_id, owner_request> m_ownerRequests;
+    std::map<link_id, std::set<std::pair<group_name, transaction_id>>> m_peerTransactions;
+    std::uint64_t m_nextOwnerRequest = 1;
+    /// By the caller's link and its number of the request; sampled requests only.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, entry_trace> m_entryTraces;
+
+    std::mt19937_64 m_random;
+    /// Whether the platform's list has named this instance.
+    bool m_listed = false;
+    bool m_draining = false;
+    std::atomic<bool> m_drained{false};
+    mutable std::mutex m_statusMutex;
+    Json::Value m_status;
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -0,0 +1,284 @@
+#include "mustardrouter/Instance/decision_duty.h"
+#include "mustardrouter/Instance/wire_codec.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+std::uint64_t toNanos(duration span)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::nanoseconds>(span).count());
+}
+
+std::string toMillisText(duration span)
+{
+    return std::to_string(std::chrono::duration<double, std::milli>(span).count());
+}
+
+} // namespace
+
+void decision_duty::stepEngine(const group_name &group, const engine_event &event)
+{
+    const auto engine = m_engines.find(group);
+    if (engine == m_engines.end()) {
+        return;
+    }
+    engine_actions actions;
+    step(engine->second, event, now(), actions);
+    for (engine_action &action : actions) {
+        std::visit(
+            [&](auto &what) {
+                apply(group, what);
+            },
+            action);
+    }
+}
+
+void decision_duty::apply(const group_name &group, ownership_action &action)
+{
+    if (std::holds_alternative<read_record>(action)) {
+        post(read_record_job{group});
+    } else if (const auto *write = std::get_if<write_record>(&action)) {
+        post(write_record_job{group, write->record});
+    } else if (const auto *report = std::get_if<order_report>(&action)) {
+        wire::database_order order;
+        order.set_kind(wire::database_order::ORDER_REPORT);
+        order.set_round(report->round);
+        sendOrder(group, report->database, std::move(order));
+    } else if (const auto *fence = std::get_if<order_fence>(&action)) {
+        wire::database_order order;
+        order.set_kind(wire::database_order::ORDER_FENCE);
+        order.set_term(fence->term.value());
+        sendOrder(group, fence->database, std::move(order));
+    } else if (const auto *promote = std::get_if<order_promote>(&action)) {
+        wire::database_order order;
+        order.set_kind(wire::database_order::ORDER_PROMOTE);
+        order.set_term(promote->term.value());
+        sendOrder(group, promote->database, std::move(order));
+    } else if (const auto *follow = std::get_if<order_follow>(&action)) {
+        wire::database_order order;
+        order.set_kind(wire::database_order::ORDER_FOLLOW);
+        order.set_term(follow->term.value());
+        order.set_primary(follow->primary.value());
+        const database *primary = findConfigured(group, follow->primary);
+        order.set_primary_address(primary == nullptr ? std::string() : primary->address);
+        sendOrder(group, follow->database, std::move(order));
+    } else if (const auto *beat = std::get_if<send_heartbeat>(&action)) {
+        wire::peer_message message;
+        wire::heartbeat &heartbeat = *message.mutable_heartbeat();
+        heartbeat.set_group(group.value());
+        heartbeat.set_term(beat->term.value());
+        heartbeat.set_primary(beat->primary.value());
+        heartbeat.set_record_version(beat->recordVersion);
+        heartbeat.set_resigning(beat->resigning);
+        sendToPeer(beat->to, std::move(message));
+    } else if (const auto *started = std::get_if<term_started>(&action)) {
+        m_outputs.figures.countTermStarted(group.value());
+        writeLog(log_level::info,
+                 "ownership",
+                 "serves",
+                 {{"group", group.value()}, {"term", std::to_string(started->term.value())}, {"primary", started->primary.value()}});
+    } else if (const auto *ended = std::get_if<term_ended>(&action)) {
+        if (ended->ownershipLost) {
+            endOwnedLinks(group);
+        }
+    } else if (const auto *note = std::get_if<ownership_note>(&action)) {
+        writeLog(log_level::info, "ownership", note->text, {{"instance", m_identity.self.name.value()}});
+    }
+}
+
+void decision_duty::endOwnedLinks(const group_name &group)
+{
+    for (const database_view &view : m_engines.at(group).ownership.databases) {
+        const auto link = m_controlLinks.find(view.name);
+        if (link == m_controlLinks.end()) {
+            continue;
+        }
+        m_outputs.network.post(close_link{link->second});
+        m_links.erase(link->second);
+        m_controlLinks.erase(link);
+    }
+}
+
+const database *decision_duty::findConfigured(const group_name &group, const database_name &name) const
+{
+    if (!m_configuration) {
+        return nullptr;
+    }
+    const auto found = m_configuration->groups.find(group.value());
+    if (found == m_configuration->groups.end()) {
+        return nullptr;
+    }
+    const auto item = std::ranges::find(found->second.databases, name, &database::name);
+    return item == found->second.databases.end() ? nullptr : &*item;
+}
+
+void decision_duty::sendOrder(const group_name &group, const database_name &database, wire::database_order order)
+{
+    auto link = m_controlLinks.find(database);
+    if (link == m_controlLinks.end()) {
+        const auto *configured = findConfigured(group, database);
+        if (configured == nullptr) {
+            return;
+        }
+        const link_id opened = openLink(link_kind::database, configured->address, control_link{group, database});
+        link = m_controlLinks.emplace(database, opened).first;
+    }
+    wire::database_message message;
+    *message.mutable_order() = std::move(order);
+    send(link->second, std::move(message));
+}
+
+void decision_duty::apply(const group_name &group, const open_connection &action)
+{
+    const auto *configured = findConfigured(group, action.database);
+    if (configured == nullptr) {
+        return;
+    }
+    const link_id link = openLink(link_kind::database, configured->address, statement_link{group, action.connection});
+    m_statementLinks.emplace(action.connection, link);
+    wire::database_message message;
+    message.set_open(action.term.value());
+    send(link, std::move(message));
+}
+
+void decision_duty::apply(const group_name &, const close_connection &action)
+{
+    const auto link = m_statementLinks.find(action.connection);
+    if (link == m_statementLinks.end()) {
+        return;
+    }
+    m_outputs.network.post(close_link{link->second});
+    m_links.erase(link->second);
+    m_statementLinks.erase(link);
+}
+
+void decision_duty::apply(const group_name &, run_statement &action)
+{
+    const auto link = m_statementLinks.find(action.connection);
+    if (link == m_statementLinks.end()) {
+        return;
+    }
+    wire::database_message message;
+    wire::database_statement &statement = *message.mutable_statement();
+    statement.set_id(action.request.value());
+    statement.set_term(action.term.value());
+    statement.set_kind(toWire(action.kind));
+    statement.set_sql(std::move(action.sql));
+    statement.set_key(action.key.value());
+    statement.set_on_replica(action.onReplica);
+    send(link->second, std::move(message));
+}
+
+std::optional<instance_name> decision_duty::believedOwner(const group_name &group) const
+{
+    const auto engine = m_engines.find(group);
+    if (engine == m_engines.end()) {
+        return std::nullopt;
+    }
+    const group_ownership &ownership = engine->second.ownership;
+    if (ownership.role == ownership_role::owner || ownership.record.ranges.empty()) {
+        return std::nullopt;
+    }
+    return ownership.record.ranges.front().holder;
+}
+
+void decision_duty::acceptRequest(const group_name &group, owner_request origin, statement what)
+{
+    const request_id id(m_nextOwnerRequest++);
+    origin.kind = what.kind;
+    if (!what.traceParent.empty()) {
+        origin.trace = parseTraceParent(what.traceParent);
+        origin.startNanos = unixNanos();
+    }
+    m_ownerRequests.emplace(id, std::move(origin));
+    if (!m_engines.contains(group)) {
+        answer_request refused;
+        refused.request = id;
+        refused.result = notRun(failure::notOwner, "the group is not in this instance's configuration");
+        apply(group, refused);
+        return;
+    }
+    stepEngine(group, request_arrived{id, std::move(what)});
+}
+
+void decision_duty::abandonRequest(const owner_request &origin)
+{
+    std::optional<request_id> found;
+    for (const auto &[id, other] : m_ownerRequests) {
+        if (other.from == origin.from && other.entryRequest == origin.entryRequest) {
+            found = id;
+        }
+    }
+    if (!found) {
+        return;
+    }
+    m_ownerRequests.erase(*found);
+    stepEngine(origin.group, request_abandoned{*found});
+}
+
+void decision_duty::recordOwnerSpan(const owner_request &origin, const answer_request &action)
+{
+    if (!origin.trace.sampled || !m_outputs.telemetry.enabled()) {
+        return;
+    }
+    trace_span span;
+    span.traceId = origin.trace.traceId;
+    span.parentId = origin.trace.spanId;
+    span.spanId = newSpan(origin.trace).spanId;
+    span.name = "owner";
+    span.startNanos = origin.startNanos;
+    span.endNanos = origin.startNanos + toNanos(action.queued + action.ran + action.confirming);
+    span.failed = action.result.kind != outcome::done;
+    span.attributes = {{"group", origin.group.value()},
+                       {"database", action.result.database.value()},
+                       {"outcome", std::string(toString(action.result.kind))},
+                       {"failure", std::string(toString(action.result.why))},
+                       {"queued_ms", toMillisText(action.queued)},
+                       {"ran_ms", toMillisText(action.ran)},
+                       {"confirming_ms", toMillisText(action.confirming)}};
+    m_outputs.telemetry.record(std::move(span));
+}
+
+void decision_duty::apply(const group_name &group, answer_request &action)
+{
+    const auto found = m_ownerRequests.find(action.request);
+    if (found == m_ownerRequests.end()) {
+        return;
+    }
+    const owner_request origin = std::move(found->second);
+    m_ownerRequests.erase(found);
+    recordOwnerSpan(origin, action);
+    if (origin.kind == statement_kind::read && action.result.kind == outcome::done) {
+        m_outputs.figures.countRead(group.value(), action.result.fromReplica);
+    }
+    std::optional<instance_name> owner;
+    if (action.result.why == failure::notOwner) {
+        owner = believedOwner(group);
+    }
+    if (!origin.from) {
+        stepEntry(owner_answered{request_id(origin.entryRequest), std::move(action.result), owner});
+        return;
+    }
+    if (origin.kind == statement_kind::begin && action.result.transaction.value() != 0) {
+        m_peerTransactions[*origin.from].emplace(group, action.result.transaction);
+    }
+    wire::peer_message message;
+    wire::forward_answer &answer = *message.mutable_forward_answer();
+    answer.set_id(origin.entryRequest);
+    *answer.mutable_result() = toWire(action.result);
+    if (action.result.floor) {
+        *answer.mutable_floor() = toWire(*action.result.floor);
+    }
+    if (owner) {
+        answer.set_owner(owner->value());
+    }
+    send(*origin.from, std::move(message));
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/decision_entry.cpp
@@ -0,0 +1,100 @@
+#include "mustardrouter/Instance/decision_duty.h"
+#include "mustardrouter/Instance/wire_codec.h"
+
+namespace mustardrouter
+{
+
+void decision_duty::stepEntry(const entry_event &event)
+{
+    entry_actions actions;
+    step(m_entry, event, now(), actions);
+    for (entry_action &action : actions) {
+        std::visit(
+            [&](auto &what) {
+                apply(what);
+            },
+            action);
+    }
+}
+
+void decision_duty::apply(forward_statement &action)
+{
+    if (action.to == m_identity.self.name) {
+        owner_request origin;
+        origin.group = action.group;
+        origin.entryRequest = action.request.value();
+        acceptRequest(action.group, std::move(origin), std::move(action.what));
+        return;
+    }
+    wire::peer_message message;
+    wire::forward &forward = *message.mutable_forward();
+    forward.set_id(action.request.value());
+    forward.set_group(action.group.value());
+    *forward.mutable_statement() = toWire(action.what, now());
+    if (action.what.floor) {
+        *forward.mutable_floor() = toWire(*action.what.floor);
+    }
+    if (!sendToPeer(action.to, std::move(message))) {
+        stepEntry(forward_failed{action.request});
+    }
+}
+
+void decision_duty::apply(const find_owner &action)
+{
+    m_recordsWanted.insert(action.group);
+    m_outputs.platform.post(read_record_job{action.group});
+}
+
+void decision_duty::apply(answer_caller &action)
+{
+    const double seconds = std::chrono::duration<double>(action.took).count();
+    m_outputs.figures.countStatement(action.service.value(), action.result.kind, seconds);
+    const auto traced = m_entryTraces.find({action.caller.value(), action.callerRequest});
+    if (traced != m_entryTraces.end()) {
+        trace_span span;
+        span.traceId = traced->second.context.traceId;
+        span.spanId = traced->second.context.spanId;
+        span.parentId = traced->second.parentId;
+        span.name = "entry";
+        span.startNanos = traced->second.startNanos;
+        span.endNanos = unixNanos();
+        span.failed = action.result.kind != outcome::done;
+        span.attributes = {{"service", action.service.value()},
+                           {"group", action.group.value()},
+                           {"owner", action.owner.value()},
+                           {"outcome", std::string(toString(action.result.kind))},
+                           {"failure", std::string(toString(action.result.why))},
+                           {"attempts", std::to_string(action.attempts)}};
+        m_outputs.telemetry.record(std::move(span));
+        m_entryTraces.erase(traced);
+    }
+    wire::caller_response response;
+    response.set_id(action.callerRequest);
+    *response.mutable_result() = toWire(action.result);
+    response.mutable_result()->set_session_token(action.token);
+    send(link_id(action.caller.value()), std::move(response));
+}
+
+void decision_duty::apply(const abandon_at_owner &action)
+{
+    if (action.to == m_identity.self.name) {
+        if (action.transaction.value() != 0) {
+            stepEngine(action.group, transaction_abandoned{action.transaction});
+            return;
+        }
+        owner_request origin;
+        origin.group = action.group;
+        origin.entryRequest = action.request.value();
+        abandonRequest(origin);
+        return;
+    }
+    wire::peer_message message;
+    wire::abandon &abandon = *message.mutable_abandon();
+    abandon.set_id(action.request.value());
+    abandon.set_group(action.group.value());
+    abandon.set_transaction(action.transaction.value());
+    abandon.set_session(action.session.value());
+    sendToPeer(action.to, std::move(message));
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/instance.cpp
@@ -0,0 +1,168 @@
+#include "mustardrouter/Instance/instance.h"
+
+#include "mustardrouter/Core/failure.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <thread>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr std::size_t ringCapacity = 16384;
+constexpr std::size_t spanCapacity = 4096;
+constexpr int controlRefused = -32020;
+
+std::uint64_t unixMicroseconds()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+instance::instance(const objects::instance_settings &settings)
+    : m_settings(settings)
+    , m_inputs(ringCapacity)
+    , m_network(m_inputs.links, ringCapacity)
+    , m_platform(settings.platform_address(), m_inputs.records, ringCapacity)
+    , m_telemetry(settings.trace_file(), settings.name(), spanCapacity)
+{
+}
+
+instance::~instance()
+{
+    stopDuties();
+}
+
+result_of<void> instance::start()
+{
+    BOOST_LEAF_CHECK(m_network.start(m_settings.caller_address(), m_settings.peer_address()));
+    const std::uint64_t incarnation = unixMicroseconds();
+    m_name = m_settings.name() + "." + std::to_string(incarnation);
+    const instance_view self{instance_name(m_name), m_network.peerAddress(), m_settings.place(), incarnation, false};
+    const decision_identity identity{self, m_settings.token_key(), m_settings.trace_sample()};
+    m_discovery = std::make_unique<discovery_duty>(m_settings.platform_address(), self, m_inputs.discoveries);
+    m_decisions = std::make_unique<decision_duty>(identity, m_inputs, decision_outputs{m_network, m_platform, m_telemetry, m_metrics});
+    if (!m_settings.control_address().empty()) {
+        m_control = std::make_unique<json_rpc_server>(m_settings.control_address(),
+                                                      m_settings.operator_key(),
+                                                      std::vector<std::string>{"status", "failover", "drain"},
+                                                      [this](const std::string &method, const Json::Value &parameters) {
+                                                          return onControl(method, parameters);
+                                                      });
+        if (!m_control->start()) {
+            return fail(failure::addressUnavailable, m_settings.control_address() + ": the control interface cannot listen");
+        }
+    }
+    if (!m_settings.metrics_address().empty() && !m_metrics.expose(m_settings.metrics_address())) {
+        return fail(failure::addressUnavailable, m_settings.metrics_address() + ": the metrics endpoint cannot listen");
+    }
+    m_telemetry.start();
+    m_platform.start();
+    m_decisions->start();
+    m_discovery->start();
+    writeLog(log_level::info,
+             "instance",
+             "started",
+             {{"instance", m_name}, {"callers", m_network.callerAddress()}, {"peers", m_network.peerAddress()}});
+    return {};
+}
+
+bool instance::shutDown(std::chrono::milliseconds patience)
+{
+    m_discovery->announceLeaving();
+    command(drain_instance{});
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (!m_decisions->isDrained() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    const bool drained = m_decisions->isDrained();
+    writeLog(
+        drained ? log_level::info : log_level::warning, "instance", drained ? "drained" : "not drained in time", {{"instance", m_name}});
+    // Answers that were just queued still have to reach their callers.
+    constexpr auto lastAnswers = std::chrono::milliseconds(50);
+    std::this_thread::sleep_for(lastAnswers);
+    stopDuties();
+    return drained;
+}
+
+void instance::kill()
+{
+    stopDuties();
+}
+
+void instance::stopDuties()
+{
+    if (m_control) {
+        m_control->stop();
+    }
+    m_network.stop();
+    if (m_decisions) {
+        m_decisions->stop();
+    }
+    if (m_discovery) {
+        m_discovery->stop();
+    }
+    m_platform.stop();
+    m_telemetry.stop();
+}
+
+const std::string &instance::name() const
+{
+    return m_name;
+}
+
+std::string instance::callerAddress() const
+{
+    return m_network.callerAddress();
+}
+
+std::string instance::controlAddress() const
+{
+    return m_control ? hostOf(m_settings.control_address()) + ":" + std::to_string(m_control->port()) : std::string();
+}
+
+Json::Value instance::status() const
+{
+    return m_decisions->status();
+}
+
+failure instance::command(operator_command what)
+{
+    const std::lock_guard lock(m_commandMutex);
+    return m_inputs.commands.push(std::move(what));
+}
+
+Json::Value instance::onControl(const std::string &method, const Json::Value &parameters)
+{
+    if (method == "status") {
+        return status();
+    }
+    operator_command what = drain_instance{};
+    if (method == "failover") {
+        move_primary move{group_name(parameters["group"].asString()), std::nullopt};
+        if (parameters.isMember("to") && !parameters["to"].asString().empty()) {
+            move.to = database_name(parameters["to"].asString());
+        }
+        what = move;
+    } else {
+        m_discovery->announceLeaving();
+    }
+    writeLog(log_level::info, "control", "operator command", {{"command", method}, {"operator", parameters["operator"].asString()}});
+    if (command(std::move(what)) != failure::none) {
+        throw json_rpc_refusal{controlRefused, std::string(toString(failure::ringFull))};
+    }
+    Json::Value accepted(Json::objectValue);
+    accepted["accepted"] = true;
+    return accepted;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/network_duty.cpp
@@ -0,0 +1,238 @@
+#include "mustardrouter/Instance/network_duty.h"
+
+#include "mustardrouter/Network/endpoint.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <asio/post.hpp>
+
+namespace mustardrouter
+{
+
+network_duty::network_duty(ring<link_event> &events, std::size_t commandCapacity)
+    : m_guard(asio::make_work_guard(m_context))
+    , m_callers(m_context,
+                [this](std::shared_ptr<frame_connection> connection) {
+                    accept(link_kind::caller, std::move(connection));
+                })
+    , m_peers(m_context,
+              [this](std::shared_ptr<frame_connection> connection) {
+                  accept(link_kind::peer, std::move(connection));
+              })
+    , m_events(events)
+    , m_commands(commandCapacity, m_unusedSignal)
+{
+}
+
+network_duty::~network_duty()
+{
+    stop();
+}
+
+result_of<void> network_duty::start(const std::string &callerAddress, const std::string &peerAddress)
+{
+    BOOST_LEAF_CHECK(m_callers.listen(callerAddress));
+    BOOST_LEAF_CHECK(m_peers.listen(peerAddress));
+    m_thread = std::thread([this] {
+        m_context.run();
+    });
+    return {};
+}
+
+void network_duty::stopAccepting()
+{
+    asio::post(m_context, [this] {
+        m_callers.stop();
+    });
+}
+
+void network_duty::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    m_guard.reset();
+    m_context.stop();
+    m_thread.join();
+    m_callers.stop();
+    m_peers.stop();
+    const auto links = std::move(m_links);
+    m_links.clear();
+    for (const auto &[link, connection] : links) {
+        connection->close(failure::shuttingDown);
+    }
+}
+
+failure network_duty::post(link_command command)
+{
+    return m_commands.push(std::move(command));
+}
+
+void network_duty::flush()
+{
+    if (m_woken.exchange(true)) {
+        return;
+    }
+    asio::post(m_context, [this] {
+        m_woken.store(false);
+        runCommands();
+    });
+}
+
+std::string network_duty::callerAddress() const
+{
+    return m_callers.address();
+}
+
+std::string network_duty::peerAddress() const
+{
+    return m_peers.address();
+}
+
+void network_duty::accept(link_kind kind, std::shared_ptr<frame_connection> connection)
+{
+    const link_id link(m_nextAccepted);
+    m_nextAccepted += 2;
+    m_links.emplace(link, connection);
+    connection->start(
+        [this, link, kind](frame_connection &from, std::string_view payload) {
+            onFrame(link, kind, from, payload);
+        },
+        [this, link, kind](frame_connection &, failure why) {
+            onClose(link, kind, why);
+        });
+}
+
+void network_duty::runCommands()
+{
+    while (std::optional<link_command> command = m_commands.pop()) {
+        std::visit(
+            [this](auto &what) {
+                run(what);
+            },
+            *command);
+    }
+}
+
+void network_duty::run(const open_link &command)
+{
+    const link_id link = command.link;
+    const link_kind kind = command.kind;
+    auto connection = std::make_shared<frame_connection>(asio::ip::tcp::socket(m_context));
+    m_links.emplace(link, connection);
+    handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_AUTO(endpoint, parseEndpoint(command.address));
+            connection->connect(
+                endpoint,
+                [this, link, kind](frame_connection &from, std::string_view payload) {
+                    onFrame(link, kind, from, payload);
+                },
+                [this, link, kind](frame_connection &, failure why) {
+                    onClose(link, kind, why);
+                });
+            return true;
+        },
+        [&](const error &what) {
+            onClose(link, kind, what.why);
+            return false;
+        });
+}
+
+void network_duty::run(send_on_link &command)
+{
+    const auto found = m_links.find(command.link);
+    if (found == m_links.end()) {
+        return;
+    }
+    const std::shared_ptr<frame_connection> connection = found->second;
+    std::visit(
+        [&](const auto &message) {
+            connection->send(message);
+        },
+        command.message);
+}
+
+void network_duty::run(const close_link &command)
+{
+    const auto found = m_links.find(command.link);
+    if (found == m_links.end()) {
+        return;
+    }
+    const std::shared_ptr<frame_connection> connection = found->second;
+    m_links.erase(found);
+    connection->close(failure::none);
+}
+
+void network_duty::onFrame(link_id link, link_kind kind, frame_connection &connection, std::string_view payload)
+{
+    const std::unique_ptr<link_message> message = parse(kind, payload);
+    if (!message) {
+        connection.close(failure::malformedFrame);
+        return;
+    }
+    link_event event = link_received{link, std::move(*message)};
+    if (m_events.push(std::move(event)) == failure::none) {
+        return;
+    }
+    if (kind == link_kind::caller) {
+        refuseOverload(connection, std::get<link_received>(event).message);
+        return;
+    }
+    // A lost peer or database message would leave its sender waiting; a closed link tells it.
+    connection.close(failure::ringFull);
+}
+
+void network_duty::onClose(link_id link, link_kind kind, failure why)
+{
+    if (m_links.erase(link) == 0) {
+        return;
+    }
+    if (why == failure::malformedFrame || why == failure::frameTooLarge) {
+        writeLog(log_level::warning, "network", "closed a link for a bad frame", {{"reason", std::string(toString(why))}});
+    }
+    report(link_closed{link, kind, why});
+}
+
+void network_duty::report(link_event event)
+{
+    if (m_events.push(std::move(event)) == failure::none) {
+        return;
+    }
+    // A close must not be lost: try again once the decision thread has caught up.
+    asio::post(m_context, [this, event = std::move(event)]() mutable {
+        std::this_thread::yield();
+        report(std::move(event));
+    });
+}
+
+std::unique_ptr<link_message> network_duty::parse(link_kind kind, std::string_view payload)
+{
+    const auto size = static_cast<int>(payload.size());
+    auto message = std::make_unique<link_message>();
+    bool parsed = false;
+    switch (kind) {
+    case link_kind::caller:
+        parsed = message->emplace<wire::caller_request>().ParseFromArray(payload.data(), size);
+        break;
+    case link_kind::peer:
+        parsed = message->emplace<wire::peer_message>().ParseFromArray(payload.data(), size);
+        break;
+    case link_kind::database:
+        parsed = message->emplace<wire::database_message>().ParseFromArray(payload.data(), size);
+        break;
+    }
+    return parsed ? std::move(message) : nullptr;
+}
+
+void network_duty::refuseOverload(frame_connection &connection, const link_message &message)
+{
+    constexpr std::uint64_t retryAfterMs = 100;
+    wire::caller_response response;
+    response.set_id(std::get<wire::caller_request>(message).id());
+    response.mutable_result()->set_outcome(wire::OUTCOME_NOT_RUN);
+    response.mutable_result()->set_failure(static_cast<std::uint32_t>(failure::ringFull));
+    response.mutable_result()->set_retry_after_ms(retryAfterMs);
+    connection.send(response);
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/network_duty.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "mustardrouter/Instance/link.h"
+#include "mustardrouter/Network/frame_connection.h"
+#include "mustardrouter/Network/frame_listener.h"
+#include "mustardrouter/Runtime/error.h"
+#include "mustardrouter/Runtime/ring.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+namespace mustardrouter
+{
+
+/// The thread that owns all sockets of an instance. It parses frames and passes them on; it
+/// decides nothing.
+class network_duty
+{
+public:
+    /// Events go to `events`; commands come through post().
+    network_duty(ring<link_event> &events, std::size_t commandCapacity);
+    ~network_duty();
+    network_duty(const network_duty &) = delete;
+    network_duty &operator=(const network_duty &) = delete;
+
+    /// Listens for callers and peers and starts the thread.
+    result_of<void> start(const std::string &callerAddress, const std::string &peerAddress);
+    /// Accepts no more callers; what is open stays open.
+    void stopAccepting();
+    void stop();
+
+    /// Queues a command; called by the decision thread alone. failure::ringFull when it does not fit.
+    failure post(link_command command);
+    /// Wakes the thread for the commands queued since the last call.
+    void flush();
+
+    std::string callerAddress() const;
+    std::string peerAddress() const;
+
+private:
+    void accept(link_kind kind, std::shared_ptr<frame_connection> connection);
+    void runCommands();
+    void run(const open_link &command);
+    void run(send_on_link &command);
+    void run(const close_link &command);
+    void onFrame(link_id link, link_kind kind, frame_connection &connection, std::string_view payload);
+    void onClose(link_id link, link_kind kind, failure why);
+    void report(link_event event);
+    static std::unique_ptr<link_message> parse(link_kind kind, std::string_view payload);
+    /// Refuses a caller's request that the ring has no room for.
+    static void refuseOverload(frame_connection &connection, const link_message &message);
+
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+    frame_listener m_callers;
+    frame_listener m_peers;
+    ring<link_event> &m_events;
+    ring_signal m_unusedSignal;
+    ring<link_command> m_commands;
+    std::atomic<bool> m_woken{false};
+    std::unordered_map<link_id, std::shared_ptr<frame_connection>> m_links;
+    std::uint64_t m_nextAccepted = 2;
+    std::thread m_thread;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/platform_duty.cpp
@@ -0,0 +1,193 @@
+#include "mustardrouter/Instance/platform_duty.h"
+
+#include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Runtime/json_settings.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <chrono>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr auto platformTimeout = std::chrono::milliseconds(1000);
+constexpr auto jobWait = std::chrono::milliseconds(50);
+constexpr auto discoveryInterval = std::chrono::milliseconds(300);
+
+std::string recordKey(const group_name &group)
+{
+    return "ownership/" + group.value();
+}
+
+} // namespace
+
+platform_duty::platform_duty(std::string platformAddress, ring<platform_event> &events, std::size_t jobCapacity)
+    : m_address(std::move(platformAddress))
+    , m_events(events)
+    , m_jobs(jobCapacity, m_signal)
+{
+}
+
+platform_duty::~platform_duty()
+{
+    stop();
+}
+
+void platform_duty::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void platform_duty::stop()
+{
+    m_stopping.store(true);
+    m_signal.notify();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+failure platform_duty::post(platform_job job)
+{
+    return m_jobs.push(std::move(job));
+}
+
+void platform_duty::run()
+{
+    platform_client platform(m_address, platformTimeout);
+    while (!m_stopping.load()) {
+        m_signal.wait(jobWait);
+        while (const std::optional<platform_job> job = m_jobs.pop()) {
+            std::visit(
+                [&](const auto &what) {
+                    work(platform, what);
+                },
+                *job);
+        }
+    }
+}
+
+void platform_duty::work(platform_client &platform, const read_record_job &job)
+{
+    const auto answered = platform.get(recordKey(job.group));
+    if (answered.why != failure::none) {
+        answer(job.group, record_unanswered{}, true);
+        return;
+    }
+    objects::ownership_record message;
+    const bool fine = handled(
+        [&]() -> result_of<bool> {
+            if (answered.value.version != 0) {
+                BOOST_LEAF_CHECK(readJson(answered.value.value, recordKey(job.group), message));
+            }
+            return true;
+        },
+        [](const error &what) {
+            writeLog(log_level::error, "platform", "unreadable ownership record", {{"reason", what.detail}});
+            return false;
+        });
+    if (fine) {
+        answer(job.group, record_read{fromSchema(message, answered.value.version)}, true);
+    } else {
+        answer(job.group, record_unanswered{}, true);
+    }
+}
+
+void platform_duty::work(platform_client &platform, const write_record_job &job)
+{
+    const std::string text = writeJson(toSchema(job.record, job.group));
+    const auto answered = platform.put({recordKey(job.group), text, job.record.version});
+    if (answered.why == failure::versionConflict) {
+        answer(job.group, record_conflict{}, false);
+        return;
+    }
+    if (answered.why != failure::none) {
+        answer(job.group, record_unanswered{}, false);
+        return;
+    }
+    ownership_record stored = job.record;
+    stored.version = answered.value;
+    answer(job.group, record_written{stored}, false);
+}
+
+void platform_duty::answer(const group_name &group, ownership_event event, bool fromRead)
+{
+    platform_event item = record_event{group, std::move(event), fromRead};
+    while (m_events.push(std::move(item)) != failure::none && !m_stopping.load()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+discovery_duty::discovery_duty(std::string platformAddress, instance_view self, ring<platform_event> &events)
+    : m_address(std::move(platformAddress))
+    , m_self(std::move(self))
+    , m_events(events)
+{
+}
+
+discovery_duty::~discovery_duty()
+{
+    stop();
+}
+
+void discovery_duty::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void discovery_duty::stop()
+{
+    m_stopping.store(true);
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void discovery_duty::announceLeaving()
+{
+    m_leaving.store(true);
+}
+
+void discovery_duty::run()
+{
+    platform_client platform(m_address, platformTimeout);
+    while (!m_stopping.load()) {
+        const bool leaving = m_leaving.load();
+        if (!m_announced || leaving != m_self.leaving) {
+            m_self.leaving = leaving;
+            m_announced = platform.announce(m_self) == failure::none;
+        }
+        followConfiguration(platform);
+        followInstances(platform);
+        std::this_thread::sleep_for(discoveryInterval);
+    }
+}
+
+void discovery_duty::followConfiguration(platform_client &platform)
+{
+    const auto loaded = loadConfiguration(platform, m_known);
+    if (loaded.why != failure::none || loaded.value.revision <= m_known.revision) {
+        return;
+    }
+    const auto snapshot = std::make_shared<const configuration_snapshot>(loaded.value);
+    // A full ring leaves the revision unknown, so that the next turn brings it again.
+    if (m_events.push(configuration_loaded{snapshot}) == failure::none) {
+        m_known = loaded.value;
+    }
+}
+
+void discovery_duty::followInstances(platform_client &platform)
+{
+    const auto listed = platform.instances();
+    if (listed.why == failure::none) {
+        m_events.push(instances_listed{listed.value});
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/telemetry_duty.cpp
@@ -0,0 +1,74 @@
+#include "mustardrouter/Instance/telemetry_duty.h"
+
+#include "mustardrouter/Runtime/log.h"
+
+#include <fstream>
+
+namespace mustardrouter
+{
+
+telemetry_duty::telemetry_duty(std::string file, std::string instance, std::size_t capacity)
+    : m_file(std::move(file))
+    , m_instance(std::move(instance))
+    , m_spans(capacity, m_signal)
+{
+}
+
+telemetry_duty::~telemetry_duty()
+{
+    stop();
+}
+
+void telemetry_duty::start()
+{
+    if (!enabled()) {
+        return;
+    }
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void telemetry_duty::stop()
+{
+    m_stopping.store(true);
+    m_signal.notify();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool telemetry_duty::enabled() const
+{
+    return !m_file.empty();
+}
+
+void telemetry_duty::record(trace_span span)
+{
+    if (enabled() && m_spans.push(std::move(span)) != failure::none) {
+        m_dropped.fetch_add(1);
+    }
+}
+
+std::uint64_t telemetry_duty::dropped() const
+{
+    return m_dropped.load();
+}
+
+void telemetry_duty::run()
+{
+    constexpr auto wait = std::chrono::milliseconds(200);
+    std::ofstream file(m_file, std::ios::app);
+    if (!file) {
+        writeLog(log_level::error, "telemetry", "the trace file cannot be opened", {{"file", m_file}});
+    }
+    while (!m_stopping.load() || m_spans.size() > 0) {
+        m_signal.wait(wait);
+        while (const std::optional<trace_span> span = m_spans.pop()) {
+            file << toOtlpJson(*span, m_instance) << '\n';
+        }
+        file.flush();
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/telemetry_duty.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "mustardrouter/Runtime/ring.h"
+#include "mustardrouter/Runtime/trace_span.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace mustardrouter
+{
+
+/// The thread that writes spans to a file, one line of OTLP JSON each. Spans that do not fit
+/// into the ring are counted and dropped: telemetry never delays a statement.
+class telemetry_duty
+{
+public:
+    /// An empty file name writes nothing.
+    telemetry_duty(std::string file, std::string instance, std::size_t capacity);
+    ~telemetry_duty();
+    telemetry_duty(const telemetry_duty &) = delete;
+    telemetry_duty &operator=(const telemetry_duty &) = delete;
+
+    void start();
+    void stop();
+    /// Whether spans are wanted at all.
+    bool enabled() const;
+    /// Hands over a span; called by the decision thread alone.
+    void record(trace_span span);
+    std::uint64_t dropped() const;
+
+private:
+    void run();
+
+    std::string m_file;
+    std::string m_instance;
+    ring_signal m_signal;
+    ring<trace_span> m_spans;
+    std::atomic<std::uint64_t> m_dropped{0};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/wire_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "mustardrouter/Core/log_entry.h"
+#include "mustardrouter/Core/statement.h"
+#include "mustardrouter/Core/statement_result.h"
+#include "mustardrouter/Ownership/database_report.h"
+#include "mustardrouter/Schema/wire.pb.h"
+
+namespace mustardrouter
+{
+
+/// Conversions between messages and the structs of the decision modules. Deadlines travel as the
+/// time that is left, since instances share no clock.
+statement fromWire(const wire::statement &message, time_point now);
+wire::statement toWire(const statement &what, time_point now);
+statement_result fromWire(const wire::result &message);
+wire::result toWire(const statement_result &result);
+database_report fromWire(const wire::database_report &message);
+log_entry fromWire(const wire::log_entry &message);
+wire::log_entry toWire(const log_entry &entry);
+
+/// Kind of a statement as it travels.
+wire::statement_kind toWire(statement_kind kind);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/caller_client.cpp
@@ -0,0 +1,129 @@
+#include "mustardrouter/Load/caller_client.h"
+
+#include "mustardrouter/Network/endpoint.h"
+
+#include <asio/post.hpp>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+wire::result brokenResult(wire::outcome_kind outcome, failure why)
+{
+    wire::result result;
+    result.set_outcome(outcome);
+    result.set_failure(static_cast<std::uint32_t>(why));
+    result.set_detail("the connection to the entry is gone");
+    return result;
+}
+
+} // namespace
+
+caller_client::caller_client(asio::io_context &context, std::string entry)
+    : m_context(context)
+    , m_entry(std::move(entry))
+{
+}
+
+void caller_client::connect()
+{
+    m_connection = std::make_shared<frame_connection>(asio::ip::tcp::socket(m_context));
+    const std::weak_ptr<caller_client> weak = weak_from_this();
+    handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_AUTO(endpoint, parseEndpoint(m_entry));
+            m_connection->connect(
+                endpoint,
+                [weak](frame_connection &, std::string_view payload) {
+                    if (const auto self = weak.lock()) {
+                        self->onFrame(payload);
+                    }
+                },
+                [weak](frame_connection &, failure why) {
+                    if (const auto self = weak.lock()) {
+                        self->onClose(why);
+                    }
+                });
+            return true;
+        },
+        [&](const error &what) {
+            m_connection->close(what.why);
+            return false;
+        });
+}
+
+void caller_client::send(const wire::statement &statement, handler onResult)
+{
+    if (!isOpen()) {
+        asio::post(m_context, [onResult = std::move(onResult)] {
+            onResult(brokenResult(wire::OUTCOME_NOT_RUN, failure::addressUnavailable));
+        });
+        return;
+    }
+    wire::caller_request request;
+    request.set_id(m_nextId++);
+    *request.mutable_statement() = statement;
+    m_waiting.emplace(request.id(), std::move(onResult));
+    m_connection->send(request);
+}
+
+void caller_client::close()
+{
+    if (m_connection) {
+        m_connection->close(failure::none);
+    }
+}
+
+bool caller_client::isOpen() const
+{
+    return m_connection && m_connection->isOpen();
+}
+
+const std::string &caller_client::entry() const
+{
+    return m_entry;
+}
+
+void caller_client::onFrame(std::string_view payload)
+{
+    wire::caller_response response;
+    if (!response.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        m_connection->close(failure::malformedFrame);
+        return;
+    }
+    const auto found = m_waiting.find(response.id());
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const handler onResult = std::move(found->second);
+    m_waiting.erase(found);
+    onResult(response.result());
+}
+
+void caller_client::onClose(failure why)
+{
+    const auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    const bool neverSent = why == failure::addressUnavailable;
+    for (const auto &[id, onResult] : waiting) {
+        onResult(brokenResult(neverSent ? wire::OUTCOME_NOT_RUN : wire::OUTCOME_UNKNOWN, why));
+    }
+}
+
+wire::result callOnce(const std::string &entry, const wire::statement &statement)
+{
+    asio::io_context context;
+    wire::result answer;
+    const auto client = std::make_shared<caller_client>(context, entry);
+    client->connect();
+    client->send(statement, [&](const wire::result &result) {
+        answer = result;
+        client->close();
+    });
+    context.run();
+    return answer;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/demo.cpp
@@ -0,0 +1,209 @@
+#include "mustardrouter/Load/demo.h"
+
+#include "mustardrouter/Load/final_states.h"
+#include "mustardrouter/Load/testbed.h"
+#include "mustardrouter/Load/workload.h"
+
+#include <json/value.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdarg>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr int exitDone = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::ranges::sort(values);
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+class narrator
+{
+public:
+    void say(const std::string &line) const
+    {
+        const std::chrono::duration<double> since = std::chrono::steady_clock::now() - m_start;
+        std::printf("%7.3f s  %s\n", since.count(), line.c_str());
+        std::fflush(stdout);
+    }
+
+private:
+    std::chrono::steady_clock::time_point m_start = std::chrono::steady_clock::now();
+};
+
+void tellOwners(const narrator &tell, testbed &bed)
+{
+    for (std::size_t group = 0; group < bed.sizes().groups; ++group) {
+        const std::string name = groupNameOf(bed.sizes(), group);
+        const instance *owner = bed.ownerOf(name);
+        if (owner == nullptr) {
+            tell.say("group " + name + " has no owner yet");
+            continue;
+        }
+        const Json::Value status = owner->status()["groups"][name];
+        tell.say("group " + name + ": owner " + owner->name() + ", term " + status["term"].asString() + ", primary "
+                 + status["primary"].asString());
+    }
+}
+
+struct demo_outcome {
+    std::chrono::milliseconds gap{0};
+    bool served = true;
+};
+
+/// Kills the primary of the first group and waits until the group is served again.
+demo_outcome failOver(const narrator &tell, testbed &bed, load_instant &killedAt)
+{
+    const std::string group = groupNameOf(bed.sizes(), 0);
+    database_standin *victim = bed.primaryOf(group);
+    demo_outcome outcome;
+    if (victim == nullptr) {
+        outcome.served = false;
+        return outcome;
+    }
+    tell.say("kills the primary " + victim->name() + ": its connections break, what was sent to it is unknown");
+    killedAt = std::chrono::steady_clock::now();
+    victim->kill();
+    tell.say("the owner fences the group in its next term and promotes the replica with the highest (term, position)");
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    database_standin *next = victim;
+    while (next == victim || next == nullptr) {
+        if (std::chrono::steady_clock::now() > until) {
+            outcome.served = false;
+            return outcome;
+        }
+        std::this_thread::sleep_for(5ms);
+        next = bed.primaryOf(group);
+    }
+    tell.say(next->name() + " is primary: its barrier entry is confirmed by a replica, so every acknowledged write is there");
+    std::this_thread::sleep_for(500ms);
+    victim->restart();
+    tell.say(victim->name() + " returns, drops its unacknowledged tail and follows the new term");
+    return outcome;
+}
+
+Json::Value makeReport(const demo_settings &settings, const workload &load, const verdict &found, const demo_outcome &outcome)
+{
+    const history &seen = load.seen();
+    const std::uint64_t reads = seen.replicaReads + seen.primaryReads;
+    Json::Value report(Json::objectValue);
+    report["deployment"] = settings.deployment;
+    report["seed"] = Json::UInt64(settings.seed);
+    report["statements"] = Json::UInt64(seen.statements);
+    report["done"] = Json::UInt64(seen.done);
+    report["not_run"] = Json::UInt64(seen.notRun);
+    report["unknown"] = Json::UInt64(seen.unknown);
+    report["stale_reads"] = Json::UInt64(found.staleReads);
+    report["lost_writes"] = Json::UInt64(found.lostWrites);
+    report["doubled_writes"] = Json::UInt64(found.doubledWrites);
+    report["cross_transaction"] = Json::UInt64(found.crossTransaction);
+    report["ran_though_not_run"] = Json::UInt64(found.ranThoughNotRun);
+    report["misattributed"] = Json::UInt64(found.misattributed);
+    report["replica_read_share"] = reads == 0 ? 0.0 : static_cast<double>(seen.replicaReads) / static_cast<double>(reads);
+    report["failover_gap_ms"] = Json::Int64(outcome.gap.count());
+    report["latency_ms"]["p50"] = quantile(load.latencies(), 0.5);
+    report["latency_ms"]["p99"] = quantile(load.latencies(), 0.99);
+    return report;
+}
+
+bool writeReport(const std::string &file, const Json::Value &report)
+{
+    std::ofstream out(file);
+    Json::StreamWriterBuilder writer;
+    out << Json::writeString(writer, report) << '\n';
+    return out.good();
+}
+
+int judge(const demo_settings &settings, const narrator &tell, const Json::Value &report, const verdict &found, const demo_outcome &outcome)
+{
+    Json::StreamWriterBuilder writer;
+    std::printf("%s\n", Json::writeString(writer, report).c_str());
+    if (!settings.reportFile.empty() && !writeReport(settings.reportFile, report)) {
+        std::fprintf(stderr, "%s: the report cannot be written\n", settings.reportFile.c_str());
+        return exitFailed;
+    }
+    if (!outcome.served) {
+        tell.say("FAILED: the group was not served again");
+        return exitFailed;
+    }
+    if (report["done"].asUInt64() == 0) {
+        tell.say("FAILED: no statement was done");
+        return exitFailed;
+    }
+    tell.say(isClean(found) ? "every promise was kept" : "FAILED: a promise was broken");
+    return isClean(found) ? exitDone : exitFailed;
+}
+
+} // namespace
+
+int runDemo(const demo_settings &settings)
+{
+    const std::optional<deployment> sizes = findDeployment(settings.deployment);
+    if (!sizes) {
+        std::fprintf(stderr, "no deployment \"%s\": there are kovacik and granite-notch\n", settings.deployment.c_str());
+        return exitUsage;
+    }
+    const narrator tell;
+    testbed bed(*sizes, settings.instances);
+    const bool started = handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_CHECK(bed.start());
+            return true;
+        },
+        [](const error &what) {
+            std::fprintf(stderr, "%s: %s\n", std::string(toString(what.why)).c_str(), what.detail.c_str());
+            return false;
+        });
+    if (!started || !bed.waitUntilServing(20s)) {
+        tell.say("FAILED: the groups are not served");
+        return exitFailed;
+    }
+    tell.say("platform, " + std::to_string(sizes->groups * sizes->databasesPerGroup) + " databases and "
+             + std::to_string(settings.instances) + " instances run on loopback");
+    tellOwners(tell, bed);
+
+    workload_settings shape;
+    shape.service = sizes->service;
+    shape.entries = bed.entries();
+    shape.operationsPerSecond = settings.operationsPerSecond;
+    shape.seed = settings.seed;
+    for (std::size_t group = 0; group < sizes->groups; ++group) {
+        shape.groups.push_back(groupNameOf(*sizes, group));
+    }
+    workload load(shape);
+    load.start();
+    tell.say("callers save and read back through other entries, book pairs in transactions, and browse");
+    const auto half = std::chrono::milliseconds(settings.seconds * 500);
+    std::this_thread::sleep_for(half);
+    load_instant killedAt;
+    demo_outcome outcome = failOver(tell, bed, killedAt);
+    std::this_thread::sleep_for(half);
+    load.finish();
+    tellOwners(tell, bed);
+    constexpr auto before = 500ms;
+    constexpr auto after = 10s;
+    outcome.gap = longestWriteGap(load.seen(), shape.groups.front(), killedAt - before, killedAt + after);
+    const verdict found = check(load.seen(), readFinalStates(bed));
+    return judge(settings, tell, makeReport(settings, load, found, outcome), found, outcome);
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/deployment.cpp
@@ -0,0 +1,92 @@
+#include "mustardrouter/Load/deployment.h"
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> &demoTables()
+{
+    static const std::vector<std::string> tables{
+        "CREATE TABLE items(id TEXT, owner TEXT, body TEXT)",
+        "CREATE INDEX items_by_id ON items(id)",
+        "CREATE TABLE pairs(transaction_id TEXT, owner TEXT, part INTEGER)",
+    };
+    return tables;
+}
+
+deployment kovacik()
+{
+    deployment made;
+    made.name = "kovacik";
+    made.service = "scripts";
+    made.places = {"bratislava", "kosice", "zilina"};
+    made.region = "slovakia";
+    made.slots = 3;
+    made.connections = 45;
+    made.connectionCost = 10ms;
+    made.betweenDataCentres = 1500us;
+    made.toCallers = 3000us;
+    made.tables = demoTables();
+    return made;
+}
+
+deployment graniteNotch()
+{
+    deployment made;
+    made.name = "granite-notch";
+    made.service = "booking-core";
+    made.places = {"vermont-north", "white-mountains", "maine-west"};
+    made.region = "new-england";
+    made.slots = 5;
+    made.connections = 140;
+    made.connectionCost = 30ms;
+    made.betweenDataCentres = 1500us;
+    made.toCallers = 1000us;
+    made.tables = demoTables();
+    return made;
+}
+
+} // namespace
+
+std::optional<deployment> findDeployment(const std::string &name)
+{
+    if (name == "kovacik") {
+        return kovacik();
+    }
+    if (name == "granite-notch") {
+        return graniteNotch();
+    }
+    return std::nullopt;
+}
+
+std::string groupNameOf(const deployment &of, std::size_t group)
+{
+    return of.service + "-" + std::to_string(group + 1);
+}
+
+objects::database_settings databaseSettings(const deployment &of, std::size_t group, std::size_t index)
+{
+    constexpr std::uint64_t serviceTimeMicros = 1000;
+    constexpr std::uint64_t replicationMicros = 2000;
+    constexpr std::uint64_t applyMicros = 20000;
+    objects::database_settings settings;
+    settings.set_name(groupNameOf(of, group) + "-" + of.places[index % of.places.size()]);
+    settings.set_address("127.0.0.1:0");
+    settings.set_slots(of.slots);
+    settings.set_connections(of.connections);
+    settings.set_connection_cost_us(static_cast<std::uint64_t>(std::chrono::microseconds(of.connectionCost).count()));
+    settings.set_service_time_us(serviceTimeMicros);
+    settings.set_network_delay_us(static_cast<std::uint64_t>(of.betweenDataCentres.count()));
+    settings.set_replication_delay_us(replicationMicros);
+    settings.set_apply_lag_us(applyMicros);
+    for (const std::string &sql : of.tables) {
+        settings.add_initial_statements(sql);
+    }
+    return settings;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/final_states.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "mustardrouter/Load/history.h"
+#include "mustardrouter/Load/testbed.h"
+
+#include <map>
+#include <string>
+
+namespace mustardrouter
+{
+
+/// Final state of every group, read from its present primary.
+std::map<std::string, final_state> readFinalStates(testbed &bed);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/history.cpp
@@ -0,0 +1,84 @@
+#include "mustardrouter/Load/history.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr std::uint64_t rowsPerPair = 2;
+
+void checkWrite(const recorded_write &write, const final_state &state, verdict &found)
+{
+    const auto counted = state.itemCounts.find(write.id);
+    const std::uint64_t rows = counted == state.itemCounts.end() ? 0 : counted->second;
+    if (rows > 1) {
+        ++found.doubledWrites;
+    }
+    if (write.kind == outcome::done && rows == 0) {
+        ++found.lostWrites;
+    }
+    if (write.kind == outcome::notRun && rows > 0) {
+        ++found.ranThoughNotRun;
+    }
+}
+
+void checkPair(const recorded_pair &pair, const final_state &state, verdict &found)
+{
+    const auto stored = state.pairs.find(pair.id);
+    const final_state::pair_rows rows = stored == state.pairs.end() ? final_state::pair_rows{} : stored->second;
+    const bool partial = rows.rows != 0 && rows.rows != rowsPerPair;
+    const bool foreign = rows.rows != 0 && (rows.mixedOwners || rows.owner != pair.owner);
+    if (partial || foreign) {
+        ++found.crossTransaction;
+    }
+    if (pair.kind == outcome::done && rows.rows == 0) {
+        ++found.lostWrites;
+    }
+    if (pair.kind == outcome::notRun && rows.rows > 0) {
+        ++found.ranThoughNotRun;
+    }
+}
+
+} // namespace
+
+verdict check(const history &seen, const std::map<std::string, final_state> &groups)
+{
+    verdict found;
+    found.staleReads = seen.staleReads;
+    found.misattributed = seen.misattributed;
+    for (const recorded_write &write : seen.writes) {
+        checkWrite(write, groups.at(write.group), found);
+    }
+    for (const recorded_pair &pair : seen.pairs) {
+        checkPair(pair, groups.at(pair.group), found);
+    }
+    return found;
+}
+
+bool isClean(const verdict &found)
+{
+    return found.staleReads + found.lostWrites + found.doubledWrites + found.crossTransaction + found.ranThoughNotRun + found.misattributed
+           == 0;
+}
+
+std::chrono::milliseconds longestWriteGap(const history &seen, const std::string &group, load_instant from, load_instant to)
+{
+    std::vector<load_instant> answered;
+    for (const recorded_write &write : seen.writes) {
+        const bool counts = write.group == group && write.kind == outcome::done && write.answered >= from && write.answered <= to;
+        if (counts) {
+            answered.push_back(write.answered);
+        }
+    }
+    std::ranges::sort(answered);
+    load_instant::duration longest{0};
+    for (std::size_t index = 1; index < answered.size(); ++index) {
+        longest = std::max(longest, answered[index] - answered[index - 1]);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(longest);
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/testbed.cpp
@@ -0,0 +1,212 @@
+#include "mustardrouter/Load/testbed.h"
+
+#include "mustardrouter/Platform/configuration_store.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr auto listLag = std::chrono::milliseconds(200);
+constexpr auto platformTimeout = std::chrono::milliseconds(2000);
+
+bool ownsGroup(const Json::Value &status, const std::string &group)
+{
+    return status["groups"][group]["serving"].asBool();
+}
+
+} // namespace
+
+change_set configurationOf(const deployment &of, const std::vector<database> &databases)
+{
+    change_set changes;
+    for (const std::string &name : of.places) {
+        changes.changed.emplace_back(place{name, of.region});
+    }
+    changes.changed.emplace_back(named_read_rule{"own-work", read_rule::session, {}});
+    changes.changed.emplace_back(named_read_rule{"recent", read_rule::age, std::chrono::seconds(2)});
+    session_policy policy;
+    policy.name = "default";
+    policy.readRule = "own-work";
+    changes.changed.emplace_back(policy);
+    service offered;
+    offered.name = of.service;
+    offered.sessionPolicy = policy.name;
+    for (std::size_t group = 0; group < of.groups; ++group) {
+        database_group made;
+        made.name = groupNameOf(of, group);
+        const auto first = databases.begin() + static_cast<std::ptrdiff_t>(group * of.databasesPerGroup);
+        made.databases.assign(first, first + static_cast<std::ptrdiff_t>(of.databasesPerGroup));
+        offered.groups.push_back(made.name);
+        changes.changed.emplace_back(std::move(made));
+    }
+    changes.changed.emplace_back(std::move(offered));
+    return changes;
+}
+
+testbed::testbed(deployment sizes, std::size_t instances)
+    : m_sizes(std::move(sizes))
+    , m_instanceCount(instances)
+    , m_platform("127.0.0.1:0", listLag)
+{
+}
+
+testbed::~testbed()
+{
+    stop();
+}
+
+result_of<void> testbed::start()
+{
+    if (!m_platform.start()) {
+        return fail(failure::addressUnavailable, "the platform stand-in cannot listen");
+    }
+    for (std::size_t group = 0; group < m_sizes.groups; ++group) {
+        for (std::size_t index = 0; index < m_sizes.databasesPerGroup; ++index) {
+            m_databases.push_back(std::make_unique<database_standin>(databaseSettings(m_sizes, group, index)));
+            if (!m_databases.back()->start()) {
+                return fail(failure::addressUnavailable, "a database stand-in cannot listen");
+            }
+        }
+    }
+    BOOST_LEAF_CHECK(publishConfiguration());
+    for (std::size_t index = 0; index < m_instanceCount; ++index) {
+        BOOST_LEAF_CHECK(addInstance());
+    }
+    return {};
+}
+
+result_of<void> testbed::publishConfiguration()
+{
+    std::vector<database> databases;
+    for (std::size_t index = 0; index < m_databases.size(); ++index) {
+        database made;
+        made.name = database_name(m_databases[index]->name());
+        made.place = m_sizes.places[index % m_sizes.places.size()];
+        made.address = m_databases[index]->address();
+        made.slots = m_sizes.slots;
+        made.connections = m_sizes.connections;
+        made.connectionCostMs = static_cast<std::uint32_t>(m_sizes.connectionCost.count());
+        databases.push_back(made);
+    }
+    platform_client platform(m_platform.address(), platformTimeout);
+    const publication_result published = publishChanges(platform, configurationOf(m_sizes, databases), "testbed");
+    if (published.why != failure::none) {
+        std::string detail = published.detail;
+        for (const configuration_problem &problem : published.problems) {
+            detail += " " + problem.object + "." + problem.field + ": " + problem.detail;
+        }
+        return fail(published.why, detail);
+    }
+    return {};
+}
+
+result_of<void> testbed::addInstance()
+{
+    objects::instance_settings settings;
+    settings.set_name("entry-" + std::to_string(m_instancesMade + 1));
+    settings.set_place(m_sizes.places[m_instancesMade % m_sizes.places.size()]);
+    ++m_instancesMade;
+    settings.set_caller_address("127.0.0.1:0");
+    settings.set_peer_address("127.0.0.1:0");
+    settings.set_platform_address(m_platform.address());
+    settings.set_token_key("testbed");
+    auto made = std::make_unique<instance>(settings);
+    BOOST_LEAF_CHECK(made->start());
+    m_instances.push_back(std::move(made));
+    return {};
+}
+
+bool testbed::waitUntilServing(std::chrono::milliseconds patience) const
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < until) {
+        std::size_t served = 0;
+        for (std::size_t group = 0; group < m_sizes.groups; ++group) {
+            const std::string name = groupNameOf(m_sizes, group);
+            const bool owned = std::ranges::any_of(m_instances, [&](const auto &item) {
+                return ownsGroup(item->status(), name);
+            });
+            served += owned ? 1U : 0U;
+        }
+        if (served == m_sizes.groups) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+void testbed::stop()
+{
+    m_instances.clear();
+    m_databases.clear();
+    m_platform.stop();
+}
+
+const deployment &testbed::sizes() const
+{
+    return m_sizes;
+}
+
+platform_standin &testbed::platform()
+{
+    return m_platform;
+}
+
+std::vector<std::unique_ptr<instance>> &testbed::instances()
+{
+    return m_instances;
+}
+
+std::vector<std::string> testbed::entries() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &item : m_instances) {
+        addresses.push_back(item->callerAddress());
+    }
+    return addresses;
+}
+
+instance *testbed::ownerOf(const std::string &group)
+{
+    for (const auto &item : m_instances) {
+        if (ownsGroup(item->status(), group)) {
+            return item.get();
+        }
+    }
+    return nullptr;
+}
+
+database_standin *testbed::findDatabase(const std::string &name)
+{
+    for (const auto &item : m_databases) {
+        if (item->name() == name) {
+            return item.get();
+        }
+    }
+    return nullptr;
+}
+
+database_standin *testbed::primaryOf(const std::string &group)
+{
+    const instance *owner = ownerOf(group);
+    return owner == nullptr ? nullptr : findDatabase(owner->status()["groups"][group]["primary"].asString());
+}
+
+std::vector<database_standin *> testbed::databasesOf(const std::string &group)
+{
+    std::vector<database_standin *> found;
+    for (const auto &item : m_databases) {
+        if (item->name().starts_with(group + "-")) {
+            found.push_back(item.get());
+        }
+    }
+    return found;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Membership/rendezvous.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+
+#include <string_view>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Instances in the order of their rendezvous weight for a key (Thaler and Ravishankar, "A Name-Based
+/// Mapping Scheme for Rendezvous", 1996): when one goes, only its keys move.
+std::vector<instance_name> rankInstances(std::string_view key, std::vector<instance_name> instances);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Network/frame_connection.cpp
@@ -0,0 +1,194 @@
+#include "mustardrouter/Network/frame_connection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/util/delimited_message_util.h>
+
+#include <array>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr std::size_t readBytes = 4096;
+constexpr std::size_t maxPrefixBytes = 5;
+
+/// One read buffer serves all connections of a thread: what an idle connection holds stays small.
+std::array<char, 16 * readBytes> &readBuffer()
+{
+    thread_local std::array<char, 16 * readBytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+frame_connection::frame_connection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+}
+
+void frame_connection::start(frame_handler onFrame, close_handler onClose)
+{
+    m_onFrame = std::move(onFrame);
+    m_onClose = std::move(onClose);
+    m_connected = true;
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    readMore();
+    writeMore();
+}
+
+void frame_connection::connect(const asio::ip::tcp::endpoint &endpoint, frame_handler onFrame, close_handler onClose)
+{
+    m_onClose = std::move(onClose);
+    m_socket.async_connect(endpoint, [self = shared_from_this(), handler = std::move(onFrame)](const asio::error_code &code) mutable {
+        if (self->m_closed) {
+            return;
+        }
+        if (code) {
+            self->close(failure::addressUnavailable);
+            return;
+        }
+        self->start(std::move(handler), std::move(self->m_onClose));
+    });
+}
+
+void frame_connection::send(const google::protobuf::MessageLite &message)
+{
+    if (m_closed) {
+        return;
+    }
+    const std::size_t size = message.ByteSizeLong();
+    std::array<std::uint8_t, 2 * maxPrefixBytes> prefix{};
+    const std::uint8_t *end =
+        google::protobuf::io::CodedOutputStream::WriteVarint32ToArray(static_cast<std::uint32_t>(size), prefix.data());
+    m_outgoing.append(reinterpret_cast<const char *>(prefix.data()), static_cast<std::size_t>(end - prefix.data()));
+    message.AppendToString(&m_outgoing);
+    if (unsentBytes() > maxUnsentBytes) {
+        close(failure::overloaded);
+        return;
+    }
+    writeMore();
+}
+
+void frame_connection::close(failure why)
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    const close_handler handler = std::move(m_onClose);
+    m_onClose = nullptr;
+    if (handler) {
+        handler(*this, why);
+    }
+}
+
+void frame_connection::pauseReading(bool paused)
+{
+    m_paused = paused;
+    if (!paused) {
+        readMore();
+    }
+}
+
+void frame_connection::readMore()
+{
+    if (m_closed || m_paused || m_reading || !m_connected) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &code) {
+        self->m_reading = false;
+        if (self->m_closed) {
+            return;
+        }
+        if (code) {
+            self->close(failure::connectionLost);
+            return;
+        }
+        asio::error_code problem;
+        const std::size_t count = self->m_socket.read_some(asio::buffer(readBuffer()), problem);
+        if (problem == asio::error::would_block) {
+            self->readMore();
+            return;
+        }
+        if (problem) {
+            self->close(failure::connectionLost);
+            return;
+        }
+        self->onBytes(count);
+    });
+}
+
+void frame_connection::onBytes(std::size_t count)
+{
+    m_incoming.append(readBuffer().data(), count);
+    if (takeFrames()) {
+        readMore();
+    }
+}
+
+bool frame_connection::takeFrames()
+{
+    std::size_t taken = 0;
+    while (!m_closed) {
+        const std::string_view rest = std::string_view(m_incoming).substr(taken);
+        google::protobuf::io::CodedInputStream prefix(reinterpret_cast<const std::uint8_t *>(rest.data()), static_cast<int>(rest.size()));
+        std::uint32_t size = 0;
+        if (!prefix.ReadVarint32(&size)) {
+            if (rest.size() >= maxPrefixBytes) {
+                close(failure::malformedFrame);
+                return false;
+            }
+            break;
+        }
+        if (size > maxFrameBytes) {
+            close(failure::frameTooLarge);
+            return false;
+        }
+        const auto prefixBytes = static_cast<std::size_t>(prefix.CurrentPosition());
+        if (rest.size() < prefixBytes + size) {
+            break;
+        }
+        m_onFrame(*this, rest.substr(prefixBytes, size));
+        taken += prefixBytes + size;
+    }
+    m_incoming.erase(0, taken);
+    if (m_incoming.empty() && m_incoming.capacity() > readBytes) {
+        m_incoming = std::string();
+    }
+    return !m_closed;
+}
+
+void frame_connection::writeMore()
+{
+    if (!m_connected || m_closed || !m_writing.empty() || m_outgoing.empty()) {
+        return;
+    }
+    std::swap(m_writing, m_outgoing);
+    asio::async_write(m_socket, asio::buffer(m_writing), [self = shared_from_this()](const asio::error_code &code, std::size_t) {
+        self->m_writing.clear();
+        if (self->m_writing.capacity() > readBytes) {
+            self->m_writing = std::string();
+        }
+        if (self->m_closed) {
+            return;
+        }
+        if (code) {
+            self->close(failure::connectionLost);
+            return;
+        }
+        self->writeMore();
+    });
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Network/frame_connection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "mustardrouter/Core/failure.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <google/protobuf/message_lite.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace mustardrouter
+{
+
+/// Greatest size of one frame's payload, in bytes.
+constexpr std::size_t maxFrameBytes = 4U << 20U;
+/// Bytes that may wait to be sent on one connection.
+constexpr std::size_t maxUnsentBytes = 16U << 20U;
+
+/// A TCP connection that carries length-delimited protobuf messages. Belongs to one thread: all
+/// calls and callbacks run on the executor of its socket.
+class frame_connection : public std::enable_shared_from_this<frame_connection>
+{
+public:
+    /// Gets the payload of each frame.
+    using frame_handler = std::function<void(frame_connection &, std::string_view payload)>;
+    /// Called once when the connection ends, with the reason.
+    using close_handler = std::function<void(frame_connection &, failure why)>;
+
+    explicit frame_connection(asio::ip::tcp::socket socket);
+
+    /// Takes over an accepted or connected socket.
+    void start(frame_handler onFrame, close_handler onClose);
+    /// Connects first; frames sent meanwhile wait. A failure is reported as a close.
+    void connect(const asio::ip::tcp::endpoint &endpoint, frame_handler onFrame, close_handler onClose);
+
+    /// Queues one message; a connection that takes too little closes with failure::overloaded.
+    void send(const google::protobuf::MessageLite &message);
+
+    /// Closes at once; the close handler runs with `why`, once.
+    void close(failure why);
+
+    /// Stops or resumes reading: the peer is held back by TCP.
+    void pauseReading(bool paused);
+
+    /// Bytes that wait to be sent.
+    std::size_t unsentBytes() const
+    {
+        return m_writing.size() + m_outgoing.size();
+    }
+
+    bool isOpen() const
+    {
+        return !m_closed;
+    }
+
+private:
+    void readMore();
+    void onBytes(std::size_t count);
+    bool takeFrames();
+    void writeMore();
+
+    asio::ip::tcp::socket m_socket;
+    frame_handler m_onFrame;
+    close_handler m_onClose;
+    std::string m_incoming;
+    std::string m_outgoing;
+    std::string m_writing;
+    bool m_connected = false;
+    bool m_closed = false;
+    bool m_paused = false;
+    bool m_reading = false;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Operators/commands.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "mustardrouter/Operators/command_line.h"
+#include "mustardrouter/Operators/exit_code.h"
+
+namespace mustardrouter
+{
+
+/// Runs the daemon until it is told to stop.
+exit_code runServe(const arguments &given);
+/// Runs one statement as a caller.
+exit_code runCall(const arguments &given);
+/// Publishes configuration files.
+exit_code runApply(const arguments &given);
+/// Checks configuration files without publishing them.
+exit_code runCheck(const arguments &given);
+/// Shows the published configuration.
+exit_code runGet(const arguments &given);
+/// Shows the state of an instance and its groups.
+exit_code runStatus(const arguments &given);
+/// Moves a group's primary.
+exit_code runFailover(const arguments &given);
+/// Hands over an instance's groups.
+exit_code runDrain(const arguments &given);
+/// Runs a stand-in of the platform or of a database.
+exit_code runStandIn(const arguments &given);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Operators/exit_code.h
@@ -0,0 +1,20 @@
+#pragma once
+
+namespace mustardrouter
+{
+
+/// Exit codes of the program.
+enum class exit_code : int {
+    done = 0,
+    failed = 1,
+    /// Bad arguments, settings or configuration files.
+    usage = 2,
+};
+
+/// As the value that main() returns.
+constexpr int toInt(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Ownership/database_report.h"
+#include "mustardrouter/Ownership/ownership_action.h"
+#include "mustardrouter/Ownership/ownership_event.h"
+#include "mustardrouter/Ownership/ownership_record.h"
+#include "mustardrouter/Ownership/ownership_settings.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Part that an instance has in a group.
+enum class ownership_role : std::uint8_t {
+    /// Holds no range; reads the record now and then.
+    bystander,
+    /// Holds a reserve range and listens to the owner.
+    deputy,
+    /// Waits for the platform's answer to its claim.
+    claiming,
+    /// Owns the group; see promotion_phase.
+    owner,
+};
+
+/// How far an owner has come in making a primary.
+enum class promotion_phase : std::uint8_t { fencing, promoting, confirming, serving };
+
+/// What an owner knows of one database.
+struct database_view {
+    database_name name;
+    database_report report;
+    /// When the last report came; the epoch when none has come yet.
+    time_point heardAt{};
+    time_point orderedAt{};
+    time_point probedAt{};
+    bool answeredFence = false;
+    bool reachable = true;
+};
+
+/// State of one group's ownership on one instance.
+struct group_ownership {
+    group_ownership(
+        group_name group, instance_name self, std::string address, std::vector<database_name> databases, ownership_settings settings);
+
+    group_name group;
+    instance_name self;
+    std::string address;
+    ownership_settings settings;
+
+    ownership_role role = ownership_role::bystander;
+    promotion_phase phase = promotion_phase::fencing;
+    ownership_record record;
+    std::vector<term_range> ranking;
+    std::vector<database_view> databases;
+
+    /// Term in which this instance works while it is owner.
+    term_number term;
+    /// Range from which the terms are taken.
+    term_range ownRange;
+    database_name primary;
+    log_entry barrier;
+    /// Replacement that an operator asked for.
+    std::optional<database_name> preferredPrimary;
+    bool resigning = false;
+    /// The record on the platform does not name this instance as owner yet.
+    bool recordOutdated = false;
+    bool platformAsked = false;
+    /// Since when no holder of the record is known to live; the epoch while one does.
+    time_point holdersGoneSince{};
+
+    std::uint64_t round = 0;
+    time_point ownerHeardAt{};
+    time_point claimedAt{};
+    time_point recordAskedAt{};
+    time_point phaseStartedAt{};
+    time_point quorumAt{};
+    time_point heartbeatAt{};
+};
+
+/// Advances the ownership of a group by one event and appends what is to be done.
+void step(group_ownership &state, const ownership_event &event, time_point now, ownership_actions &actions);
+
+/// Whether the instance owns the group and its primary takes statements.
+bool isServing(const group_ownership &state);
+
+/// Highest position that enough replicas confirm in the current term; zero when below the barrier.
+log_position confirmedPosition(const group_ownership &state);
+
+/// Number of databases that must answer a fence: any so many hold every acknowledged write.
+std::size_t fenceQuorum(const group_ownership &state);
+
+/// Replicas that have answered a report order of at least `round` in the current term.
+std::size_t replicasPastRound(const group_ownership &state, std::uint64_t round);
+
+/// Starts a round of reports at once and returns its number.
+std::uint64_t startRound(group_ownership &state, time_point now, ownership_actions &actions);
+
+/// The view of a database, or nothing when the group has none of that name.
+const database_view *findDatabase(const group_ownership &state, const database_name &name);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Ownership/ownership_event.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Ownership/database_report.h"
+#include "mustardrouter/Ownership/ownership_record.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Time passed.
+struct clock_ticked {
+};
+
+/// Live instances in their order of preference for the group, with the address of each.
+struct candidates_changed {
+    std::vector<term_range> ranking;
+};
+
+/// The platform answered a read; no record means that the group has none.
+struct record_read {
+    ownership_record record;
+};
+
+/// The platform stored the record under a new version.
+struct record_written {
+    ownership_record record;
+};
+
+/// The platform refused the record, because another version is stored.
+struct record_conflict {
+};
+
+/// The platform did not answer; a write may or may not have taken effect.
+struct record_unanswered {
+};
+
+/// A heartbeat of an instance that says that it owns the group.
+struct heartbeat_received {
+    instance_name from;
+    term_number term;
+    std::uint64_t recordVersion;
+    bool resigning;
+};
+
+/// A database reported.
+struct database_reported {
+    database_name database;
+    database_report report;
+};
+
+/// The control connection to a database broke or could not be opened.
+struct database_unreachable {
+    database_name database;
+};
+
+/// A database refused a statement of this term because it knows a higher one.
+struct term_refused {
+    term_number term;
+};
+
+/// An operator or a leaving database asks for another primary.
+struct primary_change_requested {
+    std::optional<database_name> to;
+};
+
+/// The instance is shutting down and gives the group away.
+struct resignation_requested {
+};
+
+/// What happens to the ownership of a group.
+using ownership_event = std::variant<clock_ticked,
+                                     candidates_changed,
+                                     record_read,
+                                     record_written,
+                                     record_conflict,
+                                     record_unanswered,
+                                     heartbeat_received,
+                                     database_reported,
+                                     database_unreachable,
+                                     term_refused,
+                                     primary_change_requested,
+                                     resignation_requested>;
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Routing/engine_event.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/statement.h"
+#include "mustardrouter/Core/statement_result.h"
+#include "mustardrouter/Ownership/ownership_event.h"
+
+#include <variant>
+
+namespace mustardrouter
+{
+
+/// A request came from an entry.
+struct request_arrived {
+    request_id request;
+    statement what;
+};
+
+/// A database answered a statement.
+struct statement_answered {
+    connection_id connection;
+    request_id request;
+    statement_result result;
+    /// Entry that the statement appended or read up to.
+    log_entry entry;
+    /// Higher term by which the database refused the statement; zero when it did not.
+    term_number refusedByTerm;
+};
+
+/// A connection is open, or the database refused to open it.
+struct connection_opened {
+    connection_id connection;
+    bool accepted;
+    /// Highest term that the database knows.
+    term_number term;
+};
+
+/// A connection broke or could not be made.
+struct connection_closed {
+    connection_id connection;
+};
+
+/// The entry no longer waits for the request: its caller or the entry itself has gone.
+struct request_abandoned {
+    request_id request;
+};
+
+/// The holder of a transaction has gone; the transaction is rolled back.
+struct transaction_abandoned {
+    transaction_id transaction;
+};
+
+/// What happens to the engine of a group.
+using engine_event = std::variant<ownership_event,
+                                  request_arrived,
+                                  statement_answered,
+                                  connection_opened,
+                                  connection_closed,
+                                  request_abandoned,
+                                  transaction_abandoned>;
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Routing/entry_router.cpp
@@ -0,0 +1,421 @@
+#include "mustardrouter/Routing/entry_router.h"
+
+#include "mustardrouter/Membership/rendezvous.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr duration retryHint = std::chrono::milliseconds(50);
+
+struct entry_step {
+    entry_router &router;
+    time_point now;
+    entry_actions &actions;
+};
+
+void refuseCaller(entry_step &step, const caller_sent &event, failure why, std::string detail = {})
+{
+    answer_caller action;
+    action.caller = event.caller;
+    action.callerRequest = event.callerRequest;
+    action.result = notRun(why, std::move(detail), why == failure::overloaded ? retryHint : duration::zero());
+    action.service = event.what.service;
+    step.actions.emplace_back(std::move(action));
+}
+
+void finish(entry_step &step, request_id id, statement_result result)
+{
+    const auto found = step.router.inFlight.find(id);
+    if (found == step.router.inFlight.end()) {
+        return;
+    }
+    entry_request &request = found->second;
+    answer_caller action;
+    action.caller = request.caller;
+    action.callerRequest = request.callerRequest;
+    action.service = request.what.service;
+    action.group = request.group;
+    action.owner = request.sentTo;
+    action.took = step.now - request.arrived;
+    action.attempts = request.attempts;
+    if (result.floor) {
+        raiseFloor(request.floors, request.group, *result.floor);
+        action.token = encodeToken(request.floors, step.router.tokenKey);
+    }
+    action.result = std::move(result);
+    step.router.inFlight.erase(found);
+    step.actions.emplace_back(std::move(action));
+}
+
+void askOwner(entry_step &step, const group_name &group)
+{
+    owner_guess &guess = step.router.owners[group];
+    const bool recent = guess.askedAt != time_point{} && step.now - guess.askedAt < step.router.settings.findPause;
+    if (recent) {
+        return;
+    }
+    guess.askedAt = step.now;
+    step.actions.emplace_back(find_owner{group});
+}
+
+void trySend(entry_step &step, request_id id)
+{
+    entry_request &request = step.router.inFlight.at(id);
+    const bool inTransaction = request.what.transaction.value() != 0;
+    if (!inTransaction) {
+        const owner_guess &guess = step.router.owners[request.group];
+        if (guess.holders.empty()) {
+            askOwner(step, request.group);
+            return;
+        }
+        request.sentTo = guess.holders[guess.current % guess.holders.size()];
+    }
+    request.sent = true;
+    ++request.attempts;
+    step.actions.emplace_back(forward_statement{id, request.sentTo, request.group, request.what});
+}
+
+void retryLater(entry_step &step, entry_request &request)
+{
+    const entry_settings &settings = step.router.settings;
+    constexpr std::uint32_t maxDoublings = 4;
+    const std::uint32_t doublings = std::min(request.attempts, maxDoublings);
+    request.sent = false;
+    request.retryAt = step.now + std::min(settings.maxRetryPause, settings.retryPause * (1 << doublings));
+}
+
+const service *findService(const entry_router &router, const service_name &name)
+{
+    if (!router.configuration) {
+        return nullptr;
+    }
+    const auto found = router.configuration->services.find(name.value());
+    return found == router.configuration->services.end() ? nullptr : &found->second;
+}
+
+void applyPolicy(const entry_step &step, const service &target, const caller_sent &event, statement &what)
+{
+    const configuration_snapshot &snapshot = *step.router.configuration;
+    const session_policy &policy = snapshot.policies.at(target.sessionPolicy);
+    what.weight = policy.weight;
+    if (!event.hasReadRule) {
+        const named_read_rule &rule = snapshot.readRules.at(policy.readRule);
+        what.rule = rule.rule;
+        what.maxAge = rule.maxAge;
+    }
+    const duration patience = event.patience > duration::zero() ? event.patience : policy.deadline;
+    what.deadline = step.now + patience;
+}
+
+bool mayUse(const service &target, const std::string &caller)
+{
+    return target.callers.empty() || std::ranges::find(target.callers, caller) != target.callers.end();
+}
+
+void onCaller(entry_step &step, const caller_sent &event)
+{
+    const service *target = findService(step.router, event.what.service);
+    if (target == nullptr) {
+        refuseCaller(step, event, failure::unknownService, "no service \"" + event.what.service.value() + "\"");
+        return;
+    }
+    if (!mayUse(*target, event.callerName)) {
+        refuseCaller(step, event, failure::callerNotAllowed);
+        return;
+    }
+    auto floors = decodeToken(event.token, step.router.tokenKey);
+    if (std::holds_alternative<failure>(floors)) {
+        refuseCaller(step, event, failure::badSessionToken, "the session token was not made by this deployment");
+        return;
+    }
+    if (step.router.inFlight.size() >= step.router.settings.maxInFlight) {
+        refuseCaller(step, event, failure::overloaded);
+        return;
+    }
+    if (event.what.nonIdempotent && event.what.key.value().empty()) {
+        refuseCaller(step, event, failure::malformedRequest, "a non-idempotent request needs a key");
+        return;
+    }
+    entry_request request;
+    request.caller = event.caller;
+    request.callerRequest = event.callerRequest;
+    request.group = groupFor(*target, event.partition);
+    request.what = event.what;
+    request.floors = std::get<session_floors_by_group>(std::move(floors));
+    request.arrived = step.now;
+    applyPolicy(step, *target, event, request.what);
+    const auto floor = request.floors.find(request.group);
+    if (floor != request.floors.end()) {
+        request.what.floor = floor->second;
+    }
+    if (event.what.transaction.value() != 0) {
+        const auto transaction = step.router.transactions.find(event.what.transaction);
+        const bool mine = transaction != step.router.transactions.end() && transaction->second.caller == event.caller;
+        if (!mine) {
+            refuseCaller(step, event, failure::transactionLost, "no such transaction on this connection");
+            return;
+        }
+        request.sentTo = transaction->second.owner;
+        request.group = transaction->second.group;
+        request.transaction = event.what.transaction;
+        request.what.transaction = transaction->second.atOwner;
+    }
+    const request_id id(step.router.nextRequest++);
+    step.router.inFlight.emplace(id, std::move(request));
+    trySend(step, id);
+}
+
+void abandon(entry_step &step, const entry_request &request, request_id id)
+{
+    if (request.sent) {
+        step.actions.emplace_back(abandon_at_owner{id, request.sentTo, request.group, {}, request.what.session});
+    }
+}
+
+void onCallerGone(entry_step &step, const caller_gone &event)
+{
+    std::erase_if(step.router.inFlight, [&](const auto &item) {
+        if (item.second.caller != event.caller) {
+            return false;
+        }
+        abandon(step, item.second, item.first);
+        return true;
+    });
+    std::erase_if(step.router.transactions, [&](const auto &item) {
+        if (item.second.caller != event.caller) {
+            return false;
+        }
+        step.actions.emplace_back(abandon_at_owner{{}, item.second.owner, item.second.group, item.second.atOwner, item.second.session});
+        return true;
+    });
+}
+
+/// Believes a hint, or else tries the next holder.
+void correctGuess(entry_step &step, const group_name &group, const instance_name &wrong, const std::optional<instance_name> &owner)
+{
+    owner_guess &guess = step.router.owners[group];
+    if (owner && *owner != wrong) {
+        const auto found = std::ranges::find(guess.holders, *owner);
+        if (found == guess.holders.end()) {
+            guess.holders.insert(guess.holders.begin(), *owner);
+            guess.current = 0;
+            return;
+        }
+        guess.current = static_cast<std::size_t>(found - guess.holders.begin());
+        return;
+    }
+    const bool stillGuessed = !guess.holders.empty() && guess.holders[guess.current % guess.holders.size()] == wrong;
+    if (stillGuessed) {
+        guess.current = (guess.current + 1) % guess.holders.size();
+    }
+    askOwner(step, group);
+}
+
+/// Replaces the owner's number of a transaction in the result by the caller's.
+void noteTransaction(entry_step &step, const entry_request &request, statement_result &result)
+{
+    const bool began = request.what.kind == statement_kind::begin && result.kind == outcome::done;
+    if (began) {
+        const transaction_id id(step.router.nextTransaction++);
+        step.router.transactions.emplace(
+            id, entry_transaction{request.caller, request.sentTo, request.group, request.what.session, result.transaction});
+        result.transaction = id;
+        return;
+    }
+    result.transaction = request.transaction;
+    const bool over = request.what.kind == statement_kind::commit || request.what.kind == statement_kind::rollback
+                      || result.why == failure::transactionLost;
+    if (over) {
+        step.router.transactions.erase(request.transaction);
+        result.transaction = transaction_id{};
+    }
+}
+
+bool mayRetry(const entry_request &request, const statement_result &result)
+{
+    if (result.kind != outcome::notRun || request.what.transaction.value() != 0) {
+        return false;
+    }
+    return result.why == failure::notOwner || result.why == failure::ownerUnreachable || result.why == failure::shuttingDown;
+}
+
+void onAnswer(entry_step &step, const owner_answered &event)
+{
+    const auto found = step.router.inFlight.find(event.request);
+    if (found == step.router.inFlight.end()) {
+        return;
+    }
+    entry_request &request = found->second;
+    if (mayRetry(request, event.result) && step.now < request.what.deadline) {
+        correctGuess(step, request.group, request.sentTo, event.owner);
+        // A redirect moves the request once; only repeated refusals are paced.
+        retryLater(step, request);
+        if (event.owner && request.attempts <= 1) {
+            request.retryAt = step.now;
+            trySend(step, event.request);
+        }
+        return;
+    }
+    if (event.result.kind == outcome::done) {
+        const service *target = findService(step.router, request.what.service);
+        earnRetry(step.router.budgets[request.what.service], target == nullptr ? 0 : target->retryBudget);
+    }
+    statement_result result = event.result;
+    noteTransaction(step, request, result);
+    finish(step, event.request, std::move(result));
+}
+
+void loseForward(entry_step &step, request_id id, bool mayHaveRun)
+{
+    entry_request &request = step.router.inFlight.at(id);
+    if (request.what.transaction.value() != 0) {
+        const bool commits = request.what.kind == statement_kind::commit;
+        step.router.transactions.erase(request.transaction);
+        finish(step, id, commits && mayHaveRun ? unknownOutcome(failure::connectionLost) : notRun(failure::transactionLost));
+        return;
+    }
+    const bool harmless = request.what.kind == statement_kind::read || request.what.kind == statement_kind::lookup;
+    if (mayHaveRun && !harmless && request.what.kind != statement_kind::begin) {
+        finish(step, id, unknownOutcome(failure::connectionLost, "the owner went away before it answered"));
+        return;
+    }
+    if (mayHaveRun && !spendRetry(step.router.budgets[request.what.service])) {
+        finish(step, id, notRun(failure::ownerUnreachable, "the retry budget is spent", retryHint));
+        return;
+    }
+    correctGuess(step, request.group, request.sentTo, std::nullopt);
+    retryLater(step, request);
+}
+
+void onPeerLost(entry_step &step, const peer_lost &event)
+{
+    std::vector<request_id> lost;
+    for (const auto &[id, request] : step.router.inFlight) {
+        if (request.sent && request.sentTo == event.peer) {
+            lost.push_back(id);
+        }
+    }
+    for (const request_id id : lost) {
+        loseForward(step, id, true);
+    }
+    std::erase_if(step.router.transactions, [&](const auto &item) {
+        return item.second.owner == event.peer;
+    });
+}
+
+void onHolders(entry_step &step, const holders_found &event)
+{
+    owner_guess &guess = step.router.owners[event.group];
+    if (event.holders.empty()) {
+        return;
+    }
+    if (guess.holders != event.holders) {
+        guess.holders = event.holders;
+        guess.current = 0;
+    }
+    std::vector<request_id> waiting;
+    for (const auto &[id, request] : step.router.inFlight) {
+        if (!request.sent && request.attempts == 0 && request.group == event.group) {
+            waiting.push_back(id);
+        }
+    }
+    for (const request_id id : waiting) {
+        trySend(step, id);
+    }
+}
+
+statement_result expiredResult(const entry_request &request)
+{
+    const bool mayHaveRun = request.sent && (request.what.kind == statement_kind::write || request.what.kind == statement_kind::commit);
+    if (mayHaveRun) {
+        return unknownOutcome(failure::deadlineExceeded, "the owner did not answer in time");
+    }
+    const failure why = request.sent ? failure::deadlineExceeded : failure::ownerUnreachable;
+    return notRun(why, "no owner answered in time", retryHint);
+}
+
+void onTick(entry_step &step)
+{
+    // The owner answers at the deadline; the entry gives it a little longer.
+    constexpr duration grace = std::chrono::milliseconds(100);
+    std::vector<request_id> expired;
+    std::vector<request_id> due;
+    for (const auto &[id, request] : step.router.inFlight) {
+        const duration allowed = request.sent ? grace : duration::zero();
+        if (step.now >= request.what.deadline + allowed) {
+            expired.push_back(id);
+            continue;
+        }
+        if (!request.sent && step.now >= request.retryAt) {
+            due.push_back(id);
+        }
+    }
+    for (const request_id id : expired) {
+        const entry_request &request = step.router.inFlight.at(id);
+        abandon(step, request, id);
+        finish(step, id, expiredResult(request));
+    }
+    for (const request_id id : due) {
+        trySend(step, id);
+    }
+}
+
+} // namespace
+
+entry_router::entry_router(std::string key, entry_settings entrySettings)
+    : tokenKey(std::move(key))
+    , settings(entrySettings)
+{
+}
+
+void step(entry_router &router, const entry_event &event, time_point now, entry_actions &actions)
+{
+    entry_step step{router, now, actions};
+    std::visit(
+        [&](const auto &what) {
+            using event_type = std::decay_t<decltype(what)>;
+            if constexpr (std::is_same_v<event_type, caller_sent>) {
+                onCaller(step, what);
+            } else if constexpr (std::is_same_v<event_type, caller_gone>) {
+                onCallerGone(step, what);
+            } else if constexpr (std::is_same_v<event_type, owner_answered>) {
+                onAnswer(step, what);
+            } else if constexpr (std::is_same_v<event_type, peer_lost>) {
+                onPeerLost(step, what);
+            } else if constexpr (std::is_same_v<event_type, forward_failed>) {
+                if (router.inFlight.contains(what.request)) {
+                    loseForward(step, what.request, false);
+                }
+            } else if constexpr (std::is_same_v<event_type, holders_found>) {
+                onHolders(step, what);
+            } else if constexpr (std::is_same_v<event_type, configuration_adopted>) {
+                const bool newer = !router.configuration || router.configuration->revision < what.snapshot->revision;
+                if (newer) {
+                    router.configuration = what.snapshot;
+                }
+            } else if constexpr (std::is_same_v<event_type, entry_ticked>) {
+                onTick(step);
+            }
+        },
+        event);
+}
+
+group_name groupFor(const service &service, const std::string &partition)
+{
+    if (service.groups.size() == 1 || partition.empty()) {
+        return group_name(service.groups.front());
+    }
+    std::vector<instance_name> groups;
+    for (const std::string &group : service.groups) {
+        groups.emplace_back(group);
+    }
+    return group_name(rankInstances(partition, std::move(groups)).front().value());
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Runtime/error.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "mustardrouter/Core/failure.h"
+
+#include <boost/leaf.hpp>
+
+#include <string>
+
+namespace mustardrouter
+{
+
+/// What failed; the payload of every boost::leaf error of this program.
+struct error {
+    failure why = failure::none;
+    /// What was being done, to what, as in "examples/a.json: places[0].nmae: no such field".
+    std::string detail;
+};
+
+/// Result of an operation that may fail with an `error`.
+template<typename T>
+using result_of = boost::leaf::result<T>;
+
+/// Makes a failed result.
+inline boost::leaf::error_id fail(failure why, std::string detail)
+{
+    return boost::leaf::new_error(error{why, std::move(detail)});
+}
+
+/// Runs `work`, which returns result_of<T>; gives its value, or what `onError(const error &)` returns.
+template<typename Work, typename OnError>
+auto handled(Work &&work, OnError &&onError)
+{
+    return boost::leaf::try_handle_all(
+        std::forward<Work>(work),
+        [&](const error &what) {
+            return onError(what);
+        },
+        [&] {
+            return onError(error{failure::ioError, "an error without a description"});
+        });
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Runtime/json_settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "mustardrouter/Runtime/error.h"
+
+#include <google/protobuf/message.h>
+
+#include <string>
+
+namespace mustardrouter
+{
+
+/// Reads a file as the JSON form of `message`. Unknown fields and bad values are refused with
+/// failure::invalidSettings, naming the file and what the parser says of the field.
+result_of<void> readJsonFile(const std::string &path, google::protobuf::Message &message);
+
+/// Reads JSON text; `source` names it in errors.
+result_of<void> readJson(const std::string &text, const std::string &source, google::protobuf::Message &message);
+
+/// Writes the JSON form with proto field names in lowerCamelCase, on one line unless `indented`.
+std::string writeJson(const google::protobuf::Message &message, bool indented = false);
+
+/// Reads a whole file; failure::ioError when that cannot be done.
+result_of<std::string> readFile(const std::string &path);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Runtime/ring.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "mustardrouter/Core/failure.h"
+
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <semaphore>
+#include <utility>
+
+namespace mustardrouter
+{
+
+/// Wakes one thread that serves several rings.
+class ring_signal
+{
+public:
+    /// Wakes the consumer, now or at its next wait.
+    void notify()
+    {
+        m_wakeups.release();
+    }
+
+    /// Sleeps until notified, at most for `patience`.
+    void wait(std::chrono::microseconds patience)
+    {
+        if (!m_wakeups.try_acquire_for(patience)) {
+            return;
+        }
+        while (m_wakeups.try_acquire()) { }
+    }
+
+private:
+    std::counting_semaphore<> m_wakeups{0};
+};
+
+/// Bounded ring from one producer thread to one consumer thread.
+template<typename Item>
+class ring
+{
+public:
+    ring(std::size_t capacity, ring_signal &signal)
+        : m_items(capacity)
+        , m_signal(signal)
+    {
+    }
+
+    /// Appends an item; failure::ringFull when there is no room, and the item is left as it was.
+    failure push(Item &&item)
+    {
+        if (!m_items.push(std::move(item))) {
+            return failure::ringFull;
+        }
+        m_signal.notify();
+        return failure::none;
+    }
+
+    /// Takes the oldest item.
+    std::optional<Item> pop()
+    {
+        std::optional<Item> taken;
+        m_items.consume_one([&](Item &item) {
+            taken.emplace(std::move(item));
+        });
+        return taken;
+    }
+
+    /// Items that wait, as the consumer sees it.
+    std::size_t size() const
+    {
+        return m_items.read_available();
+    }
+
+private:
+    boost::lockfree::spsc_queue<Item> m_items;
+    ring_signal &m_signal;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/StandIn/database_standin.cpp
@@ -0,0 +1,777 @@
+#include "mustardrouter/StandIn/database_standin.h"
+
+#include "mustardrouter/Core/failure.h"
+#include "mustardrouter/Network/endpoint.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <future>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr auto reconnectPause = std::chrono::milliseconds(20);
+
+void refuse(wire::database_answer &answer, failure why, const std::string &detail)
+{
+    answer.mutable_result()->set_outcome(wire::OUTCOME_NOT_RUN);
+    answer.mutable_result()->set_failure(static_cast<std::uint32_t>(why));
+    answer.mutable_result()->set_detail(detail);
+}
+
+void setEntry(wire::log_entry &to, const log_entry &from)
+{
+    to.set_term(from.term.value());
+    to.set_position(from.position.value());
+}
+
+} // namespace
+
+database_standin::database_standin(const objects::database_settings &settings)
+    : m_settings(settings)
+    , m_address(settings.address())
+    , m_guard(asio::make_work_guard(m_context))
+{
+    std::filesystem::path folder =
+        settings.data_folder().empty() ? std::filesystem::temp_directory_path() : std::filesystem::path(settings.data_folder());
+    const auto stamp = std::chrono::steady_clock::now().time_since_epoch().count();
+    const std::string file = "mustardrouter-standin-" + settings.name() + "-" + std::to_string(stamp) + ".sqlite";
+    const std::vector<std::string> initial(settings.initial_statements().begin(), settings.initial_statements().end());
+    m_store = std::make_unique<sql_store>(folder / file, initial);
+}
+
+database_standin::~database_standin()
+{
+    stop();
+}
+
+bool database_standin::start()
+{
+    bool listening = true;
+    const bool fine = handled(
+        [&]() -> result_of<bool> {
+            m_listener = std::make_unique<frame_listener>(m_context, [this](std::shared_ptr<frame_connection> connection) {
+                onAccept(std::move(connection));
+            });
+            BOOST_LEAF_CHECK(m_listener->listen(m_address));
+            return true;
+        },
+        [&](const error &what) {
+            writeLog(log_level::error, "standin", "cannot listen", {{"reason", what.detail}});
+            return false;
+        });
+    listening = fine;
+    if (!listening) {
+        return false;
+    }
+    m_address = m_listener->address();
+    m_thread = std::thread([this] {
+        m_context.run();
+    });
+    return true;
+}
+
+void database_standin::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    asio::post(m_context, [this] {
+        m_listener->stop();
+        const std::set<session_ptr> sessions = m_sessions;
+        for (const session_ptr &open : sessions) {
+            open->connection->close(failure::shuttingDown);
+        }
+        if (m_toPrimary) {
+            m_toPrimary->close(failure::shuttingDown);
+        }
+    });
+    m_guard.reset();
+    m_context.stop();
+    m_thread.join();
+}
+
+const std::string &database_standin::address() const
+{
+    return m_address;
+}
+
+const std::string &database_standin::name() const
+{
+    return m_settings.name();
+}
+
+void database_standin::runOnThread(const std::function<void()> &work)
+{
+    if (!m_thread.joinable()) {
+        work();
+        return;
+    }
+    std::promise<void> done;
+    asio::post(m_context, [&] {
+        work();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void database_standin::kill()
+{
+    runOnThread([this] {
+        m_down = true;
+        ++m_life;
+        m_listener->stop();
+        const std::set<session_ptr> sessions = m_sessions;
+        for (const session_ptr &open : sessions) {
+            open->connection->close(failure::ioError);
+        }
+        if (m_toPrimary) {
+            m_toPrimary->close(failure::ioError);
+            m_toPrimary.reset();
+        }
+        m_running = 0;
+        m_waitingWrites.clear();
+        m_primaryAddress.clear();
+        m_inSync = false;
+        m_role = wire::ROLE_FENCED;
+    });
+}
+
+void database_standin::restart()
+{
+    runOnThread([this] {
+        m_down = false;
+        m_frozen = false;
+        m_listener = std::make_unique<frame_listener>(m_context, [this](std::shared_ptr<frame_connection> connection) {
+            onAccept(std::move(connection));
+        });
+        const bool listening = handled(
+            [&]() -> result_of<bool> {
+                BOOST_LEAF_CHECK(m_listener->listen(m_address));
+                return true;
+            },
+            [](const error &) {
+                return false;
+            });
+        if (!listening) {
+            writeLog(log_level::error, "standin", "cannot listen again", {{"address", m_address}});
+        }
+        applyUpTo(lastEntry(m_log).position.value());
+    });
+}
+
+void database_standin::setFrozen(bool frozen)
+{
+    runOnThread([this, frozen] {
+        m_frozen = frozen;
+        if (frozen) {
+            return;
+        }
+        std::vector<std::function<void()>> held;
+        std::swap(held, m_whileFrozen);
+        for (const auto &work : held) {
+            work();
+        }
+    });
+}
+
+void database_standin::setLag(std::chrono::microseconds replication, std::chrono::microseconds apply)
+{
+    runOnThread([this, replication, apply] {
+        m_settings.set_replication_delay_us(static_cast<std::uint64_t>(replication.count()));
+        m_settings.set_apply_lag_us(static_cast<std::uint64_t>(apply.count()));
+    });
+}
+
+void database_standin::setLeaving(bool leaving)
+{
+    runOnThread([this, leaving] {
+        m_leaving = leaving;
+        pushReports();
+    });
+}
+
+void database_standin::silenceOneConnection()
+{
+    runOnThread([this] {
+        for (const session_ptr &open : m_sessions) {
+            if (open->statements && !open->silent) {
+                open->silent = true;
+                return;
+            }
+        }
+    });
+}
+
+database_log database_standin::logCopy()
+{
+    database_log copy;
+    runOnThread([&] {
+        copy = m_log;
+    });
+    return copy;
+}
+
+wire::result database_standin::query(const std::string &sql)
+{
+    wire::result result;
+    runOnThread([&] {
+        applyUpTo(lastEntry(m_log).position.value());
+        m_store->read(sql, result);
+    });
+    return result;
+}
+
+std::size_t database_standin::mostConnections()
+{
+    std::size_t most = 0;
+    runOnThread([&] {
+        most = m_mostOpen;
+    });
+    return most;
+}
+
+void database_standin::after(std::chrono::microseconds delay, std::function<void()> work)
+{
+    const auto guarded = [this, life = m_life, work = std::move(work)] {
+        if (life != m_life) {
+            return;
+        }
+        if (m_frozen) {
+            m_whileFrozen.push_back(work);
+            return;
+        }
+        work();
+    };
+    if (delay.count() == 0) {
+        guarded();
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, guarded](const asio::error_code &code) {
+        if (!code) {
+            guarded();
+        }
+    });
+}
+
+void database_standin::onAccept(std::shared_ptr<frame_connection> connection)
+{
+    const auto accepted = std::make_shared<session>();
+    accepted->connection = connection;
+    m_sessions.insert(accepted);
+    connection->start(
+        [this, accepted](frame_connection &, std::string_view payload) {
+            after(std::chrono::microseconds(m_settings.network_delay_us()), [this, accepted, frame = std::string(payload)] {
+                onFrame(accepted, frame);
+            });
+        },
+        [this, accepted](frame_connection &, failure) {
+            onClose(accepted);
+        });
+}
+
+void database_standin::reply(const session_ptr &to, const wire::database_message &message)
+{
+    if (to->silent) {
+        return;
+    }
+    after(std::chrono::microseconds(m_settings.network_delay_us()), [to, message] {
+        to->connection->send(message);
+    });
+}
+
+void database_standin::onFrame(const session_ptr &from, std::string_view payload)
+{
+    wire::database_message message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        from->connection->close(failure::malformedFrame);
+        return;
+    }
+    if (!from->connection->isOpen() || from->silent) {
+        return;
+    }
+    switch (message.body_case()) {
+    case wire::database_message::kOpen:
+        onOpen(from, message.open());
+        break;
+    case wire::database_message::kOrder:
+        onOrder(from, message.order());
+        break;
+    case wire::database_message::kStatement:
+        onStatement(from, message.statement());
+        break;
+    case wire::database_message::kReplicate:
+        onReplicate(from, message.replicate());
+        break;
+    default:
+        from->connection->close(failure::malformedRequest);
+        break;
+    }
+}
+
+void database_standin::onClose(const session_ptr &from)
+{
+    m_sessions.erase(from);
+    if (from->statements) {
+        --m_open;
+    }
+    std::erase_if(m_waitingWrites, [&](const waiting_write &waiting) {
+        if (waiting.from != from) {
+            return false;
+        }
+        m_running -= std::min(m_running, 1U);
+        return true;
+    });
+    if (m_writer == from) {
+        rollbackWriter();
+        releaseWriter();
+    }
+}
+
+void database_standin::onOpen(const session_ptr &from, std::uint64_t term)
+{
+    after(std::chrono::microseconds(m_settings.connection_cost_us()), [this, from, term] {
+        if (from->connection->isOpen()) {
+            finishOpen(from, term);
+        }
+    });
+}
+
+void database_standin::finishOpen(const session_ptr &from, std::uint64_t term)
+{
+    wire::database_message message;
+    const bool accepted = term >= m_term && m_open < m_settings.connections() && !from->statements;
+    message.mutable_opened()->set_accepted(accepted);
+    message.mutable_opened()->set_term(m_term);
+    if (accepted) {
+        from->statements = true;
+        from->term = term;
+        ++m_open;
+        m_mostOpen = std::max(m_mostOpen, m_open);
+    }
+    reply(from, message);
+}
+
+void database_standin::onOrder(const session_ptr &from, const wire::database_order &order)
+{
+    from->control = true;
+    from->round = std::max(from->round, order.round());
+    switch (order.kind()) {
+    case wire::database_order::ORDER_FENCE:
+        fence(order.term());
+        break;
+    case wire::database_order::ORDER_PROMOTE:
+        promote(order.term());
+        break;
+    case wire::database_order::ORDER_FOLLOW:
+        follow(order.term(), order.primary_address());
+        break;
+    default:
+        break;
+    }
+    wire::database_message message;
+    *message.mutable_report() = report(from->round);
+    reply(from, message);
+}
+
+void database_standin::adoptTerm(std::uint64_t term)
+{
+    m_term = term;
+    m_inSync = false;
+    const std::set<session_ptr> sessions = m_sessions;
+    for (const session_ptr &open : sessions) {
+        const bool outdated = (open->statements && open->term < term) || open->replicaNext;
+        if (outdated) {
+            open->connection->close(failure::staleTerm);
+        }
+    }
+    if (m_toPrimary) {
+        m_toPrimary->close(failure::staleTerm);
+        m_toPrimary.reset();
+    }
+}
+
+void database_standin::fence(std::uint64_t term)
+{
+    if (term <= m_term) {
+        return;
+    }
+    adoptTerm(term);
+    m_role = wire::ROLE_FENCED;
+    m_primaryAddress.clear();
+}
+
+void database_standin::promote(std::uint64_t term)
+{
+    if (term < m_term || (term == m_term && m_role != wire::ROLE_FENCED)) {
+        return;
+    }
+    if (term > m_term) {
+        adoptTerm(term);
+    }
+    applyUpTo(lastEntry(m_log).position.value());
+    m_role = wire::ROLE_PRIMARY;
+    append({}, {});
+}
+
+void database_standin::follow(std::uint64_t term, const std::string &primaryAddress)
+{
+    const bool already = term == m_term && m_role == wire::ROLE_REPLICA && m_primaryAddress == primaryAddress;
+    if (term < m_term || already || (term == m_term && m_role == wire::ROLE_PRIMARY)) {
+        return;
+    }
+    if (term > m_term) {
+        adoptTerm(term);
+    }
+    m_role = wire::ROLE_REPLICA;
+    m_primaryAddress = primaryAddress;
+    connectToPrimary();
+}
+
+wire::database_report database_standin::report(std::uint64_t round) const
+{
+    wire::database_report report;
+    report.set_term(m_term);
+    report.set_role(m_role);
+    setEntry(*report.mutable_received(), lastEntry(m_log));
+    if (m_applied > 0) {
+        setEntry(*report.mutable_applied(), m_log.records[m_applied - 1].entry);
+    }
+    report.set_round(round);
+    report.set_in_sync(m_inSync);
+    report.set_leaving(m_leaving);
+    return report;
+}
+
+void database_standin::pushReports()
+{
+    if (m_reportPosted) {
+        return;
+    }
+    m_reportPosted = true;
+    asio::post(m_context, [this] {
+        m_reportPosted = false;
+        for (const session_ptr &open : m_sessions) {
+            if (!open->control) {
+                continue;
+            }
+            wire::database_message message;
+            *message.mutable_report() = report(open->round);
+            reply(open, message);
+        }
+    });
+}
+
+void database_standin::onStatement(const session_ptr &from, const wire::database_statement &statement)
+{
+    wire::database_answer answer;
+    answer.set_id(statement.id());
+    if (!from->statements) {
+        refuse(answer, failure::malformedRequest, "the connection was not opened for statements");
+    } else if (statement.term() != m_term || (!statement.on_replica() && m_role != wire::ROLE_PRIMARY)) {
+        refuse(answer, failure::staleTerm, "this database is in term " + std::to_string(m_term));
+        answer.set_refused_by_term(m_term);
+    } else if (m_running >= m_settings.slots()) {
+        refuse(answer, failure::overloaded, "all slots are taken");
+    }
+    if (answer.has_result()) {
+        wire::database_message message;
+        *message.mutable_answer() = answer;
+        reply(from, message);
+        return;
+    }
+    ++m_running;
+    after(std::chrono::microseconds(m_settings.service_time_us()), [this, from, statement] {
+        execute(from, statement);
+    });
+}
+
+bool database_standin::needsWriter(const session_ptr &from, const wire::database_statement &statement) const
+{
+    return from->inTransaction || statement.kind() == wire::STATEMENT_WRITE || statement.kind() == wire::STATEMENT_BEGIN;
+}
+
+void database_standin::execute(const session_ptr &from, const wire::database_statement &statement)
+{
+    if (!from->connection->isOpen()) {
+        m_running -= std::min(m_running, 1U);
+        return;
+    }
+    wire::database_answer answer;
+    answer.set_id(statement.id());
+    if (statement.term() != m_term) {
+        refuse(answer, failure::staleTerm, "this database is in term " + std::to_string(m_term));
+        answer.set_refused_by_term(m_term);
+        finishStatement(from, answer);
+        return;
+    }
+    if (needsWriter(from, statement)) {
+        if (m_writer && m_writer != from) {
+            m_waitingWrites.push_back({from, statement});
+            return;
+        }
+        executeWriter(from, statement, answer);
+        finishStatement(from, answer);
+        return;
+    }
+    answer.mutable_result()->set_outcome(wire::OUTCOME_DONE);
+    if (statement.kind() == wire::STATEMENT_LOOKUP) {
+        const auto found = m_log.keys.find(request_key(statement.key()));
+        if (found == m_log.keys.end()) {
+            refuse(answer, failure::keyNotFound, "no request with this key has run");
+        }
+    } else if (statement.kind() != wire::STATEMENT_READ) {
+        refuse(answer, failure::transactionLost, "no transaction is open on this connection");
+    } else if (!m_store->read(statement.sql(), *answer.mutable_result())) {
+        refuse(answer, failure::statementRejected, answer.result().detail());
+    }
+    if (m_applied > 0) {
+        setEntry(*answer.mutable_entry(), m_log.records[m_applied - 1].entry);
+    }
+    finishStatement(from, answer);
+}
+
+void database_standin::executeCommit(const session_ptr &from, wire::database_answer &answer)
+{
+    m_store->commit();
+    from->inTransaction = false;
+    if (!from->transactionStatements.empty()) {
+        setEntry(*answer.mutable_entry(), append(std::move(from->transactionStatements), from->transactionKey));
+    }
+    from->transactionStatements.clear();
+    releaseWriter();
+}
+
+void database_standin::executeWriter(const session_ptr &from, const wire::database_statement &statement, wire::database_answer &answer)
+{
+    wire::result &result = *answer.mutable_result();
+    result.set_outcome(wire::OUTCOME_DONE);
+    const request_key key(statement.key());
+    const bool repeated = !key.value().empty() && m_log.keys.contains(key);
+    const bool records = statement.kind() == wire::STATEMENT_WRITE || statement.kind() == wire::STATEMENT_COMMIT;
+    if (repeated && records) {
+        refuse(answer, failure::duplicateKey, "a request with this key has run already");
+        return;
+    }
+    switch (statement.kind()) {
+    case wire::STATEMENT_BEGIN:
+        m_writer = from;
+        from->inTransaction = true;
+        from->transactionStatements.clear();
+        m_store->begin();
+        return;
+    case wire::STATEMENT_COMMIT:
+        from->transactionKey = key;
+        executeCommit(from, answer);
+        return;
+    case wire::STATEMENT_ROLLBACK:
+        rollbackWriter();
+        releaseWriter();
+        return;
+    default:
+        break;
+    }
+    if (!m_store->write(statement.sql(), result)) {
+        refuse(answer, failure::statementRejected, result.detail());
+        return;
+    }
+    if (statement.kind() != wire::STATEMENT_WRITE) {
+        return;
+    }
+    if (from->inTransaction) {
+        from->transactionStatements.push_back(statement.sql());
+        return;
+    }
+    setEntry(*answer.mutable_entry(), append({statement.sql()}, key));
+}
+
+void database_standin::finishStatement(const session_ptr &from, wire::database_answer answer)
+{
+    m_running -= std::min(m_running, 1U);
+    wire::database_message message;
+    *message.mutable_answer() = std::move(answer);
+    reply(from, message);
+}
+
+void database_standin::rollbackWriter()
+{
+    if (m_writer && m_writer->inTransaction) {
+        m_store->rollback();
+        m_writer->inTransaction = false;
+        m_writer->transactionStatements.clear();
+    }
+}
+
+void database_standin::releaseWriter()
+{
+    m_writer.reset();
+    std::deque<waiting_write> waiting;
+    std::swap(waiting, m_waitingWrites);
+    for (const waiting_write &write : waiting) {
+        execute(write.from, write.statement);
+    }
+}
+
+log_entry database_standin::append(std::vector<std::string> statements, const request_key &key)
+{
+    const log_entry entry{term_number(m_term), log_position(lastEntry(m_log).position.value() + 1)};
+    appendRecord(m_log, {entry, std::move(statements), key});
+    m_applied = entry.position.value();
+    pushReports();
+    const std::set<session_ptr> sessions = m_sessions;
+    for (const session_ptr &open : sessions) {
+        if (open->replicaNext) {
+            sendToReplica(open);
+        }
+    }
+    return entry;
+}
+
+void database_standin::connectToPrimary()
+{
+    if (m_role != wire::ROLE_REPLICA || m_down) {
+        return;
+    }
+    const bool valid = handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_AUTO(endpoint, parseEndpoint(m_primaryAddress));
+            m_toPrimary = std::make_shared<frame_connection>(asio::ip::tcp::socket(m_context));
+            m_toPrimary->connect(
+                endpoint,
+                [this](frame_connection &connection, std::string_view payload) {
+                    wire::database_message message;
+                    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) || !message.has_batch()) {
+                        connection.close(failure::malformedFrame);
+                        return;
+                    }
+                    after(std::chrono::microseconds(m_settings.replication_delay_us() + m_settings.network_delay_us()),
+                          [this, term = m_term, batch = message.batch()] {
+                              if (term == m_term && m_role == wire::ROLE_REPLICA) {
+                                  onBatch(batch);
+                              }
+                          });
+                },
+                [this](frame_connection &connection, failure) {
+                    if (m_toPrimary.get() != &connection) {
+                        return;
+                    }
+                    m_inSync = false;
+                    after(reconnectPause, [this, term = m_term] {
+                        if (term == m_term) {
+                            connectToPrimary();
+                        }
+                    });
+                });
+            wire::database_message message;
+            message.mutable_replicate()->set_term(m_term);
+            for (const log_entry &end : termEnds(m_log)) {
+                setEntry(*message.mutable_replicate()->add_term_ends(), end);
+            }
+            m_toPrimary->send(message);
+            return true;
+        },
+        [](const error &) {
+            return false;
+        });
+    if (!valid) {
+        writeLog(log_level::warning, "standin", "bad primary address", {{"address", m_primaryAddress}});
+    }
+}
+
+void database_standin::onReplicate(const session_ptr &from, const wire::replicate_request &request)
+{
+    wire::database_message message;
+    if (m_role != wire::ROLE_PRIMARY || request.term() != m_term) {
+        from->connection->close(failure::staleTerm);
+        return;
+    }
+    std::vector<log_entry> ends;
+    for (const wire::log_entry &end : request.term_ends()) {
+        ends.push_back({term_number(end.term()), log_position(end.position())});
+    }
+    const log_position common = commonPrefix(m_log, ends);
+    message.mutable_batch()->set_truncate(true);
+    message.mutable_batch()->set_keep_up_to(common.value());
+    message.mutable_batch()->set_primary_position(lastEntry(m_log).position.value());
+    reply(from, message);
+    from->replicaNext = common.value() + 1;
+    sendToReplica(from);
+}
+
+void database_standin::sendToReplica(const session_ptr &replica)
+{
+    constexpr std::size_t maxRecords = 512;
+    while (*replica->replicaNext <= m_log.records.size()) {
+        wire::database_message message;
+        wire::replicate_batch &batch = *message.mutable_batch();
+        batch.set_primary_position(lastEntry(m_log).position.value());
+        while (*replica->replicaNext <= m_log.records.size() && static_cast<std::size_t>(batch.records_size()) < maxRecords) {
+            const database_log_record &record = m_log.records[*replica->replicaNext - 1];
+            wire::log_record &copy = *batch.add_records();
+            setEntry(*copy.mutable_entry(), record.entry);
+            copy.set_key(record.key.value());
+            for (const std::string &sql : record.statements) {
+                copy.add_statements(sql);
+            }
+            ++*replica->replicaNext;
+        }
+        reply(replica, message);
+    }
+}
+
+void database_standin::onBatch(const wire::replicate_batch &batch)
+{
+    if (batch.truncate()) {
+        const bool undo = batch.keep_up_to() < m_applied;
+        truncateAbove(m_log, log_position(batch.keep_up_to()));
+        if (undo) {
+            rebuild();
+        }
+        m_inSync = true;
+    }
+    for (const wire::log_record &record : batch.records()) {
+        const log_entry entry{term_number(record.entry().term()), log_position(record.entry().position())};
+        if (entry.position.value() != m_log.records.size() + 1) {
+            continue;
+        }
+        appendRecord(m_log, {entry, {record.statements().begin(), record.statements().end()}, request_key(record.key())});
+    }
+    const std::uint64_t received = lastEntry(m_log).position.value();
+    after(std::chrono::microseconds(m_settings.apply_lag_us()), [this, term = m_term, received] {
+        if (term == m_term) {
+            applyUpTo(received);
+            pushReports();
+        }
+    });
+    pushReports();
+}
+
+void database_standin::applyUpTo(std::uint64_t position)
+{
+    while (m_applied < position && m_applied < m_log.records.size()) {
+        const database_log_record &record = m_log.records[m_applied];
+        m_store->begin();
+        for (const std::string &sql : record.statements) {
+            wire::result ignored;
+            m_store->write(sql, ignored);
+        }
+        m_store->commit();
+        ++m_applied;
+    }
+}
+
+void database_standin::rebuild()
+{
+    m_store->reset();
+    m_applied = 0;
+    applyUpTo(lastEntry(m_log).position.value());
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/StandIn/platform_standin.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "mustardrouter/Membership/instance_directory.h"
+#include "mustardrouter/Platform/platform_client.h"
+#include "mustardrouter/Runtime/json_rpc_server.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Faults that a test or demo sets on the platform stand-in.
+struct platform_faults {
+    /// Every call fails and has no effect.
+    bool down = false;
+    /// Updates take effect, but their answers are lost; counts down.
+    int answersToLose = 0;
+    /// Added to every call.
+    std::chrono::milliseconds delay{0};
+};
+
+/// Calls that the platform has answered or is holding.
+struct platform_counts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t waiting = 0;
+};
+
+/// Small stand-in for the platform: objects with versions, conditional updates, watches and a
+/// list of instances that lags. In memory, for tests and demos.
+class platform_standin
+{
+public:
+    platform_standin(const std::string &address, std::chrono::milliseconds listLag);
+    ~platform_standin();
+
+    /// Starts serving; false when the address cannot be had.
+    bool start();
+    void stop();
+    /// "IP:PORT" that is served.
+    std::string address() const;
+
+    void setFaults(const platform_faults &faults);
+    platform_counts counts() const;
+    /// Marks an instance as gone, as the platform's own health checks do; shown after the lag.
+    void forget(const std::string &instance);
+
+private:
+    struct listed_instance {
+        instance_view view;
+        std::chrono::steady_clock::time_point shownFrom;
+        bool gone = false;
+    };
+
+    Json::Value handle(const std::string &method, const Json::Value &parameters);
+    Json::Value get(const Json::Value &parameters);
+    Json::Value put(const Json::Value &parameters);
+    Json::Value remove(const Json::Value &parameters);
+    Json::Value list(const Json::Value &parameters);
+    Json::Value watch(const Json::Value &parameters);
+    Json::Value instances();
+    Json::Value announce(const Json::Value &parameters);
+    void requireVersion(const std::string &key, std::uint64_t version) const;
+    bool loseAnswer();
+
+    std::string m_host;
+    std::chrono::milliseconds m_listLag;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    platform_faults m_faults;
+    platform_counts m_counts;
+    std::map<std::string, platform_object> m_objects;
+    std::uint64_t m_version = 0;
+    /// What the list shows is the latest state of each instance whose lag has passed.
+    std::map<std::string, std::deque<listed_instance>> m_instances;
+    bool m_stopping = false;
+    json_rpc_server m_server;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/main.cpp
@@ -0,0 +1,79 @@
+#include "mustardrouter/Load/demo.h"
+#include "mustardrouter/Operators/commands.h"
+
+#include <iostream>
+#include <map>
+
+namespace
+{
+
+using namespace mustardrouter;
+
+exit_code runDemoCommand(const arguments &given)
+{
+    namespace po = boost::program_options;
+    demo_settings settings;
+    command_options command("demo", "[--seconds N] [--deployment kovacik|granite-notch] [--report FILE]");
+    command.options.add_options()("seconds", po::value(&settings.seconds)->default_value(settings.seconds), "length of the load");
+    command.options.add_options()("deployment", po::value(&settings.deployment)->default_value(settings.deployment), "whose sizes");
+    command.options.add_options()("instances", po::value(&settings.instances)->default_value(settings.instances), "instances to run");
+    command.options.add_options()(
+        "rate", po::value(&settings.operationsPerSecond)->default_value(settings.operationsPerSecond), "operations a second");
+    command.options.add_options()("seed", po::value(&settings.seed)->default_value(settings.seed), "seed of the load");
+    command.options.add_options()("report", po::value(&settings.reportFile), "file for the JSON report");
+    po::variables_map values;
+    const parse_status status = parse(command, given, values);
+    if (status != parse_status::parsed) {
+        return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
+    }
+    return static_cast<exit_code>(runDemo(settings));
+}
+
+struct command {
+    exit_code (*run)(const arguments &);
+    const char *summary;
+};
+
+const std::map<std::string, command> &commands()
+{
+    static const std::map<std::string, command> all{
+        {"serve", {runServe, "run the daemon"}},
+        {"demo", {runDemoCommand, "run a whole deployment on loopback and kill a primary"}},
+        {"call", {runCall, "run one statement as a caller"}},
+        {"apply", {runApply, "publish configuration files"}},
+        {"check", {runCheck, "check configuration files offline"}},
+        {"get", {runGet, "show the published configuration"}},
+        {"status", {runStatus, "show the state of an instance"}},
+        {"failover", {runFailover, "move a group's primary"}},
+        {"drain", {runDrain, "hand over an instance's groups"}},
+        {"standin", {runStandIn, "run a stand-in of the platform or a database"}},
+    };
+    return all;
+}
+
+void printUsage(std::ostream &out)
+{
+    out << "usage: mustardrouter COMMAND [options]\n\n";
+    for (const auto &[name, item] : commands()) {
+        out << "  " << name << std::string(12 - name.size(), ' ') << item.summary << '\n';
+    }
+    out << "\nEach command has --help. Exit codes: 0 done, 1 failed, 2 bad usage or settings.\n";
+}
+
+} // namespace
+
+int main(int count, char **values)
+{
+    const arguments given(values + 1, values + count);
+    if (given.empty() || given.front() == "--help" || given.front() == "-h") {
+        printUsage(given.empty() ? std::cerr : std::cout);
+        return toInt(given.empty() ? exit_code::usage : exit_code::done);
+    }
+    const auto found = commands().find(given.front());
+    if (found == commands().end()) {
+        std::cerr << "mustardrouter: no command \"" << given.front() << "\"\n";
+        printUsage(std::cerr);
+        return toInt(exit_code::usage);
+    }
+    return toInt(found->second.run(arguments(given.begin() + 1, given.end())));
+}
