--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -156,7 +156,7 @@
     stepEngine(record.group, ownership_event(record.event));
 }
 
-void decision_duty::adopt(std::shared_ptr<const configuration_snapshot> snapshot)
+void decision_duty::adopt(const std::shared_ptr<const configuration_snapshot> &snapshot)
 {
     if (m_configuration && snapshot->revision <= m_configuration->revision) {
         return;
@@ -176,7 +176,7 @@
         ownership_settings intervals;
         intervals.confirmReplicas = group.confirmReplicas;
         group_ownership ownership(key, m_identity.self.name, m_identity.self.address, std::move(names), intervals);
-        group_engine engine(std::move(ownership), std::move(limits), engine_settings{});
+        group_engine engine(std::move(ownership), limits, engine_settings{});
         engine.nextConnection = (static_cast<std::uint64_t>(m_engines.size()) << connectionRangeBits) + 1;
         m_engines.emplace(key, std::move(engine));
     }
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -129,7 +129,7 @@
 
     // Platform and operators.
     void onPlatform(platform_event &event);
-    void adopt(std::shared_ptr<const configuration_snapshot> snapshot);
+    void adopt(const std::shared_ptr<const configuration_snapshot> &snapshot);
     void updateRankings();
     void onCommand(const operator_command &command);
     void beginDraining();
@@ -139,6 +139,16 @@
     void stepEngine(const group_name &group, const engine_event &event);
     void apply(const group_name &group, engine_action &action);
     void apply(const group_name &group, ownership_action &action);
+    void apply(const group_name &group, const read_record &action);
+    void apply(const group_name &group, const write_record &action);
+    void apply(const group_name &group, const order_report &action);
+    void apply(const group_name &group, const order_fence &action);
+    void apply(const group_name &group, const order_promote &action);
+    void apply(const group_name &group, const order_follow &action);
+    void apply(const group_name &group, const send_heartbeat &action);
+    void apply(const group_name &group, const term_started &action);
+    void apply(const group_name &group, const term_ended &action);
+    void apply(const group_name &group, const ownership_note &action);
     void apply(const group_name &group, const open_connection &action);
     void apply(const group_name &group, const close_connection &action);
     void apply(const group_name &group, run_statement &action);
--- a/mustardrouter/Instance/decision_engines.cpp
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -41,57 +41,91 @@
 
 void decision_duty::apply(const group_name &group, ownership_action &action)
 {
-    if (std::holds_alternative<read_record>(action)) {
-        post(read_record_job{group});
-    } else if (const auto *write = std::get_if<write_record>(&action)) {
-        post(write_record_job{group, write->record});
-    } else if (const auto *report = std::get_if<order_report>(&action)) {
-        wire::database_order order;
-        order.set_kind(wire::database_order::ORDER_REPORT);
-        order.set_round(report->round);
-        sendOrder(group, report->database, std::move(order));
-    } else if (const auto *fence = std::get_if<order_fence>(&action)) {
-        wire::database_order order;
-        order.set_kind(wire::database_order::ORDER_FENCE);
-        order.set_term(fence->term.value());
-        sendOrder(group, fence->database, std::move(order));
-    } else if (const auto *promote = std::get_if<order_promote>(&action)) {
-        wire::database_order order;
-        order.set_kind(wire::database_order::ORDER_PROMOTE);
-        order.set_term(promote->term.value());
-        sendOrder(group, promote->database, std::move(order));
-    } else if (const auto *follow = std::get_if<order_follow>(&action)) {
-        wire::database_order order;
-        order.set_kind(wire::database_order::ORDER_FOLLOW);
-        order.set_term(follow->term.value());
-        order.set_primary(follow->primary.value());
-        const database *primary = findConfigured(group, follow->primary);
-        order.set_primary_address(primary == nullptr ? std::string() : primary->address);
-        sendOrder(group, follow->database, std::move(order));
-    } else if (const auto *beat = std::get_if<send_heartbeat>(&action)) {
-        wire::peer_message message;
-        wire::heartbeat &heartbeat = *message.mutable_heartbeat();
-        heartbeat.set_group(group.value());
-        heartbeat.set_term(beat->term.value());
-        heartbeat.set_primary(beat->primary.value());
-        heartbeat.set_record_version(beat->recordVersion);
-        heartbeat.set_resigning(beat->resigning);
-        sendToPeer(beat->to, std::move(message));
-    } else if (const auto *started = std::get_if<term_started>(&action)) {
-        m_outputs.figures.countTermStarted(group.value());
-        writeLog(log_level::info,
-                 "ownership",
-                 "serves",
-                 {{"group", group.value()}, {"term", std::to_string(started->term.value())}, {"primary", started->primary.value()}});
-    } else if (const auto *ended = std::get_if<term_ended>(&action)) {
-        if (ended->ownershipLost) {
-            endOwnedLinks(group);
-        }
-    } else if (const auto *note = std::get_if<ownership_note>(&action)) {
-        writeLog(log_level::info, "ownership", note->text, {{"instance", m_identity.self.name.value()}});
+    std::visit(
+        [&](const auto &what) {
+            apply(group, what);
+        },
+        action);
+}
+
+void decision_duty::apply(const group_name &group, const read_record &)
+{
+    post(read_record_job{group});
+}
+
+void decision_duty::apply(const group_name &group, const write_record &action)
+{
+    post(write_record_job{group, action.record});
+}
+
+void decision_duty::apply(const group_name &group, const order_report &action)
+{
+    wire::database_order order;
+    order.set_kind(wire::database_order::ORDER_REPORT);
+    order.set_round(action.round);
+    sendOrder(group, action.database, std::move(order));
+}
+
+void decision_duty::apply(const group_name &group, const order_fence &action)
+{
+    wire::database_order order;
+    order.set_kind(wire::database_order::ORDER_FENCE);
+    order.set_term(action.term.value());
+    sendOrder(group, action.database, std::move(order));
+}
+
+void decision_duty::apply(const group_name &group, const order_promote &action)
+{
+    wire::database_order order;
+    order.set_kind(wire::database_order::ORDER_PROMOTE);
+    order.set_term(action.term.value());
+    sendOrder(group, action.database, std::move(order));
+}
+
+void decision_duty::apply(const group_name &group, const order_follow &action)
+{
+    wire::database_order order;
+    order.set_kind(wire::database_order::ORDER_FOLLOW);
+    order.set_term(action.term.value());
+    order.set_primary(action.primary.value());
+    const database *primary = findConfigured(group, action.primary);
+    order.set_primary_address(primary == nullptr ? std::string() : primary->address);
+    sendOrder(group, action.database, std::move(order));
+}
+
+void decision_duty::apply(const group_name &group, const send_heartbeat &action)
+{
+    wire::peer_message message;
+    wire::heartbeat &heartbeat = *message.mutable_heartbeat();
+    heartbeat.set_group(group.value());
+    heartbeat.set_term(action.term.value());
+    heartbeat.set_primary(action.primary.value());
+    heartbeat.set_record_version(action.recordVersion);
+    heartbeat.set_resigning(action.resigning);
+    sendToPeer(action.to, std::move(message));
+}
+
+void decision_duty::apply(const group_name &group, const term_started &action)
+{
+    m_outputs.figures.countTermStarted(group.value());
+    writeLog(log_level::info,
+             "ownership",
+             "serves",
+             {{"group", group.value()}, {"term", std::to_string(action.term.value())}, {"primary", action.primary.value()}});
+}
+
+void decision_duty::apply(const group_name &group, const term_ended &action)
+{
+    if (action.ownershipLost) {
+        endOwnedLinks(group);
     }
 }
 
+void decision_duty::apply(const group_name &, const ownership_note &action)
+{
+    writeLog(log_level::info, "ownership", action.text, {{"instance", m_identity.self.name.value()}});
+}
+
 void decision_duty::endOwnedLinks(const group_name &group)
 {
     for (const database_view &view : m_engines.at(group).ownership.databases) {
--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -46,61 +46,24 @@
     // Callers send requests; the parser of caller links yields nothing else.
 }
 
-void decision_duty::onMessage(link_id link, wire::peer_message &message)
-{
-    m_links.try_emplace(link, peer_link{});
-    if (message.has_from()) {
-        const wire::instance_location &from = message.from();
-        m_addresses[instance_name(from.name())] = from.address();
-        instance_view view{instance_name(from.name()), from.address(), from.place(), from.incarnation(), from.leaving()};
-        if (mergeInstance(m_directory, view)) {
-            updateRankings();
-        }
-    }
-    switch (message.body_case()) {
-    case wire::peer_message::kForward:
-        onForward(link, message.forward());
-        break;
-    case wire::peer_message::kForwardAnswer: {
-        const wire::forward_answer &answer = message.forward_answer();
-        owner_answered event{request_id(answer.id()), fromWire(answer.result()), std::nullopt};
-        if (answer.has_floor()) {
-            event.result.floor = fromWire(answer.floor());
-        }
-        if (!answer.owner().empty()) {
-            event.owner = instance_name(answer.owner());
-        }
-        stepEntry(event);
-        break;
-    }
-    case wire::peer_message::kHeartbeat:
-        onHeartbeat(instance_name(message.from().name()), message.heartbeat());
-        break;
-    case wire::peer_message::kAbandon:
-        onAbandon(link, message.abandon());
-        break;
-    default:
-        break;
-    }
-}
-
 void decision_duty::onMessage(link_id link, wire::database_message &message)
 {
     const auto found = m_links.find(link);
     if (found == m_links.end()) {
         return;
     }
-    if (const auto *control = std::get_if<control_link>(&found->second)) {
+    // A copy: what the engine decides may end the link.
+    const link_use use = found->second;
+    if (const auto *control = std::get_if<control_link>(&use)) {
         if (message.has_report()) {
             stepEngine(control->group, ownership_event(database_reported{control->database, fromWire(message.report())}));
         }
         return;
     }
-    const auto *use = std::get_if<statement_link>(&found->second);
-    if (use == nullptr) {
+    if (!std::holds_alternative<statement_link>(use)) {
         return;
     }
-    const statement_link statements = *use;
+    const statement_link &statements = std::get<statement_link>(use);
     if (message.has_opened()) {
         const term_number term(message.opened().term());
         stepEngine(statements.group, connection_opened{statements.connection, message.opened().accepted(), term});
@@ -149,28 +112,6 @@
     stepEngine(statements.group, connection_closed{statements.connection});
 }
 
-void decision_duty::dropPeerWork(link_id link)
-{
-    std::vector<owner_request> lost;
-    for (const auto &[id, origin] : m_ownerRequests) {
-        if (origin.from == link) {
-            lost.push_back(origin);
-        }
-    }
-    for (const owner_request &origin : lost) {
-        abandonRequest(origin);
-    }
-    const auto transactions = m_peerTransactions.find(link);
-    if (transactions == m_peerTransactions.end()) {
-        return;
-    }
-    const auto open = std::move(transactions->second);
-    m_peerTransactions.erase(transactions);
-    for (const auto &[group, transaction] : open) {
-        stepEngine(group, transaction_abandoned{transaction});
-    }
-}
-
 void decision_duty::send(link_id link, link_message message)
 {
     if (m_outputs.network.post(send_on_link{link, std::move(message)}) != failure::none) {
@@ -189,60 +130,4 @@
     return link;
 }
 
-void decision_duty::onForward(link_id link, const wire::forward &forward)
-{
-    const group_name group(forward.group());
-    statement what = fromWire(forward.statement(), now());
-    if (forward.has_floor()) {
-        what.floor = fromWire(forward.floor());
-    }
-    owner_request origin;
-    origin.group = group;
-    origin.entryRequest = forward.id();
-    origin.from = link;
-    acceptRequest(group, std::move(origin), std::move(what));
-}
-
-void decision_duty::onAbandon(link_id link, const wire::abandon &message)
-{
-    const group_name group(message.group());
-    if (message.transaction() != 0) {
-        stepEngine(group, transaction_abandoned{transaction_id(message.transaction())});
-        return;
-    }
-    for (const auto &[id, origin] : m_ownerRequests) {
-        if (origin.from == link && origin.entryRequest == message.id()) {
-            abandonRequest(owner_request(origin));
-            return;
-        }
-    }
-}
-
-void decision_duty::onHeartbeat(const instance_name &from, const wire::heartbeat &beat)
-{
-    const group_name group(beat.group());
-    heartbeat_received event{from, term_number(beat.term()), beat.record_version(), beat.resigning()};
-    stepEngine(group, ownership_event(event));
-}
-
-bool decision_duty::sendToPeer(const instance_name &peer, wire::peer_message message)
-{
-    const auto address = m_addresses.find(peer);
-    if (address == m_addresses.end()) {
-        return false;
-    }
-    wire::instance_location &from = *message.mutable_from();
-    from.set_name(m_identity.self.name.value());
-    from.set_address(m_identity.self.address);
-    from.set_place(m_identity.self.place);
-    from.set_incarnation(m_identity.self.incarnation);
-    from.set_leaving(m_identity.self.leaving);
-    auto link = m_peerLinks.find(peer);
-    if (link == m_peerLinks.end()) {
-        link = m_peerLinks.emplace(peer, openLink(link_kind::peer, address->second, peer_link{peer})).first;
-    }
-    send(link->second, std::move(message));
-    return true;
-}
-
 } // namespace mustardrouter
--- a/mustardrouter/Instance/instance.h
+++ b/mustardrouter/Instance/instance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Instance/decision_duty.h"
+#include "mustardrouter/Instance/discovery_duty.h"
 #include "mustardrouter/Instance/network_duty.h"
 #include "mustardrouter/Instance/platform_duty.h"
 #include "mustardrouter/Instance/telemetry_duty.h"
--- a/mustardrouter/Instance/network_duty.cpp
+++ b/mustardrouter/Instance/network_duty.cpp
@@ -11,12 +11,12 @@
 network_duty::network_duty(ring<link_event> &events, std::size_t commandCapacity)
     : m_guard(asio::make_work_guard(m_context))
     , m_callers(m_context,
-                [this](std::shared_ptr<frame_connection> connection) {
-                    accept(link_kind::caller, std::move(connection));
+                [this](const std::shared_ptr<frame_connection> &connection) {
+                    accept(link_kind::caller, connection);
                 })
     , m_peers(m_context,
-              [this](std::shared_ptr<frame_connection> connection) {
-                  accept(link_kind::peer, std::move(connection));
+              [this](const std::shared_ptr<frame_connection> &connection) {
+                  accept(link_kind::peer, connection);
               })
     , m_events(events)
     , m_commands(commandCapacity, m_unusedSignal)
@@ -88,7 +88,7 @@
     return m_peers.address();
 }
 
-void network_duty::accept(link_kind kind, std::shared_ptr<frame_connection> connection)
+void network_duty::accept(link_kind kind, const std::shared_ptr<frame_connection> &connection)
 {
     const link_id link(m_nextAccepted);
     m_nextAccepted += 2;
@@ -171,7 +171,7 @@
         return;
     }
     link_event event = link_received{link, std::move(*message)};
-    if (m_events.push(std::move(event)) == failure::none) {
+    if (m_events.offer(event) == failure::none) {
         return;
     }
     if (kind == link_kind::caller) {
@@ -195,7 +195,7 @@
 
 void network_duty::report(link_event event)
 {
-    if (m_events.push(std::move(event)) == failure::none) {
+    if (m_events.offer(event) == failure::none) {
         return;
     }
     // A close must not be lost: try again once the decision thread has caught up.
--- a/mustardrouter/Instance/network_duty.h
+++ b/mustardrouter/Instance/network_duty.h
@@ -44,7 +44,7 @@
     std::string peerAddress() const;
 
 private:
-    void accept(link_kind kind, std::shared_ptr<frame_connection> connection);
+    void accept(link_kind kind, const std::shared_ptr<frame_connection> &connection);
     void runCommands();
     void run(const open_link &command);
     void run(send_on_link &command);
--- a/mustardrouter/Instance/platform_duty.cpp
+++ b/mustardrouter/Instance/platform_duty.cpp
@@ -14,7 +14,6 @@
 
 constexpr auto platformTimeout = std::chrono::milliseconds(1000);
 constexpr auto jobWait = std::chrono::milliseconds(50);
-constexpr auto discoveryInterval = std::chrono::milliseconds(300);
 
 std::string recordKey(const group_name &group)
 {
@@ -117,77 +116,9 @@
 void platform_duty::answer(const group_name &group, ownership_event event, bool fromRead)
 {
     platform_event item = record_event{group, std::move(event), fromRead};
-    while (m_events.push(std::move(item)) != failure::none && !m_stopping.load()) {
+    while (m_events.offer(item) != failure::none && !m_stopping.load()) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
 }
 
-discovery_duty::discovery_duty(std::string platformAddress, instance_view self, ring<platform_event> &events)
-    : m_address(std::move(platformAddress))
-    , m_self(std::move(self))
-    , m_events(events)
-{
-}
-
-discovery_duty::~discovery_duty()
-{
-    stop();
-}
-
-void discovery_duty::start()
-{
-    m_thread = std::thread([this] {
-        run();
-    });
-}
-
-void discovery_duty::stop()
-{
-    m_stopping.store(true);
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
-}
-
-void discovery_duty::announceLeaving()
-{
-    m_leaving.store(true);
-}
-
-void discovery_duty::run()
-{
-    platform_client platform(m_address, platformTimeout);
-    while (!m_stopping.load()) {
-        const bool leaving = m_leaving.load();
-        if (!m_announced || leaving != m_self.leaving) {
-            m_self.leaving = leaving;
-            m_announced = platform.announce(m_self) == failure::none;
-        }
-        followConfiguration(platform);
-        followInstances(platform);
-        std::this_thread::sleep_for(discoveryInterval);
-    }
-}
-
-void discovery_duty::followConfiguration(platform_client &platform)
-{
-    const auto loaded = loadConfiguration(platform, m_known);
-    if (loaded.why != failure::none || loaded.value.revision <= m_known.revision) {
-        return;
-    }
-    const auto snapshot = std::make_shared<const configuration_snapshot>(loaded.value);
-    // A full ring leaves the revision unknown, so that the next turn brings it again.
-    if (m_events.push(configuration_loaded{snapshot}) == failure::none) {
-        m_known = loaded.value;
-    }
-}
-
-void discovery_duty::followInstances(platform_client &platform)
-{
-    const auto listed = platform.instances();
-    if (listed.why == failure::none) {
-        m_events.push(instances_listed{listed.value});
-    }
-}
-
 } // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/platform_event.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "mustardrouter/Configuration/configuration_snapshot.h"
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Membership/instance_directory.h"
+#include "mustardrouter/Ownership/ownership_event.h"
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// What the platform said about a group's record.
+struct record_event {
+    group_name group;
+    ownership_event event;
+    /// Whether a read brought it.
+    bool fromRead = false;
+};
+
+/// The platform's list of instances.
+struct instances_listed {
+    std::vector<instance_view> instances;
+};
+
+/// A newer configuration.
+struct configuration_loaded {
+    std::shared_ptr<const configuration_snapshot> snapshot;
+};
+
+/// What the platform threads tell the decision thread.
+using platform_event = std::variant<record_event, instances_listed, configuration_loaded>;
+
+} // namespace mustardrouter
--- a/mustardrouter/Load/workload.cpp
+++ b/mustardrouter/Load/workload.cpp
@@ -173,7 +173,7 @@
 
 void workload::send(const std::shared_ptr<caller_client> &client,
                     const operation &what,
-                    wire::statement statement,
+                    const wire::statement &statement,
                     caller_client::handler onResult)
 {
     ++m_inFlight;
--- a/mustardrouter/Load/workload.h
+++ b/mustardrouter/Load/workload.h
@@ -66,7 +66,7 @@
     void endPair(const operation &what, outcome kind);
     void send(const std::shared_ptr<caller_client> &client,
               const operation &what,
-              wire::statement statement,
+              const wire::statement &statement,
               caller_client::handler onResult);
     wire::statement newStatement(const operation &what, wire::statement_kind kind, std::string sql) const;
     std::shared_ptr<caller_client> anyClient();
--- a/mustardrouter/Routing/group_engine.h
+++ b/mustardrouter/Routing/group_engine.h
@@ -61,7 +61,7 @@
 /// Everything that one instance decides about one group: its ownership, and as long as it owns
 /// the group, the sessions, connections, queues and transactions.
 struct group_engine {
-    group_engine(group_ownership ownership, std::map<database_name, pool_limits> limits, engine_settings settings);
+    group_engine(group_ownership ownership, const std::map<database_name, pool_limits> &limits, engine_settings settings);
 
     group_ownership ownership;
     engine_settings settings;
--- a/mustardrouter/Runtime/json_rpc_server.cpp
+++ b/mustardrouter/Runtime/json_rpc_server.cpp
@@ -200,7 +200,10 @@
     std::unique_ptr<jsonrpc::IProtocolHandler> protocol;
 };
 
-json_rpc_server::json_rpc_server(std::string address, std::string key, std::vector<std::string> methods, handler handle)
+json_rpc_server::json_rpc_server(const std::string &address,
+                                 const std::string &key,
+                                 const std::vector<std::string> &methods,
+                                 handler handle)
     : m_parts(new parts(address, key, std::move(handle)))
 {
     for (const std::string &method : methods) {
--- a/mustardrouter/Runtime/json_rpc_server.h
+++ b/mustardrouter/Runtime/json_rpc_server.h
@@ -24,7 +24,7 @@
     using handler = std::function<Json::Value(const std::string &method, const Json::Value &parameters)>;
 
     /// Serves `methods` at `address` ("IP:PORT"). With a key, calls must bring it as a bearer token.
-    json_rpc_server(std::string address, std::string key, std::vector<std::string> methods, handler handle);
+    json_rpc_server(const std::string &address, const std::string &key, const std::vector<std::string> &methods, handler handle);
     ~json_rpc_server();
     json_rpc_server(const json_rpc_server &) = delete;
     json_rpc_server &operator=(const json_rpc_server &) = delete;
--- a/mustardrouter/Runtime/ring.h
+++ b/mustardrouter/Runtime/ring.h
@@ -47,16 +47,23 @@
     {
     }
 
-    /// Appends an item; failure::ringFull when there is no room, and the item is left as it was.
-    failure push(Item &&item)
+    /// Moves an item in; failure::ringFull when there is no room, and the item is left as it was.
+    failure offer(Item &item)
     {
-        if (!m_items.push(std::move(item))) {
+        if (m_items.write_available() == 0) {
             return failure::ringFull;
         }
+        m_items.push(std::move(item));
         m_signal.notify();
         return failure::none;
     }
 
+    /// Moves an item in; failure::ringFull when there is no room, and the item is gone.
+    failure push(Item item)
+    {
+        return offer(item);
+    }
+
     /// Takes the oldest item.
     std::optional<Item> pop()
     {
--- a/mustardrouter/StandIn/database_standin.cpp
+++ b/mustardrouter/StandIn/database_standin.cpp
@@ -56,8 +56,8 @@
     bool listening = true;
     const bool fine = handled(
         [&]() -> result_of<bool> {
-            m_listener = std::make_unique<frame_listener>(m_context, [this](std::shared_ptr<frame_connection> connection) {
-                onAccept(std::move(connection));
+            m_listener = std::make_unique<frame_listener>(m_context, [this](const std::shared_ptr<frame_connection> &connection) {
+                onAccept(connection);
             });
             BOOST_LEAF_CHECK(m_listener->listen(m_address));
             return true;
@@ -148,8 +148,8 @@
     runOnThread([this] {
         m_down = false;
         m_frozen = false;
-        m_listener = std::make_unique<frame_listener>(m_context, [this](std::shared_ptr<frame_connection> connection) {
-            onAccept(std::move(connection));
+        m_listener = std::make_unique<frame_listener>(m_context, [this](const std::shared_ptr<frame_connection> &connection) {
+            onAccept(connection);
         });
         const bool listening = handled(
             [&]() -> result_of<bool> {
@@ -261,7 +261,7 @@
     });
 }
 
-void database_standin::onAccept(std::shared_ptr<frame_connection> connection)
+void database_standin::onAccept(const std::shared_ptr<frame_connection> &connection)
 {
     const auto accepted = std::make_shared<session>();
     accepted->connection = connection;
--- a/mustardrouter/StandIn/database_standin.h
+++ b/mustardrouter/StandIn/database_standin.h
@@ -89,7 +89,7 @@
 
     void runOnThread(const std::function<void()> &work);
     void listen();
-    void onAccept(std::shared_ptr<frame_connection> connection);
+    void onAccept(const std::shared_ptr<frame_connection> &connection);
     void onFrame(const session_ptr &from, std::string_view payload);
     void onClose(const session_ptr &from);
     void after(std::chrono::microseconds delay, std::function<void()> work);
