--- a/.ci/lint.sh
+++ b/.ci/lint.sh
@@ -26,7 +26,7 @@
     return 1
 }
 export -f lint_one
-if git ls-files 'mustardrouter/*.cpp' 'bench/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'; then
+if git ls-files 'mustardrouter/*.cpp' 'bench/*.cpp' | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'; then
     echo "linter: clean"
 else
     echo "linter: FAILED"
