A write on a peer connection that was never made is not unknown

Cause: an entry that first meets a dead owner counts the write as sent although the connection was refused; the caller got unknown where nothing had left the process. Ruled out: a retry of sent writes (they may have run). Conclusion: not run is only lost where it cannot be known.

--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -99,7 +99,7 @@
             return;
         }
         m_peerLinks.erase(peer->peer);
-        stepEntry(peer_lost{peer->peer});
+        stepEntry(peer_lost{peer->peer, event.why == failure::addressUnavailable});
         return;
     }
     if (const auto *control = std::get_if<control_link>(&use)) {
--- a/mustardrouter/Operators/serve_command.cpp
+++ b/mustardrouter/Operators/serve_command.cpp
@@ -57,6 +57,8 @@
             blockStopSignals();
             instance daemon(settings);
             BOOST_LEAF_CHECK(daemon.start());
+            std::cout << "instance " << daemon.name() << " callers " << daemon.callerAddress() << " control " << daemon.controlAddress()
+                      << std::endl;
             waitForStopSignal();
             return daemon.shutDown(shutdownPatience) ? exit_code::done : exit_code::failed;
         },
--- a/mustardrouter/Routing/entry_event.h
+++ b/mustardrouter/Routing/entry_event.h
@@ -45,6 +45,8 @@
 /// The connection to a peer broke; what was sent to it may have run.
 struct peer_lost {
     instance_name peer;
+    /// The connection was never made, so nothing was sent.
+    bool neverConnected = false;
 };
 
 /// A statement could not be sent to its peer at all.
--- a/mustardrouter/Routing/entry_router.cpp
+++ b/mustardrouter/Routing/entry_router.cpp
@@ -302,7 +302,7 @@
         }
     }
     for (const request_id id : lost) {
-        loseForward(step, id, true);
+        loseForward(step, id, !event.neverConnected);
     }
     std::erase_if(step.router.transactions, [&](const auto &item) {
         return item.second.owner == event.peer;
