A resigning owner is relieved by any deputy, not only the first

Cause: only the first deputy answered a resignation; when it was dead (killed, still on the platform's lagging list) the leaving owner waited 15 s and ended without handing over. Conclusion: hand-over needs one living deputy.

--- a/mustardrouter/Ownership/group_ownership.cpp
+++ b/mustardrouter/Ownership/group_ownership.cpp
@@ -364,6 +364,14 @@
     const duration patience = state.settings.ownerSuspicion * static_cast<int>(index);
     if (now - state.ownerHeardAt >= patience) {
         claim(state, now, actions, "its owner is silent");
+        return;
+    }
+    // The first deputy answers a resignation at once; a later one only if those before it do not.
+    const duration turn = state.settings.orderRetry * (static_cast<int>(index) - 1);
+    const bool resigns = state.ownerResignsSince != time_point{};
+    if (resigns && now - state.ownerResignsSince >= turn) {
+        state.ownerResignsSince = time_point{};
+        claim(state, now, actions, "its owner resigns");
     }
 }
 
@@ -495,9 +503,15 @@
     if (beat.recordVersion > state.record.version) {
         askRecord(state, now, actions);
     }
-    const std::optional<std::size_t> index = ownIndex(state);
-    if (beat.resigning && state.role == ownership_role::deputy && index == 1U) {
-        claim(state, now, actions, "its owner resigns");
+    if (!beat.resigning) {
+        state.ownerResignsSince = time_point{};
+        return;
+    }
+    if (state.ownerResignsSince == time_point{}) {
+        state.ownerResignsSince = now;
+    }
+    if (state.role == ownership_role::deputy) {
+        tickDeputy(state, now, actions);
     }
 }
 
--- a/mustardrouter/Ownership/group_ownership.h
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -75,6 +75,8 @@
 
     std::uint64_t round = 0;
     time_point ownerHeardAt{};
+    /// First heartbeat that said that the owner resigns; the epoch when it does not.
+    time_point ownerResignsSince{};
     time_point claimedAt{};
     time_point recordAskedAt{};
     time_point phaseStartedAt{};
