A caller's read rule is absent, not implied; unknown enum values are refused

Cause: an empty policy field stood for a given read rule, and kinds from newer callers were cast unchecked. Conclusion: clear error, nothing guessed.

--- a/bench/capacity/measure_statements.cpp
+++ b/bench/capacity/measure_statements.cpp
@@ -42,7 +42,6 @@
     statement.set_service("booking-core");
     statement.set_sql("SELECT rider, slot, instructor FROM bookings WHERE school = 17 AND day = '2027-01-16'");
     statement.set_session("parent-4711");
-    statement.set_policy("default");
     return request;
 }
 
--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -23,13 +23,20 @@
 {
     m_links.try_emplace(link, caller_link{});
     const wire::statement &message = request.statement();
+    if (!isKnown(message)) {
+        wire::caller_response refusal;
+        refusal.set_id(request.id());
+        *refusal.mutable_result() = toWire(notRun(failure::malformedRequest, "unknown kind of statement or read rule"));
+        send(link, std::move(refusal));
+        return;
+    }
     caller_sent sent;
     sent.caller = caller_id(link.value());
     sent.callerRequest = request.id();
     sent.callerName = message.caller();
     sent.partition = message.partition();
     sent.token = message.session_token();
-    sent.hasReadRule = message.policy().empty();
+    sent.hasReadRule = message.has_read_rule();
     sent.patience = std::chrono::milliseconds(message.deadline_ms());
     sent.what = fromWire(message, now());
     const trace_context parent = parseTraceParent(message.trace_parent());
--- a/mustardrouter/Instance/wire_codec.cpp
+++ b/mustardrouter/Instance/wire_codec.cpp
@@ -37,6 +37,11 @@
     return message;
 }
 
+bool isKnown(const wire::statement &message)
+{
+    return wire::statement_kind_IsValid(message.kind()) && wire::read_rule_kind_IsValid(message.read_rule());
+}
+
 statement fromWire(const wire::statement &message, time_point now)
 {
     statement what;
--- a/mustardrouter/Instance/wire_codec.h
+++ b/mustardrouter/Instance/wire_codec.h
@@ -12,6 +12,8 @@
 /// Conversions between messages and the structs of the decision modules. Deadlines travel as the
 /// time that is left, since instances share no clock.
 statement fromWire(const wire::statement &message, time_point now);
+/// Whether the message's kind and read rule are ones that this version knows.
+bool isKnown(const wire::statement &message);
 wire::statement toWire(const statement &what, time_point now);
 statement_result fromWire(const wire::result &message);
 wire::result toWire(const statement_result &result);
--- a/mustardrouter/Operators/call_command.cpp
+++ b/mustardrouter/Operators/call_command.cpp
@@ -144,9 +144,7 @@
     statement.set_caller(values["caller"].as<std::string>());
     statement.set_deadline_ms(values["deadline-ms"].as<std::uint64_t>());
     statement.set_non_idempotent(values.count("non-idempotent") > 0);
-    if (values.count("read") == 0) {
-        statement.set_policy("default");
-    } else if (!setReadRule(values["read"].as<std::string>(), statement)) {
+    if (values.count("read") > 0 && !setReadRule(values["read"].as<std::string>(), statement)) {
         std::cerr << "mustardrouter call: --read: neither session, latest nor age=DURATION\n";
         return exit_code::usage;
     }
