Membership: a list of instances is joined in n log n, and the first of a ranking are picked

The newest life at each address is kept by name; rankFirst sorts only what is asked for. Properties: the first are a prefix of the whole order; a loss moves only its own keys.

--- /dev/null
+++ b/UnitTests/Membership/rendezvous_test.cpp
@@ -0,0 +1,93 @@
+#include "mustardrouter/Membership/instance_directory.h"
+#include "mustardrouter/Membership/rendezvous.h"
+
+#include <rapidcheck.h>
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+std::vector<instance_name> namesOf(const std::set<std::string> &texts)
+{
+    std::vector<instance_name> names;
+    for (const std::string &text : texts) {
+        names.emplace_back(text);
+    }
+    return names;
+}
+
+instance_view life(const std::string &name, const std::string &address, std::uint64_t incarnation)
+{
+    return {instance_name(name), address, "place", incarnation, false};
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(rendezvous) {};
+// clang-format on
+
+TEST(rendezvous, theFirstAreAPrefixOfTheWholeOrder)
+{
+    const bool held = rc::check([](const std::set<std::string> &texts, const std::string &key, std::uint8_t count) {
+        const std::vector<instance_name> names = namesOf(texts);
+        const std::vector<instance_name> ranked = rankInstances(key, names);
+        const std::vector<std::size_t> first = rankFirst(key, names, count);
+        RC_ASSERT(first.size() == std::min<std::size_t>(count, names.size()));
+        for (std::size_t place = 0; place < first.size(); ++place) {
+            RC_ASSERT(names[first[place]] == ranked[place]);
+        }
+    });
+    CHECK(held);
+}
+
+TEST(rendezvous, aLossMovesOnlyTheKeysOfTheLost)
+{
+    const bool held = rc::check([](const std::set<std::string> &texts, const std::string &key) {
+        RC_PRE(texts.size() > 1);
+        const std::vector<instance_name> before = rankInstances(key, namesOf(texts));
+        std::set<std::string> rest = texts;
+        rest.erase(before.back().value());
+        const std::vector<instance_name> after = rankInstances(key, namesOf(rest));
+        RC_ASSERT(after == std::vector<instance_name>(before.begin(), before.end() - 1));
+    });
+    CHECK(held);
+}
+
+// clang-format off
+TEST_GROUP(instance_directory) {};
+// clang-format on
+
+TEST(instance_directory, aLaterLifeAtAnAddressReplacesTheEarlier)
+{
+    instance_directory directory;
+    CHECK(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
+    CHECK(mergeInstance(directory, life("a.2", "10.0.0.1:1", 2)));
+    CHECK_FALSE(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
+    CHECK_EQUAL(1, liveInstances(directory).size());
+    CHECK(liveInstances(directory).front().name == instance_name("a.2"));
+}
+
+TEST(instance_directory, aListDoesNotBringAnEarlierLifeBack)
+{
+    instance_directory directory;
+    mergeInstance(directory, life("a.2", "10.0.0.1:1", 2));
+    mergeList(directory, {life("a.1", "10.0.0.1:1", 1), life("b.1", "10.0.0.2:1", 1)});
+    CHECK_EQUAL(1, liveInstances(directory).size());
+    CHECK(liveInstances(directory).front().name == instance_name("b.1"));
+}
+
+TEST(instance_directory, leavingStaysSet)
+{
+    instance_directory directory;
+    instance_view view = life("a.1", "10.0.0.1:1", 1);
+    view.leaving = true;
+    mergeInstance(directory, view);
+    CHECK_FALSE(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
+    CHECK(liveInstances(directory).empty());
+}
--- a/mustardrouter/Membership/instance_directory.cpp
+++ b/mustardrouter/Membership/instance_directory.cpp
@@ -1,32 +1,22 @@
 #include "mustardrouter/Membership/instance_directory.h"
 
-#include <algorithm>
 #include <set>
 
 namespace mustardrouter
 {
 
-namespace
-{
-
-bool dropOlderLives(instance_directory &directory, const instance_view &newest)
-{
-    const std::size_t dropped = std::erase_if(directory.instances, [&](const auto &item) {
-        return item.second.address == newest.address && item.second.incarnation < newest.incarnation;
-    });
-    return dropped > 0;
-}
-
-} // namespace
-
 bool mergeInstance(instance_directory &directory, const instance_view &view)
 {
-    std::uint64_t &newest = directory.newestAt[view.address];
-    if (view.incarnation < newest) {
+    seen_life &newest = directory.newestAt[view.address];
+    if (view.incarnation < newest.incarnation) {
         return false;
     }
-    newest = view.incarnation;
-    bool changed = dropOlderLives(directory, view);
+    bool changed = false;
+    if (view.incarnation > newest.incarnation) {
+        // The earlier life at this address is over.
+        changed = directory.instances.erase(newest.name) > 0;
+        newest = {view.name, view.incarnation};
+    }
     const auto [found, added] = directory.instances.try_emplace(view.name, view);
     if (added) {
         return true;
--- a/mustardrouter/Membership/instance_directory.h
+++ b/mustardrouter/Membership/instance_directory.h
@@ -21,11 +21,17 @@
     bool leaving = false;
 };
 
+/// One life of the instance at an address.
+struct seen_life {
+    instance_name name;
+    std::uint64_t incarnation = 0;
+};
+
 /// Instances as known from the platform's lagging list, joined with what they say themselves.
 struct instance_directory {
     std::map<instance_name, instance_view> instances;
-    /// Newest incarnation seen at each address.
-    std::map<std::string, std::uint64_t> newestAt;
+    /// Newest life seen at each address.
+    std::map<std::string, seen_life> newestAt;
 };
 
 /// Joins one view in; true when the set of live instances changed.
--- a/mustardrouter/Membership/rendezvous.h
+++ b/mustardrouter/Membership/rendezvous.h
@@ -12,4 +12,7 @@
 /// Mapping Scheme for Rendezvous", 1996): when one goes, only its keys move.
 std::vector<instance_name> rankInstances(std::string_view key, std::vector<instance_name> instances);
 
+/// The first `count` of that order, as indexes into `instances`.
+std::vector<std::size_t> rankFirst(std::string_view key, const std::vector<instance_name> &instances, std::size_t count);
+
 } // namespace mustardrouter
