Engines are ticked when they need the clock; status on demand; entries guess owners

Each of 293 engines was ticked each 5 ms on each node (1.27% of a core at the target), each engine held all 650 candidates, status was built five times a second for nobody, and a cold entry read each group's record from the platform (190,450 reads for 650 cold nodes).

The entry tries the first candidates.

--- a/bench/capacity/measure_nodes.cpp
+++ b/bench/capacity/measure_nodes.cpp
@@ -2,6 +2,7 @@
 #include "bench/capacity/meters.h"
 #include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Membership/rendezvous.h"
+#include "mustardrouter/Ownership/ownership_record.h"
 
 #include <array>
 
@@ -35,7 +36,7 @@
     }
     const double before = threadMicros();
     for (std::size_t group = 0; group < groups; ++group) {
-        rankInstances("group-" + std::to_string(group), names);
+        rankFirst("group-" + std::to_string(group), names, holdersPerGroup + 2);
     }
     return (threadMicros() - before) / groups;
 }
--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -13,10 +13,15 @@
 {
 
 constexpr auto tickInterval = std::chrono::milliseconds(5);
-constexpr auto statusInterval = std::chrono::milliseconds(200);
+constexpr auto figuresInterval = std::chrono::milliseconds(200);
+/// A caller of status() gets the last one when the decision thread does not answer in time.
+constexpr auto statusPatience = std::chrono::milliseconds(500);
 /// Connections of different groups get numbers from different ranges.
 constexpr unsigned connectionRangeBits = 40;
 
+/// Enough to fill all places of a record whoever asks, with one to spare.
+constexpr std::size_t candidatesPerGroup = holdersPerGroup + 2;
+
 pool_limits limitsOf(const database &item)
 {
     return {item.slots, item.connections};
@@ -58,6 +63,7 @@
 {
     m_stopping.store(true);
     m_inputs.signal.notify();
+    m_statusPublished.notify_all();
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -68,9 +74,14 @@
     return m_drained.load();
 }
 
-Json::Value decision_duty::status() const
+Json::Value decision_duty::status()
 {
-    const std::lock_guard lock(m_statusMutex);
+    std::unique_lock lock(m_statusMutex);
+    const std::uint64_t wanted = ++m_statusWanted;
+    m_inputs.signal.notify();
+    m_statusPublished.wait_for(lock, statusPatience, [&] {
+        return m_statusAnswered >= wanted || m_stopping.load();
+    });
     return m_status;
 }
 
@@ -89,7 +100,7 @@
 void decision_duty::run()
 {
     time_point tickAt = now();
-    time_point statusAt = tickAt;
+    time_point figuresAt = tickAt;
     while (!m_stopping.load()) {
         m_inputs.signal.wait(tickInterval);
         while (std::optional<link_event> event = m_inputs.links.pop()) {
@@ -106,15 +117,16 @@
         }
         if (now() >= tickAt) {
             tickAt = now() + tickInterval;
-            for (auto &[group, engine] : m_engines) {
+            for (const group_name &group : m_wakeups.due(now())) {
                 stepEngine(group, ownership_event(clock_ticked{}));
             }
             stepEntry(entry_ticked{});
         }
-        if (now() >= statusAt) {
-            statusAt = now() + statusInterval;
-            publishStatus();
+        if (now() >= figuresAt) {
+            figuresAt = now() + figuresInterval;
+            publishFigures();
         }
+        answerStatus();
         m_outputs.network.flush();
     }
 }
@@ -179,6 +191,7 @@
         group_engine engine(std::move(ownership), limits, engine_settings{});
         engine.nextConnection = (static_cast<std::uint64_t>(m_engines.size()) << connectionRangeBits) + 1;
         m_engines.emplace(key, std::move(engine));
+        m_wakeups.set(key, time_point::min());
     }
     m_outputs.figures.setRevision(static_cast<double>(snapshot->revision.value()));
     updateRankings();
@@ -196,15 +209,35 @@
         live.push_back(view.name);
         m_addresses[view.name] = view.address;
     }
+    const auto shared = std::make_shared<const std::set<instance_name>>(live.begin(), live.end());
     for (auto &[group, engine] : m_engines) {
         candidates_changed changed;
-        for (const instance_name &name : rankInstances(group.value(), live)) {
-            changed.ranking.push_back({name, m_addresses[name], {}, {}});
+        changed.live = shared;
+        for (const std::size_t index : rankFirst(group.value(), live, candidatesPerGroup)) {
+            changed.ranking.push_back({live[index], m_addresses[live[index]], {}, {}});
         }
+        guessHolders(group, changed.ranking);
         stepEngine(group, ownership_event(changed));
     }
 }
 
+/// The first candidates are the likely holders: asking them spares the platform a read for each
+/// group and entry. A wrong guess is answered with the owner's name.
+void decision_duty::guessHolders(const group_name &group, const std::vector<term_range> &ranking)
+{
+    const auto known = m_entry.owners.find(group);
+    if (known != m_entry.owners.end() && !known->second.holders.empty()) {
+        return;
+    }
+    holders_found guess{group, {}};
+    for (const term_range &candidate : ranking) {
+        if (guess.holders.size() < holdersPerGroup) {
+            guess.holders.push_back(candidate.holder);
+        }
+    }
+    stepEntry(guess);
+}
+
 void decision_duty::onCommand(const operator_command &command)
 {
     if (const auto *move = std::get_if<move_primary>(&command)) {
@@ -242,51 +275,6 @@
         job);
 }
 
-void decision_duty::publishStatus()
-{
-    Json::Value status(Json::objectValue);
-    status["instance"] = m_identity.self.name.value();
-    status["revision"] = Json::UInt64(m_configuration ? m_configuration->revision.value() : 0);
-    status["draining"] = m_draining;
-    status["groups"] = Json::Value(Json::objectValue);
-    bool busy = !m_entry.inFlight.empty();
-    for (const auto &[group, engine] : m_engines) {
-        const group_ownership &ownership = engine.ownership;
-        const bool owns = ownership.role == ownership_role::owner;
-        busy = busy || owns || !isQuiet(engine);
-        m_outputs.figures.setWaiting(group.value(), static_cast<double>(waitingCount(engine.queue)));
-        Json::Value item(Json::objectValue);
-        item["role"] = owns ? "owner" : (ownership.role == ownership_role::deputy ? "deputy" : "bystander");
-        item["term"] = Json::UInt64(ownership.term.value());
-        item["primary"] = ownership.primary.value();
-        item["serving"] = isServing(ownership);
-        item["confirmed"] = Json::UInt64(confirmedPosition(ownership).value());
-        item["waiting"] = Json::UInt64(waitingCount(engine.queue));
-        for (const database_view &view : ownership.databases) {
-            Json::Value shown(Json::objectValue);
-            shown["name"] = view.name.value();
-            shown["term"] = Json::UInt64(view.report.term.value());
-            shown["received"] = Json::UInt64(view.report.received.position.value());
-            shown["applied"] = Json::UInt64(view.report.applied.position.value());
-            shown["inSync"] = view.report.inSync;
-            shown["connections"] = Json::UInt64(engine.pools.at(view.name).connections.size());
-            item["databases"].append(shown);
-        }
-        status["groups"][group.value()] = item;
-    }
-    for (const auto &[name, view] : m_directory.instances) {
-        Json::Value item(Json::objectValue);
-        item["address"] = view.address;
-        item["place"] = view.place;
-        item["incarnation"] = Json::UInt64(view.incarnation);
-        item["leaving"] = view.leaving;
-        status["instances"][name.value()] = item;
-    }
-    m_drained.store(m_draining && !busy);
-    const std::lock_guard lock(m_statusMutex);
-    m_status = std::move(status);
-}
-
 std::string decision_duty::newId(std::size_t letters)
 {
     constexpr char digits[] = "0123456789abcdef";
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Instance/operator_command.h"
 #include "mustardrouter/Instance/platform_duty.h"
 #include "mustardrouter/Instance/telemetry_duty.h"
+#include "mustardrouter/Instance/wakeup_list.h"
 #include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Routing/entry_router.h"
 #include "mustardrouter/Routing/group_engine.h"
@@ -14,6 +15,7 @@
 #include <json/value.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
@@ -69,7 +71,7 @@
     /// Whether everything has been handed over and nothing is in flight; any thread.
     bool isDrained() const;
     /// State as shown to operators; any thread.
-    Json::Value status() const;
+    Json::Value status();
 
 private:
     /// A request that an engine works on, and where its answer goes.
@@ -131,6 +133,7 @@
     void onPlatform(platform_event &event);
     void adopt(const std::shared_ptr<const configuration_snapshot> &snapshot);
     void updateRankings();
+    void guessHolders(const group_name &group, const std::vector<term_range> &ranking);
     void onCommand(const operator_command &command);
     void beginDraining();
     void post(platform_job job);
@@ -168,7 +171,10 @@
     void apply(const abandon_at_owner &action);
 
     // Telemetry.
-    void publishStatus();
+    void publishFigures();
+    void answerStatus();
+    Json::Value makeStatus() const;
+    Json::Value makeGroupStatus(const group_engine &engine) const;
     trace_context newSpan(const trace_context &parent);
     void recordOwnerSpan(const owner_request &origin, const answer_request &action);
     std::string newId(std::size_t letters);
@@ -179,6 +185,7 @@
 
     entry_router m_entry;
     std::map<group_name, group_engine> m_engines;
+    wakeup_list m_wakeups;
     instance_directory m_directory;
     /// Addresses of instances that only records and messages name.
     std::map<instance_name, std::string> m_addresses;
@@ -203,6 +210,10 @@
     bool m_draining = false;
     std::atomic<bool> m_drained{false};
     mutable std::mutex m_statusMutex;
+    std::condition_variable m_statusPublished;
+    /// Calls of status() so far, and how many of them the last status answers.
+    std::uint64_t m_statusWanted = 0;
+    std::uint64_t m_statusAnswered = 0;
     Json::Value m_status;
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
--- a/mustardrouter/Instance/decision_engines.cpp
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -30,6 +30,9 @@
     }
     engine_actions actions;
     step(engine->second, event, now(), actions);
+    // What waits or runs has deadlines; only ownership knows when it needs the clock next.
+    const bool idle = isQuiet(engine->second) && !engine->second.draining;
+    m_wakeups.set(group, idle ? nextWakeup(engine->second.ownership) : time_point::min());
     for (engine_action &action : actions) {
         std::visit(
             [&](auto &what) {
--- /dev/null
+++ b/mustardrouter/Instance/decision_status.cpp
@@ -0,0 +1,195 @@
+#include "mustardrouter/Instance/decision_duty.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+const char *nameOf(ownership_role role)
+{
+    switch (role) {
+    case ownership_role::bystander:
+        return "bystander";
+    case ownership_role::deputy:
+        return "deputy";
+    case ownership_role::claiming:
+        return "claiming";
+    case ownership_role::owner:
+        return "owner";
+    }
+    return "invalid";
+}
+
+const char *nameOf(promotion_phase phase)
+{
+    switch (phase) {
+    case promotion_phase::fencing:
+        return "fencing";
+    case promotion_phase::promoting:
+        return "promoting";
+    case promotion_phase::confirming:
+        return "confirming";
+    case promotion_phase::serving:
+        return "serving";
+    }
+    return "invalid";
+}
+
+Json::Value makeDatabaseStatus(const group_engine &engine, const database_view &view)
+{
+    const connection_pool &pool = engine.pools.at(view.name);
+    const database_view *primary = findDatabase(engine.ownership, engine.ownership.primary);
+    const std::uint64_t head = primary == nullptr ? 0 : primary->report.received.position.value();
+    const std::uint64_t applied = view.report.applied.position.value();
+    Json::Value item(Json::objectValue);
+    item["name"] = view.name.value();
+    item["term"] = Json::UInt64(view.report.term.value());
+    item["received"] = Json::UInt64(view.report.received.position.value());
+    item["applied"] = Json::UInt64(applied);
+    item["lag"] = Json::UInt64(head > applied ? head - applied : 0);
+    item["inSync"] = view.report.inSync;
+    item["reachable"] = view.reachable;
+    item["leaving"] = view.report.leaving;
+    item["connections"] = Json::UInt64(pool.connections.size());
+    item["connectionLimit"] = pool.limits.connections;
+    item["running"] = pool.running;
+    item["slots"] = pool.limits.slots;
+    return item;
+}
+
+void note(Json::Value &notes, const std::string &what, const std::string &advice)
+{
+    Json::Value item(Json::objectValue);
+    item["what"] = what;
+    item["advice"] = advice;
+    notes.append(item);
+}
+
+void noteDatabase(Json::Value &notes, const group_engine &engine, const database_view &view)
+{
+    const connection_pool &pool = engine.pools.at(view.name);
+    if (!view.reachable) {
+        note(notes, "database " + view.name.value() + " cannot be reached", "start it, or remove it from the group");
+        return;
+    }
+    const bool replica = view.name != engine.ownership.primary;
+    if (replica && isServing(engine.ownership) && !view.report.inSync) {
+        note(notes, "replica " + view.name.value() + " does not follow the primary", "look at its log; it serves no reads until then");
+    }
+    if (pool.connections.size() >= pool.limits.connections) {
+        note(notes, "all connections to " + view.name.value() + " are open", "raise its limit, or lower the load of a class");
+    }
+}
+
+/// What keeps a group from its full service, with what an operator may do.
+Json::Value degradedOf(const group_engine &engine)
+{
+    Json::Value notes(Json::arrayValue);
+    const group_ownership &ownership = engine.ownership;
+    if (ownership.role != ownership_role::owner) {
+        return notes;
+    }
+    if (!isServing(ownership)) {
+        note(notes, std::string("the group is not served: ") + nameOf(ownership.phase), "check that a quorum of its databases runs");
+    }
+    if (ownership.recordOutdated) {
+        note(notes, "the platform's record names another owner", "check the platform; the group is served meanwhile");
+    }
+    if (ownership.record.ranges.size() < holdersPerGroup) {
+        note(notes, "the group has too few deputies", "start more instances");
+    }
+    for (const database_view &view : ownership.databases) {
+        noteDatabase(notes, engine, view);
+    }
+    return notes;
+}
+
+} // namespace
+
+void decision_duty::publishFigures()
+{
+    bool busy = !m_entry.inFlight.empty();
+    for (const auto &[group, engine] : m_engines) {
+        const bool owns = engine.ownership.role == ownership_role::owner;
+        busy = busy || owns || !isQuiet(engine);
+        if (owns) {
+            m_outputs.figures.setWaiting(group.value(), static_cast<double>(waitingCount(engine.queue)));
+        }
+    }
+    m_drained.store(m_draining && !busy);
+}
+
+void decision_duty::answerStatus()
+{
+    std::uint64_t wanted = 0;
+    {
+        const std::lock_guard lock(m_statusMutex);
+        if (m_statusWanted == m_statusAnswered) {
+            return;
+        }
+        wanted = m_statusWanted;
+    }
+    Json::Value made = makeStatus();
+    {
+        const std::lock_guard lock(m_statusMutex);
+        m_status = std::move(made);
+        m_statusAnswered = wanted;
+    }
+    m_statusPublished.notify_all();
+}
+
+Json::Value decision_duty::makeGroupStatus(const group_engine &engine) const
+{
+    const group_ownership &ownership = engine.ownership;
+    Json::Value item(Json::objectValue);
+    item["role"] = nameOf(ownership.role);
+    item["term"] = Json::UInt64(ownership.term.value());
+    item["owner"] = ownership.record.ranges.empty() ? std::string() : ownership.record.ranges.front().holder.value();
+    if (ownership.role != ownership_role::owner) {
+        return item;
+    }
+    item["owner"] = m_identity.self.name.value();
+    item["primary"] = ownership.primary.value();
+    item["phase"] = nameOf(ownership.phase);
+    item["serving"] = isServing(ownership);
+    item["confirmed"] = Json::UInt64(confirmedPosition(ownership).value());
+    item["waiting"] = Json::UInt64(waitingCount(engine.queue));
+    item["running"] = Json::UInt64(engine.running.size());
+    item["unconfirmed"] = Json::UInt64(engine.unconfirmed.size());
+    item["transactions"] = Json::UInt64(engine.transactions.size());
+    item["databases"] = Json::Value(Json::arrayValue);
+    for (const database_view &view : ownership.databases) {
+        item["databases"].append(makeDatabaseStatus(engine, view));
+    }
+    item["degraded"] = degradedOf(engine);
+    return item;
+}
+
+Json::Value decision_duty::makeStatus() const
+{
+    Json::Value status(Json::objectValue);
+    status["instance"] = m_identity.self.name.value();
+    status["incarnation"] = Json::UInt64(m_identity.self.incarnation);
+    status["revision"] = Json::UInt64(m_configuration ? m_configuration->revision.value() : 0);
+    status["draining"] = m_draining;
+    status["inFlight"] = Json::UInt64(m_entry.inFlight.size());
+    status["groups"] = Json::Value(Json::objectValue);
+    for (const auto &[group, engine] : m_engines) {
+        status["groups"][group.value()] = makeGroupStatus(engine);
+    }
+    status["instances"] = Json::Value(Json::objectValue);
+    for (const auto &[name, view] : m_directory.instances) {
+        Json::Value item(Json::objectValue);
+        item["address"] = view.address;
+        item["place"] = view.place;
+        item["incarnation"] = Json::UInt64(view.incarnation);
+        item["leaving"] = view.leaving;
+        status["instances"][name.value()] = item;
+    }
+    return status;
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Ownership/group_ownership.cpp
+++ b/mustardrouter/Ownership/group_ownership.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Instances that hold a range: the owner and its deputies.
-constexpr std::size_t holdersPerGroup = 3;
-
 database_view *findMutable(group_ownership &state, const database_name &name)
 {
     const auto found = std::ranges::find(state.databases, name, &database_view::name);
@@ -293,6 +290,9 @@
 
 bool isLive(const group_ownership &state, const instance_name &name)
 {
+    if (state.live) {
+        return state.live->contains(name);
+    }
     return std::ranges::find(state.ranking, name, &term_range::holder) != state.ranking.end();
 }
 
@@ -345,31 +345,52 @@
     return !state.ranking.empty() && state.ranking.front().holder == state.self;
 }
 
-void tickBystander(group_ownership &state, time_point now, ownership_actions &actions)
+/// When a bystander reads the record next; the end of time when it is no candidate.
+time_point recordPollDue(const group_ownership &state)
 {
     const auto rank = static_cast<std::size_t>(std::ranges::find(state.ranking, state.self, &term_range::holder) - state.ranking.begin());
     if (rank >= std::min(holdersPerGroup, state.ranking.size())) {
-        return;
+        return time_point::max();
+    }
+    if (state.recordAskedAt == time_point{}) {
+        return time_point::min();
     }
     const bool suspicious = state.record.ranges.empty() || state.holdersGoneSince != time_point{};
-    const duration interval = suspicious ? state.settings.platformPatience : state.settings.recordPollInterval;
-    if (now - state.recordAskedAt >= interval || state.recordAskedAt == time_point{}) {
+    return state.recordAskedAt + (suspicious ? state.settings.platformPatience : state.settings.recordPollInterval);
+}
+
+void tickBystander(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now >= recordPollDue(state)) {
         askRecord(state, now, actions);
     }
 }
 
-void tickDeputy(group_ownership &state, time_point now, ownership_actions &actions)
+/// When a deputy relieves an owner that resigns; the end of time when it does not.
+time_point reliefDue(const group_ownership &state)
+{
+    if (state.ownerResignsSince == time_point{}) {
+        return time_point::max();
+    }
+    // The first deputy answers a resignation at once; a later one only if those before it do not.
+    const std::size_t index = ownIndex(state).value_or(holdersPerGroup);
+    return state.ownerResignsSince + state.settings.orderRetry * (static_cast<int>(index) - 1);
+}
+
+/// When a deputy that hears nothing takes over.
+time_point takeoverDue(const group_ownership &state)
 {
     const std::size_t index = ownIndex(state).value_or(holdersPerGroup);
-    const duration patience = state.settings.ownerSuspicion * static_cast<int>(index);
-    if (now - state.ownerHeardAt >= patience) {
+    return state.ownerHeardAt + state.settings.ownerSuspicion * static_cast<int>(index);
+}
+
+void tickDeputy(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now >= takeoverDue(state)) {
         claim(state, now, actions, "its owner is silent");
         return;
     }
-    // The first deputy answers a resignation at once; a later one only if those before it do not.
-    const duration turn = state.settings.orderRetry * (static_cast<int>(index) - 1);
-    const bool resigns = state.ownerResignsSince != time_point{};
-    if (resigns && now - state.ownerResignsSince >= turn) {
+    if (now >= reliefDue(state)) {
         state.ownerResignsSince = time_point{};
         claim(state, now, actions, "its owner resigns");
     }
@@ -632,6 +653,7 @@
                 onTick(state, now, actions);
             } else if constexpr (std::is_same_v<event_type, candidates_changed>) {
                 state.ranking = what.ranking;
+                state.live = what.live;
             } else if constexpr (std::is_same_v<event_type, record_read>) {
                 onRecord(state, what.record, now, actions);
             } else if constexpr (std::is_same_v<event_type, record_written>) {
@@ -660,6 +682,20 @@
         event);
 }
 
+time_point nextWakeup(const group_ownership &state)
+{
+    switch (state.role) {
+    case ownership_role::bystander:
+        return recordPollDue(state);
+    case ownership_role::deputy:
+        return std::min(takeoverDue(state), reliefDue(state));
+    case ownership_role::claiming:
+    case ownership_role::owner:
+        break;
+    }
+    return time_point::min();
+}
+
 bool isServing(const group_ownership &state)
 {
     return state.role == ownership_role::owner && state.phase == promotion_phase::serving;
--- a/mustardrouter/Ownership/group_ownership.h
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -8,7 +8,9 @@
 #include "mustardrouter/Ownership/ownership_record.h"
 #include "mustardrouter/Ownership/ownership_settings.h"
 
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,7 +57,9 @@
     ownership_role role = ownership_role::bystander;
     promotion_phase phase = promotion_phase::fencing;
     ownership_record record;
+    /// See candidates_changed.
     std::vector<term_range> ranking;
+    std::shared_ptr<const std::set<instance_name>> live;
     std::vector<database_view> databases;
 
     /// Term in which this instance works while it is owner.
@@ -87,6 +91,9 @@
 /// Advances the ownership of a group by one event and appends what is to be done.
 void step(group_ownership &state, const ownership_event &event, time_point now, ownership_actions &actions);
 
+/// Instant before which a clock tick changes nothing, unless another event comes first.
+time_point nextWakeup(const group_ownership &state);
+
 /// Whether the instance owns the group and its primary takes statements.
 bool isServing(const group_ownership &state);
 
--- a/mustardrouter/Ownership/ownership_event.h
+++ b/mustardrouter/Ownership/ownership_event.h
@@ -4,7 +4,9 @@
 #include "mustardrouter/Ownership/database_report.h"
 #include "mustardrouter/Ownership/ownership_record.h"
 
+#include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -15,9 +17,12 @@
 struct clock_ticked {
 };
 
-/// Live instances in their order of preference for the group, with the address of each.
+/// Which instances live.
 struct candidates_changed {
+    /// The first live instances in their order of preference for the group, with the address of each.
     std::vector<term_range> ranking;
+    /// All live instances, shared by the groups; nothing when `ranking` names them all.
+    std::shared_ptr<const std::set<instance_name>> live = nullptr;
 };
 
 /// The platform answered a read; no record means that the group has none.
--- a/mustardrouter/Ownership/ownership_record.h
+++ b/mustardrouter/Ownership/ownership_record.h
@@ -24,6 +24,9 @@
     std::uint64_t version = 0;
 };
 
+/// Instances that hold a range: the owner and its deputies.
+constexpr std::size_t holdersPerGroup = 3;
+
 /// Terms in one range.
 constexpr std::uint64_t termsPerRange = 16;
 
