load: open-loop generator with profiles, faults, checker, report, plot and comparison

The demo and the load tool share workload.*; the demo is one phase of it. Each class of work can have a service of its own with a weight.

--- /dev/null
+++ b/mustardrouter/Admission/fair_lane.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "mustardrouter/Admission/waiting_request.h"
+#include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/virtual_clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Requests of one service and weight, in order of arrival.
+struct fair_class {
+    std::deque<waiting_request> requests;
+    /// Virtual time at which the class is due; it advances by 1/weight with each request taken.
+    std::uint64_t dueAt = 0;
+};
+
+/// A queue that shares its server between classes by weight: start-time fair queueing. A class
+/// that asks for less than its share waits for no other class's backlog.
+struct fair_lane {
+    explicit fair_lane(std::size_t classCapacity);
+
+    using class_key = std::pair<service_name, std::uint32_t>;
+
+    /// Most requests that wait in one class, so that a flood fills no other class's room.
+    std::size_t classCapacity;
+    std::map<class_key, fair_class> classes;
+    std::size_t size = 0;
+    /// Virtual time: when the class served last was due.
+    std::uint64_t virtualTime = 0;
+};
+
+/// Appends a request; false when its class is full.
+bool append(fair_lane &lane, waiting_request request);
+
+/// Puts back a request that was taken but could not be served, ahead of its class.
+void putBack(fair_lane &lane, waiting_request request);
+
+/// Takes the request that is due first, or nothing from an empty lane.
+std::optional<waiting_request> takeNext(fair_lane &lane);
+
+/// Removes one request; nothing when the lane does not hold it.
+std::optional<waiting_request> remove(fair_lane &lane, request_id id, const statement &what);
+
+/// Removes and returns everything.
+std::vector<waiting_request> takeAll(fair_lane &lane);
+
+/// How many requests are served before one that is appended now, at worst by its class's share.
+std::size_t requestsAhead(const fair_lane &lane, const service_name &service, std::uint32_t weight);
+
+} // namespace mustardrouter
--- a/mustardrouter/Load/demo.cpp
+++ b/mustardrouter/Load/demo.cpp
@@ -26,16 +26,6 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
-double quantile(std::vector<double> values, double share)
-{
-    if (values.empty()) {
-        return 0;
-    }
-    std::ranges::sort(values);
-    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
-    return values[index];
-}
-
 class narrator
 {
 public:
@@ -101,10 +91,15 @@
     return outcome;
 }
 
-Json::Value makeReport(const demo_settings &settings, const workload &load, const verdict &found, const demo_outcome &outcome)
+Json::Value makeReport(const demo_settings &settings, const workload &run, const verdict &found, const demo_outcome &outcome)
 {
-    const history &seen = load.seen();
+    const history &seen = run.seen();
     const std::uint64_t reads = seen.replicaReads + seen.primaryReads;
+    std::vector<double> latencies;
+    for (const slice_statistics &slice : run.statistics().slices) {
+        latencies.insert(latencies.end(), slice.latenciesMs.begin(), slice.latenciesMs.end());
+    }
+    const load::quantiles latency = quantilesOf(std::move(latencies));
     Json::Value report(Json::objectValue);
     report["deployment"] = settings.deployment;
     report["seed"] = Json::UInt64(settings.seed);
@@ -120,8 +115,8 @@
     report["misattributed"] = Json::UInt64(found.misattributed);
     report["replica_read_share"] = reads == 0 ? 0.0 : static_cast<double>(seen.replicaReads) / static_cast<double>(reads);
     report["failover_gap_ms"] = Json::Int64(outcome.gap.count());
-    report["latency_ms"]["p50"] = quantile(load.latencies(), 0.5);
-    report["latency_ms"]["p99"] = quantile(load.latencies(), 0.99);
+    report["latency_ms"]["p50"] = latency.p50_ms();
+    report["latency_ms"]["p99"] = latency.p99_ms();
     return report;
 }
 
@@ -153,6 +148,21 @@
     return isClean(found) ? exitDone : exitFailed;
 }
 
+load::phase demoPhase(const demo_settings &settings)
+{
+    const std::vector<std::pair<load::work_class, double>> mix{{load::SAVE, 0.3}, {load::CHECK_IN, 0.1}, {load::BROWSE, 0.6}};
+    load::phase phase;
+    phase.set_name("demo");
+    phase.set_seconds(settings.seconds);
+    phase.set_operations_per_second(settings.operationsPerSecond);
+    for (const auto &[workClass, share] : mix) {
+        load::work_share &added = *phase.add_mix();
+        added.set_class_(workClass);
+        added.set_share(share);
+    }
+    return phase;
+}
+
 } // namespace
 
 int runDemo(const demo_settings &settings)
@@ -184,26 +194,26 @@
     workload_settings shape;
     shape.service = sizes->service;
     shape.entries = bed.entries();
-    shape.operationsPerSecond = settings.operationsPerSecond;
+    shape.phases.push_back(demoPhase(settings));
     shape.seed = settings.seed;
     for (std::size_t group = 0; group < sizes->groups; ++group) {
         shape.groups.push_back(groupNameOf(*sizes, group));
     }
-    workload load(shape);
-    load.start();
+    workload run(shape);
+    run.start();
     tell.say("callers save and read back through other entries, book pairs in transactions, and browse");
     const auto half = std::chrono::milliseconds(settings.seconds * 500);
     std::this_thread::sleep_for(half);
     load_instant killedAt;
     demo_outcome outcome = failOver(tell, bed, killedAt);
     std::this_thread::sleep_for(half);
-    load.finish();
+    run.finish();
     tellOwners(tell, bed);
     constexpr auto before = 500ms;
     constexpr auto after = 10s;
-    outcome.gap = longestWriteGap(load.seen(), shape.groups.front(), killedAt - before, killedAt + after);
-    const verdict found = check(load.seen(), readFinalStates(bed));
-    return judge(settings, tell, makeReport(settings, load, found, outcome), found, outcome);
+    outcome.gap = longestWriteGap(run.seen(), shape.groups.front(), killedAt - before, killedAt + after);
+    const verdict found = check(run.seen(), readFinalStates(bed));
+    return judge(settings, tell, makeReport(settings, run, found, outcome), found, outcome);
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Load/deployment.cpp
+++ b/mustardrouter/Load/deployment.cpp
@@ -70,19 +70,16 @@
 
 objects::database_settings databaseSettings(const deployment &of, std::size_t group, std::size_t index)
 {
-    constexpr std::uint64_t serviceTimeMicros = 1000;
-    constexpr std::uint64_t replicationMicros = 2000;
-    constexpr std::uint64_t applyMicros = 20000;
     objects::database_settings settings;
     settings.set_name(groupNameOf(of, group) + "-" + of.places[index % of.places.size()]);
     settings.set_address("127.0.0.1:0");
     settings.set_slots(of.slots);
     settings.set_connections(of.connections);
     settings.set_connection_cost_us(static_cast<std::uint64_t>(std::chrono::microseconds(of.connectionCost).count()));
-    settings.set_service_time_us(serviceTimeMicros);
+    settings.set_service_time_us(static_cast<std::uint64_t>(of.serviceTime.count()));
     settings.set_network_delay_us(static_cast<std::uint64_t>(of.betweenDataCentres.count()));
-    settings.set_replication_delay_us(replicationMicros);
-    settings.set_apply_lag_us(applyMicros);
+    settings.set_replication_delay_us(static_cast<std::uint64_t>(of.replicationDelay.count()));
+    settings.set_apply_lag_us(static_cast<std::uint64_t>(of.applyLag.count()));
     for (const std::string &sql : of.tables) {
         settings.add_initial_statements(sql);
     }
--- a/mustardrouter/Load/deployment.h
+++ b/mustardrouter/Load/deployment.h
@@ -12,6 +12,12 @@
 namespace mustardrouter
 {
 
+/// A service beside the deployment's own, over the same groups, for one class of work.
+struct class_service {
+    std::string name;
+    std::uint32_t weight = 1;
+};
+
 /// Sizes of one user's deployment, as the users give them.
 struct deployment {
     std::string name;
@@ -27,7 +33,13 @@
     std::chrono::microseconds betweenDataCentres{0};
     /// One-way delay between callers and entries.
     std::chrono::microseconds toCallers{0};
-    /// Tables of the demo's workload.
+    /// Time that a database takes for a statement.
+    std::chrono::microseconds serviceTime{1000};
+    /// From the primary's append to the replica's receipt, and on to the replica's reads.
+    std::chrono::microseconds replicationDelay{2000};
+    std::chrono::microseconds applyLag{20000};
+    std::vector<class_service> classServices;
+    /// Tables of the workload.
     std::vector<std::string> tables;
 };
 
--- /dev/null
+++ b/mustardrouter/Load/fault_script.cpp
@@ -0,0 +1,175 @@
+#include "mustardrouter/Load/fault_script.h"
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds shutdownPatience{10};
+
+} // namespace
+
+fault_script::fault_script(testbed &bed, workload &run)
+    : m_bed(bed)
+    , m_run(run)
+{
+}
+
+void fault_script::apply(const load::fault &fault, load_instant start)
+{
+    load::fault_mark mark;
+    const std::chrono::duration<double> since = std::chrono::steady_clock::now() - start;
+    mark.set_at_seconds(since.count());
+    mark.set_what(carryOut(fault));
+    m_marks.push_back(std::move(mark));
+}
+
+std::string fault_script::carryOut(const load::fault &fault)
+{
+    const std::string group = groupNameOf(m_bed.sizes(), fault.group());
+    switch (fault.kind()) {
+    case load::KILL_PRIMARY:
+        return takePrimary(group, false);
+    case load::FREEZE_PRIMARY:
+        return takePrimary(group, true);
+    case load::RESTORE_DATABASES:
+        return restoreDatabases(group + "-");
+    case load::KILL_INSTANCE:
+        return endInstance(fault, false);
+    case load::SHUT_DOWN_INSTANCE:
+        return endInstance(fault, true);
+    case load::ADD_INSTANCE:
+        if (!handled(
+                [&]() -> result_of<bool> {
+                    BOOST_LEAF_CHECK(m_bed.addInstance());
+                    return true;
+                },
+                [](const error &) {
+                    return false;
+                })) {
+            return "could not add an instance";
+        }
+        m_run.setEntries(m_bed.entries());
+        return "add an instance";
+    case load::PLATFORM_DOWN:
+    case load::PLATFORM_UP: {
+        const bool down = fault.kind() == load::PLATFORM_DOWN;
+        platform_faults faults;
+        faults.down = down;
+        m_bed.platform().setFaults(faults);
+        return down ? "platform down" : "platform up";
+    }
+    case load::LEAVE_DATABASE: {
+        database_standin *leaving = databaseAt(fault);
+        leaving->setLeaving(true);
+        return leaving->name() + " leaves";
+    }
+    case load::CHANGE_LAG:
+        return changeLag(fault);
+    case load::SILENCE_CONNECTION: {
+        database_standin *database = databaseAt(fault);
+        database->silenceOneConnection();
+        return "silence a connection of " + database->name();
+    }
+    default:
+        return "unknown fault";
+    }
+}
+
+database_standin *fault_script::databaseAt(const load::fault &fault)
+{
+    const auto databases = m_bed.databasesOf(groupNameOf(m_bed.sizes(), fault.group()));
+    return databases.at(fault.index() % databases.size());
+}
+
+std::string fault_script::takePrimary(const std::string &group, bool freeze)
+{
+    database_standin *primary = m_bed.primaryOf(group);
+    if (primary == nullptr) {
+        return group + " has no primary to take";
+    }
+    if (freeze) {
+        primary->setFrozen(true);
+        m_frozen.insert(primary->name());
+        return "freeze the primary " + primary->name();
+    }
+    primary->kill();
+    m_killed.insert(primary->name());
+    return "kill the primary " + primary->name();
+}
+
+std::string fault_script::restoreDatabases(const std::string &prefix)
+{
+    std::erase_if(m_killed, [&](const std::string &name) {
+        if (!name.starts_with(prefix)) {
+            return false;
+        }
+        m_bed.findDatabase(name)->restart();
+        return true;
+    });
+    std::erase_if(m_frozen, [&](const std::string &name) {
+        if (!name.starts_with(prefix)) {
+            return false;
+        }
+        m_bed.findDatabase(name)->setFrozen(false);
+        return true;
+    });
+    return prefix.empty() ? "restore all databases" : "restore the databases of " + prefix.substr(0, prefix.size() - 1);
+}
+
+std::string fault_script::endInstance(const load::fault &fault, bool orderly)
+{
+    auto &instances = m_bed.instances();
+    if (instances.size() < 2) {
+        return "the last instance stays";
+    }
+    const std::size_t index = fault.index() % instances.size();
+    // Callers of a leaving instance are sent elsewhere first, as a balancer does.
+    std::vector<std::string> entries = m_bed.entries();
+    entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(index));
+    m_run.setEntries(entries);
+    const std::string name = instances[index]->name();
+    if (orderly) {
+        ++m_shutdowns;
+        m_cleanShutdowns += instances[index]->shutDown(shutdownPatience) ? 1 : 0;
+    } else {
+        instances[index]->kill();
+    }
+    instances.erase(instances.begin() + static_cast<std::ptrdiff_t>(index));
+    if (!orderly) {
+        m_bed.platform().forget(name);
+    }
+    return (orderly ? "shut down " : "kill ") + name;
+}
+
+std::string fault_script::changeLag(const load::fault &fault)
+{
+    for (database_standin *database : m_bed.databasesOf(groupNameOf(m_bed.sizes(), fault.group()))) {
+        database->setLag(m_bed.sizes().replicationDelay, std::chrono::microseconds(fault.apply_lag_us()));
+    }
+    return "replicas apply " + std::to_string(fault.apply_lag_us() / 1000) + " ms later";
+}
+
+void fault_script::restoreAll()
+{
+    m_bed.platform().setFaults({});
+    restoreDatabases("");
+}
+
+const std::vector<load::fault_mark> &fault_script::marks() const
+{
+    return m_marks;
+}
+
+std::uint32_t fault_script::shutdowns() const
+{
+    return m_shutdowns;
+}
+
+std::uint32_t fault_script::cleanShutdowns() const
+{
+    return m_cleanShutdowns;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/fault_script.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "mustardrouter/Load/testbed.h"
+#include "mustardrouter/Load/workload.h"
+#include "mustardrouter/Schema/load.pb.h"
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Carries out the faults of a profile at their instants. The calls block, and belong to one thread.
+class fault_script
+{
+public:
+    fault_script(testbed &bed, workload &run);
+
+    /// Carries out one fault and notes it.
+    void apply(const load::fault &fault, load_instant start);
+    /// Returns whatever was taken away for good, so that the final state can be read.
+    void restoreAll();
+
+    const std::vector<load::fault_mark> &marks() const;
+    std::uint32_t shutdowns() const;
+    std::uint32_t cleanShutdowns() const;
+
+private:
+    std::string carryOut(const load::fault &fault);
+    std::string takePrimary(const std::string &group, bool freeze);
+    std::string restoreDatabases(const std::string &prefix);
+    std::string endInstance(const load::fault &fault, bool orderly);
+    std::string changeLag(const load::fault &fault);
+    database_standin *databaseAt(const load::fault &fault);
+
+    testbed &m_bed;
+    workload &m_run;
+    std::set<std::string> m_killed;
+    std::set<std::string> m_frozen;
+    std::vector<load::fault_mark> m_marks;
+    std::uint32_t m_shutdowns = 0;
+    std::uint32_t m_cleanShutdowns = 0;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/load_plot.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "mustardrouter/Schema/load.pb.h"
+
+#include <string>
+
+namespace mustardrouter
+{
+
+/// A run over time as SVG: statements by outcome and p99 latency, with the faults marked.
+std::string plotRun(const load::run_report &run, const std::string &title);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Load/load_report.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "mustardrouter/Load/history.h"
+#include "mustardrouter/Load/load_statistics.h"
+#include "mustardrouter/Schema/load.pb.h"
+
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// The part of a run's report that its figures give.
+load::run_report makeRunReport(const load_statistics &statistics, const std::vector<load::phase> &phases);
+
+/// What the checker found, as reported.
+load::promises toReport(const verdict &found);
+
+/// Whether every promise was kept.
+bool isClean(const load::promises &found);
+
+/// The report as a table for people.
+std::string toTable(const load::report &report);
+
+/// Two reports side by side; classes that only one has show a dash.
+std::string compareReports(const load::report &left, const load::report &right);
+
+} // namespace mustardrouter
--- a/mustardrouter/Load/testbed.cpp
+++ b/mustardrouter/Load/testbed.cpp
@@ -44,6 +44,16 @@
         offered.groups.push_back(made.name);
         changes.changed.emplace_back(std::move(made));
     }
+    for (const class_service &item : of.classServices) {
+        session_policy own = policy;
+        own.name = item.name;
+        own.weight = item.weight;
+        changes.changed.emplace_back(own);
+        service copy = offered;
+        copy.name = item.name;
+        copy.sessionPolicy = own.name;
+        changes.changed.emplace_back(std::move(copy));
+    }
     changes.changed.emplace_back(std::move(offered));
     return changes;
 }
--- a/mustardrouter/Load/workload.cpp
+++ b/mustardrouter/Load/workload.cpp
@@ -13,14 +13,17 @@
 {
 
 constexpr std::size_t clientsPerEntry = 6;
-constexpr std::uint64_t browseAgeMs = 2000;
-constexpr std::uint64_t deadlineMs = 5000;
 
 outcome outcomeOf(const wire::result &result)
 {
     return static_cast<outcome>(result.outcome());
 }
 
+load_instant::duration toSpan(double seconds)
+{
+    return std::chrono::duration_cast<load_instant::duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 std::vector<std::string> partitionsFor(const std::vector<std::string> &groups)
@@ -45,7 +48,9 @@
     : m_settings(std::move(settings))
     , m_timer(m_context)
     , m_random(m_settings.seed)
+    , m_partitions(partitionsFor(m_settings.groups))
 {
+    m_defaultClass.service = m_settings.service;
 }
 
 workload::~workload()
@@ -61,7 +66,9 @@
             m_clients.back()->connect();
         }
     }
-    m_next = std::chrono::steady_clock::now();
+    m_start = std::chrono::steady_clock::now();
+    m_next = m_start;
+    m_phaseEnd = m_start + toSpan(m_settings.phases.front().seconds());
     scheduleNext();
     m_thread = std::thread([this] {
         m_context.run();
@@ -88,9 +95,47 @@
     return m_seen;
 }
 
-const std::vector<double> &workload::latencies() const
+const load_statistics &workload::statistics() const
+{
+    return m_statistics;
+}
+
+void workload::setEntries(std::vector<std::string> entries)
+{
+    asio::post(m_context, [this, entries = std::move(entries)] {
+        m_settings.entries = entries;
+    });
+}
+
+void workload::advancePhase()
 {
-    return m_latencies;
+    while (m_next >= m_phaseEnd && m_phase + 1 < m_settings.phases.size()) {
+        ++m_phase;
+        m_phaseEnd += toSpan(m_settings.phases[m_phase].seconds());
+    }
+}
+
+load::work_class workload::drawClass()
+{
+    const load::phase &phase = m_settings.phases[m_phase];
+    double total = 0;
+    for (const load::work_share &share : phase.mix()) {
+        total += share.share();
+    }
+    double left = std::uniform_real_distribution<double>(0, total)(m_random);
+    for (const load::work_share &share : phase.mix()) {
+        if (left < share.share()) {
+            return share.class_();
+        }
+        left -= share.share();
+    }
+    return phase.mix().rbegin()->class_();
+}
+
+const class_settings &workload::settingsOf(load::work_class workClass) const
+{
+    const auto found = m_settings.classes.find(workClass);
+    return found == m_settings.classes.end() ? m_defaultClass : found->second;
 }
 
 void workload::scheduleNext()
@@ -98,13 +143,16 @@
     if (m_finishing) {
         return;
     }
-    std::exponential_distribution<double> gap(m_settings.operationsPerSecond);
-    m_next += std::chrono::duration_cast<load_instant::duration>(std::chrono::duration<double>(gap(m_random)));
+    advancePhase();
+    std::exponential_distribution<double> gap(m_settings.phases[m_phase].operations_per_second());
+    m_next += toSpan(gap(m_random));
     m_timer.expires_at(m_next);
     m_timer.async_wait([this](const asio::error_code &code) {
         if (code || m_finishing) {
             return;
         }
+        const auto late = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_next);
+        m_statistics.generatorLate = std::max(m_statistics.generatorLate, late);
         startOperation(m_next);
         scheduleNext();
     });
@@ -124,22 +172,25 @@
 
 void workload::startOperation(load_instant intended)
 {
-    static constexpr int savesPercent = 30;
-    static constexpr int pairsPercent = 10;
-    const std::vector<std::string> partitions = partitionsFor(m_settings.groups);
     const std::size_t group = m_random() % m_settings.groups.size();
     operation what;
     what.id = "op-" + std::to_string(m_settings.seed) + "-" + std::to_string(m_nextOperation++);
     what.group = m_settings.groups[group];
-    what.partition = partitions[group];
+    what.partition = m_partitions[group];
     what.intended = intended;
-    const int dice = static_cast<int>(m_random() % 100);
-    if (dice < savesPercent) {
+    what.phase = m_phase;
+    what.workClass = drawClass();
+    switch (what.workClass) {
+    case load::BOOKING:
+    case load::SAVE:
         save(what);
-    } else if (dice < savesPercent + pairsPercent) {
+        break;
+    case load::CHECK_IN:
         bookPair(what);
-    } else {
+        break;
+    default:
         browse(what);
+        break;
     }
 }
 
@@ -147,10 +198,11 @@
 {
     wire::statement statement;
     statement.set_kind(kind);
-    statement.set_service(m_settings.service);
+    const class_settings &sent = settingsOf(what.workClass);
+    statement.set_service(sent.service);
     statement.set_partition(what.partition);
     statement.set_session(what.id);
-    statement.set_deadline_ms(deadlineMs);
+    statement.set_deadline_ms(static_cast<std::uint64_t>(sent.deadline.count()));
     statement.set_sql(std::move(sql));
     return statement;
 }
@@ -177,11 +229,12 @@
                     caller_client::handler onResult)
 {
     ++m_inFlight;
-    const load_instant intended = what.intended;
-    client->send(statement, [this, intended, onResult = std::move(onResult)](const wire::result &result) {
+    const bool replicaMayServe = statement.kind() == wire::STATEMENT_READ && statement.transaction() == 0;
+    const statement_origin origin{what.phase, what.workClass, replicaMayServe, what.intended};
+    client->send(statement, [this, origin, onResult = std::move(onResult)](const wire::result &result) {
         countOutcome(result);
-        const auto took = std::chrono::steady_clock::now() - intended;
-        m_latencies.push_back(std::chrono::duration<double, std::milli>(took).count());
+        const auto now = std::chrono::steady_clock::now();
+        recordAnswer(m_statistics, origin, result, now - origin.intended, now - m_start);
         onResult(result);
         --m_inFlight;
         if (m_finishing && m_inFlight == 0) {
@@ -190,6 +243,11 @@
     });
 }
 
+void workload::countRead(const wire::result &result)
+{
+    ++(result.from_replica() ? m_seen.replicaReads : m_seen.primaryReads);
+}
+
 void workload::save(const operation &what)
 {
     const std::string sql = "INSERT INTO items(id, owner, body) VALUES('" + what.id + "', '" + what.id + "', 'saved')";
@@ -209,6 +267,9 @@
     operation read = what;
     read.intended = std::chrono::steady_clock::now();
     wire::statement statement = newStatement(read, wire::STATEMENT_READ, "SELECT id FROM items WHERE id = '" + what.id + "'");
+    if (m_settings.primaryOnly) {
+        statement.set_read_rule(wire::READ_LATEST);
+    }
     // Half of the sessions bring their token to whichever entry they meet, half only their name.
     if (m_random() % 2 == 0) {
         statement.set_session_token(token);
@@ -217,7 +278,7 @@
         if (outcomeOf(result) != outcome::done) {
             return;
         }
-        ++(result.from_replica() ? m_seen.replicaReads : m_seen.primaryReads);
+        countRead(result);
         if (result.rows_size() == 0) {
             ++m_seen.staleReads;
             return;
@@ -231,13 +292,13 @@
 void workload::browse(const operation &what)
 {
     wire::statement statement = newStatement(what, wire::STATEMENT_READ, "SELECT '" + what.id + "', count(*) FROM items");
-    statement.set_read_rule(wire::READ_AGE);
-    statement.set_max_age_ms(browseAgeMs);
+    statement.set_read_rule(m_settings.primaryOnly ? wire::READ_LATEST : wire::READ_AGE);
+    statement.set_max_age_ms(static_cast<std::uint64_t>(settingsOf(what.workClass).maxAge.count()));
     send(anyClient(), what, statement, [this, what](const wire::result &result) {
         if (outcomeOf(result) != outcome::done) {
             return;
         }
-        ++(result.from_replica() ? m_seen.replicaReads : m_seen.primaryReads);
+        countRead(result);
         if (result.rows_size() != 1 || result.rows(0).values(0) != what.id) {
             ++m_seen.misattributed;
         }
--- a/mustardrouter/Load/workload.h
+++ b/mustardrouter/Load/workload.h
@@ -3,6 +3,7 @@
 #include "mustardrouter/Load/caller_client.h"
 #include "mustardrouter/Load/deployment.h"
 #include "mustardrouter/Load/history.h"
+#include "mustardrouter/Load/load_statistics.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -19,18 +20,29 @@
 namespace mustardrouter
 {
 
-/// Shape of the demo's load.
+/// How the statements of one class are sent.
+struct class_settings {
+    std::string service;
+    std::chrono::milliseconds deadline{5000};
+    std::chrono::milliseconds maxAge{2000};
+};
+
+/// Shape of a load.
 struct workload_settings {
+    /// Service of the classes without settings of their own.
     std::string service;
     std::vector<std::string> groups;
     std::vector<std::string> entries;
-    /// Operations started a second, whether or not earlier ones have ended.
-    double operationsPerSecond = 200;
+    /// One after another; a load without an end repeats none of them but stays in the last.
+    std::vector<load::phase> phases;
+    std::map<load::work_class, class_settings> classes;
+    /// Sends every read to the primary, as a router without a choice of database would.
+    bool primaryOnly = false;
     std::uint64_t seed = 1;
 };
 
-/// Open-loop load: saves that are read back through another entry, transactions of two rows, and
-/// reads that accept data of a stated age. Runs on a thread of its own.
+/// Open-loop load: operations start at intended instants, whether or not earlier ones have ended.
+/// Runs on a thread of its own.
 class workload
 {
 public:
@@ -44,18 +56,25 @@
     void finish();
     /// What was seen; complete after finish().
     const history &seen() const;
-    /// Latencies of all statements in milliseconds, from their intended start.
-    const std::vector<double> &latencies() const;
+    /// Figures by phase and class; complete after finish().
+    const load_statistics &statistics() const;
+    /// New connections go to these entries from now on.
+    void setEntries(std::vector<std::string> entries);
 
 private:
     struct operation {
         std::string id;
         std::string group;
         std::string partition;
+        std::size_t phase = 0;
+        load::work_class workClass = load::ROSTER;
         load_instant intended;
     };
 
     void scheduleNext();
+    void advancePhase();
+    load::work_class drawClass();
+    const class_settings &settingsOf(load::work_class workClass) const;
     void startOperation(load_instant intended);
     void save(const operation &what);
     void readBack(const operation &what, const std::string &token);
@@ -68,6 +87,7 @@
               const operation &what,
               const wire::statement &statement,
               caller_client::handler onResult);
+    void countRead(const wire::result &result);
     wire::statement newStatement(const operation &what, wire::statement_kind kind, std::string sql) const;
     std::shared_ptr<caller_client> anyClient();
     void countOutcome(const wire::result &result);
@@ -77,12 +97,17 @@
     asio::steady_timer m_timer;
     std::vector<std::shared_ptr<caller_client>> m_clients;
     std::mt19937_64 m_random;
+    std::vector<std::string> m_partitions;
+    class_settings m_defaultClass;
+    load_instant m_start;
     load_instant m_next;
+    std::size_t m_phase = 0;
+    load_instant m_phaseEnd;
     bool m_finishing = false;
     std::uint64_t m_inFlight = 0;
     std::uint64_t m_nextOperation = 1;
     history m_seen;
-    std::vector<double> m_latencies;
+    load_statistics m_statistics;
     std::thread m_thread;
 };
 
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -22,6 +22,8 @@
 exit_code runFailover(const arguments &given);
 /// Hands over an instance's groups.
 exit_code runDrain(const arguments &given);
+/// Measures a deployment on loopback under a load profile, or compares two reports.
+exit_code runLoad(const arguments &given);
 /// Runs a stand-in of the platform or of a database.
 exit_code runStandIn(const arguments &given);
 
--- a/mustardrouter/main.cpp
+++ b/mustardrouter/main.cpp
@@ -39,6 +39,7 @@
     static const std::map<std::string, command> all{
         {"serve", {runServe, "run the daemon"}},
         {"demo", {runDemoCommand, "run a whole deployment on loopback and kill a primary"}},
+        {"load", {runLoad, "measure a deployment on loopback under a load profile"}},
         {"call", {runCall, "run one statement as a caller"}},
         {"apply", {runApply, "publish configuration files"}},
         {"check", {runCheck, "check configuration files offline"}},
--- /dev/null
+++ b/tests.d/load-kovacik-failover.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# A load with a failover keeps every promise; its report and plot can be written and read back.
+set -euo pipefail
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+./build/mustardrouter load --profile examples/load/kovacik-failover.json --scale 0.7 --report "$out/a.json" --plot "$out/a.svg"
+./build/mustardrouter load --compare "$out/a.json" "$out/a.json"
+grep -q "kill the primary" "$out/a.svg"
