Admission: weighted fair lanes, early not run, catch-up by expected completion, leaving primary

Change: start-time fair queueing by service and weight; a request whose expected wait exceeds its deadline is refused at once; overdue statements keep their connection and only silent ones are replaced; a read waits for a replica when that is expected to take little longer than the primary; slow replicas lose their share and come back by degrees; connections are warmed ahead of demand and trimmed; a leaving primary takes no new work and is replaced once it is quiet. Expiry and removal cost what they remove. ShortDebugString is no longer used: what it allocates for the life of the process made the test runner crash.

--- /dev/null
+++ b/UnitTests/Admission/connection_pool_test.cpp
@@ -0,0 +1,122 @@
+#include "mustardrouter/Admission/connection_pool.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+connection_pool withOpen(pool_limits limits, std::uint64_t count)
+{
+    connection_pool pool(limits);
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        addConnection(pool, connection_id(id), time_point());
+        markOpened(pool, connection_id(id), time_point());
+    }
+    return pool;
+}
+
+void checkCounts(const connection_pool &pool)
+{
+    std::array<std::uint32_t, connectionStates> counted{};
+    for (const pooled_connection &connection : pool.connections) {
+        ++counted[static_cast<std::size_t>(connection.state)];
+    }
+    RC_ASSERT(counted == pool.counts);
+    RC_ASSERT(pool.running == countOf(pool, connection_state::running));
+    RC_ASSERT(pool.running <= pool.limits.slots);
+    RC_ASSERT(pool.connections.size() <= pool.limits.connections);
+    RC_ASSERT(countOf(pool, connection_state::opening) <= pool.limits.slots);
+}
+
+} // namespace
+
+TEST_GROUP(connection_pool){};
+
+TEST(connection_pool, limitsHoldAndCountsAreExactWhateverHappens)
+{
+    CHECK(rc::check("limits and counts", [](const std::vector<std::uint16_t> &dice) {
+        connection_pool pool(pool_limits{*rc::gen::inRange<std::uint32_t>(1, 4), *rc::gen::inRange<std::uint32_t>(1, 8)});
+        std::uint64_t nextId = 1;
+        time_point now;
+        for (const std::uint16_t die : dice) {
+            now += 1ms;
+            const connection_id any(1 + die / 8 % nextId);
+            const pooled_connection *connection = findConnection(pool, any);
+            switch (die % 8) {
+            case 0:
+            case 1:
+                if (shouldOpen(pool, die / 8 % 16, now) || shouldWarm(pool, now)) {
+                    addConnection(pool, connection_id(nextId++), now);
+                }
+                break;
+            case 2:
+                markOpened(pool, any, now);
+                break;
+            case 3:
+                takeConnection(pool, now);
+                break;
+            case 4:
+                releaseConnection(pool, any, die % 16 < 8, now);
+                break;
+            case 5:
+                removeConnection(pool, any);
+                break;
+            case 6:
+                unpinConnection(pool, any, now);
+                break;
+            default:
+                if (connection != nullptr && connection->state == connection_state::pinned && hasFreeSlot(pool)) {
+                    resumeConnection(pool, any, now);
+                }
+                break;
+            }
+            checkCounts(pool);
+        }
+    }));
+}
+
+TEST(connection_pool, onlyAConnectionThatIsSilentWhileOthersAnswerIsSilent)
+{
+    connection_pool pool = withOpen({2, 4}, 2);
+    const connection_id stuck = takeConnection(pool, time_point(0ms)).value();
+    const connection_id fine = takeConnection(pool, time_point(0ms)).value();
+    LONGS_EQUAL(0, findSilent(pool, 1s, time_point(0ms), time_point(5s)).size());
+    releaseConnection(pool, fine, false, time_point(2s));
+    const auto silent = findSilent(pool, 1s, time_point(0ms), time_point(5s));
+    LONGS_EQUAL(1, silent.size());
+    CHECK(silent[0] == stuck);
+}
+
+TEST(connection_pool, trimmingKeepsAConnectionForEachSlot)
+{
+    connection_pool pool = withOpen({2, 8}, 5);
+    int closed = 0;
+    while (const auto unused = findUnused(pool, 30s, time_point(60s))) {
+        removeConnection(pool, *unused);
+        ++closed;
+    }
+    LONGS_EQUAL(3, closed);
+    CHECK(!findUnused(withOpen({2, 8}, 5), 30s, time_point(10s)));
+}
+
+TEST(connection_pool, aSlowReplicaLosesItsShareAndComesBackByDegrees)
+{
+    connection_pool pool({2, 8});
+    pool.serviceMicros = 100000;
+    for (int round = 0; round < 10; ++round) {
+        adjustShare(pool, 2000);
+    }
+    CHECK(pool.admittedShare < 0.1);
+    pool.serviceMicros = 2000;
+    adjustShare(pool, 2000);
+    CHECK(pool.admittedShare < 0.5);
+    for (int round = 0; round < 40; ++round) {
+        adjustShare(pool, 2000);
+    }
+    DOUBLES_EQUAL(1, pool.admittedShare, 1e-9);
+}
--- /dev/null
+++ b/UnitTests/Admission/fair_lane_test.cpp
@@ -0,0 +1,130 @@
+#include "mustardrouter/Admission/fair_lane.h"
+
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <map>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+waiting_request request(std::uint64_t id, const std::string &service, std::uint32_t weight)
+{
+    waiting_request made;
+    made.id = request_id(id);
+    made.what.service = service_name(service);
+    made.what.weight = weight;
+    return made;
+}
+
+void fill(fair_lane &lane, const std::string &service, std::uint32_t weight, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        waiting_request made = request(lane.size + 1000, service, weight);
+        CHECK(append(lane, made));
+    }
+}
+
+} // namespace
+
+TEST_GROUP(fair_lane){};
+
+TEST(fair_lane, busyClassesAreServedByWeight)
+{
+    CHECK(rc::check("shares follow weights", [] {
+        const auto first = *rc::gen::inRange<std::uint32_t>(1, 17);
+        const auto second = *rc::gen::inRange<std::uint32_t>(1, 17);
+        fair_lane lane(10000);
+        fill(lane, "a", first, 2000);
+        fill(lane, "b", second, 2000);
+        std::size_t ofFirst = 0;
+        constexpr std::size_t taken = 1000;
+        for (std::size_t index = 0; index < taken; ++index) {
+            ofFirst += takeNext(lane)->what.service.value() == "a" ? 1 : 0;
+        }
+        const double expected = static_cast<double>(taken) * first / (first + second);
+        RC_ASSERT(std::abs(static_cast<double>(ofFirst) - expected) <= 2 + 0.001 * expected);
+    }));
+}
+
+TEST(fair_lane, aClassBelowItsShareWaitsForNoBacklog)
+{
+    fair_lane lane(10000);
+    fill(lane, "flood", 1, 5000);
+    for (int served = 0; served < 100; ++served) {
+        takeNext(lane);
+    }
+    waiting_request urgent = request(1, "booking", 8);
+    CHECK(append(lane, urgent));
+    const bool first = takeNext(lane)->id == request_id(1);
+    const bool second = first || takeNext(lane)->id == request_id(1);
+    CHECK(second);
+}
+
+TEST(fair_lane, aFloodFillsOnlyItsOwnRoom)
+{
+    fair_lane lane(10);
+    fill(lane, "flood", 1, 10);
+    waiting_request more = request(1, "flood", 1);
+    CHECK(!append(lane, more));
+    LONGS_EQUAL(1, more.id.value());
+    waiting_request other = request(2, "booking", 1);
+    CHECK(append(lane, other));
+}
+
+TEST(fair_lane, everyRequestComesOutOnceAndInOrderWithinItsClass)
+{
+    CHECK(rc::check("conservation, order and no starvation", [](const std::vector<std::uint8_t> &operations) {
+        fair_lane lane(64);
+        std::map<std::string, std::vector<std::uint64_t>> accepted;
+        std::map<std::string, std::size_t> served;
+        std::uint64_t nextId = 1;
+        const auto take = [&](bool returnIt) {
+            std::optional<waiting_request> taken = takeNext(lane);
+            if (!taken) {
+                RC_ASSERT(lane.size == 0U);
+                return;
+            }
+            if (returnIt) {
+                putBack(lane, std::move(*taken));
+                return;
+            }
+            const std::string service = taken->what.service.value();
+            RC_ASSERT(taken->id.value() == accepted[service].at(served[service]));
+            ++served[service];
+        };
+        for (const std::uint8_t operation : operations) {
+            if (operation % 3 == 0) {
+                take(operation % 2 == 0);
+                continue;
+            }
+            const std::string service(1, static_cast<char>('a' + operation % 4));
+            waiting_request made = request(nextId, service, 1 + operation % 4);
+            if (append(lane, made)) {
+                accepted[service].push_back(nextId);
+            }
+            ++nextId;
+        }
+        while (lane.size > 0) {
+            take(false);
+        }
+        for (const auto &[service, ids] : accepted) {
+            RC_ASSERT(served[service] == ids.size());
+        }
+    }));
+}
+
+TEST(fair_lane, requestsAheadNeverUnderstatesTheOwnClass)
+{
+    fair_lane lane(100);
+    fill(lane, "own", 4, 8);
+    fill(lane, "other", 1, 50);
+    // Own backlog of 8 and the new one; the other class gets a quarter of as many.
+    LONGS_EQUAL(10, requestsAhead(lane, service_name("own"), 4));
+    LONGS_EQUAL(54, requestsAhead(lane, service_name("other"), 1) - 4);
+}
--- a/UnitTests/Load/load_report_test.cpp
+++ b/UnitTests/Load/load_report_test.cpp
@@ -84,7 +84,7 @@
     load::report report;
     report.add_runs()->mutable_promises()->set_lost_writes(2);
     CHECK(!isClean(report.runs(0).promises()));
-    CHECK(has(toTable(report), "lost_writes: 2"));
+    CHECK(has(toTable(report), "lost writes 2"));
 }
 
 TEST(load_report, thePlotMarksFaultsAndEscapesText)
--- a/mustardrouter/Admission/connection_pool.cpp
+++ b/mustardrouter/Admission/connection_pool.cpp
@@ -15,9 +15,31 @@
     return found == pool.connections.end() ? nullptr : &*found;
 }
 
-std::size_t countIn(const connection_pool &pool, connection_state state)
+std::uint32_t &counterOf(connection_pool &pool, connection_state state)
 {
-    return static_cast<std::size_t>(std::ranges::count(pool.connections, state, &pooled_connection::state));
+    return pool.counts[static_cast<std::size_t>(state)];
+}
+
+void setState(connection_pool &pool, pooled_connection &connection, connection_state state, time_point now)
+{
+    assert(counterOf(pool, connection.state) > 0);
+    --counterOf(pool, connection.state);
+    ++counterOf(pool, state);
+    connection.state = state;
+    connection.since = now;
+}
+
+/// Opening and idle connections, all that can take a statement soon.
+std::uint32_t available(const connection_pool &pool)
+{
+    return countOf(pool, connection_state::opening) + countOf(pool, connection_state::idle);
+}
+
+bool mayOpen(const connection_pool &pool, time_point now)
+{
+    // No more than one opening for each slot: a database that has just become primary is not swamped.
+    return pool.connections.size() < pool.limits.connections && now >= pool.openAfter
+           && countOf(pool, connection_state::opening) < pool.limits.slots;
 }
 
 } // namespace
@@ -37,12 +59,14 @@
     if (!hasFreeSlot(pool)) {
         return std::nullopt;
     }
+    if (countOf(pool, connection_state::idle) == 0) {
+        return std::nullopt;
+    }
     const auto idle = std::ranges::find(pool.connections, connection_state::idle, &pooled_connection::state);
     if (idle == pool.connections.end()) {
         return std::nullopt;
     }
-    idle->state = connection_state::running;
-    idle->since = now;
+    setState(pool, *idle, connection_state::running, now);
     ++pool.running;
     return idle->id;
 }
@@ -52,8 +76,7 @@
     pooled_connection *connection = find(pool, id);
     assert(connection != nullptr && connection->state == connection_state::pinned);
     assert(hasFreeSlot(pool));
-    connection->state = connection_state::running;
-    connection->since = now;
+    setState(pool, *connection, connection_state::running, now);
     ++pool.running;
 }
 
@@ -67,9 +90,9 @@
     --pool.running;
     constexpr double newWeight = 0.1;
     const auto took = static_cast<double>((now - connection->since).count());
+    pool.answeredAt = now;
     pool.serviceMicros += newWeight * (took - pool.serviceMicros);
-    connection->state = pinned ? connection_state::pinned : connection_state::idle;
-    connection->since = now;
+    setState(pool, *connection, pinned ? connection_state::pinned : connection_state::idle, now);
 }
 
 void unpinConnection(connection_pool &pool, connection_id id, time_point now)
@@ -78,24 +101,65 @@
     if (connection == nullptr || connection->state != connection_state::pinned) {
         return;
     }
-    connection->state = connection_state::idle;
-    connection->since = now;
+    setState(pool, *connection, connection_state::idle, now);
 }
 
 bool shouldOpen(const connection_pool &pool, std::size_t waiting, time_point now)
 {
-    if (pool.connections.size() >= pool.limits.connections || now < pool.openAfter) {
-        return false;
+    return mayOpen(pool, now) && available(pool) < waiting;
+}
+
+std::uint32_t countOf(const connection_pool &pool, connection_state state)
+{
+    return pool.counts[static_cast<std::size_t>(state)];
+}
+
+bool shouldWarm(const connection_pool &pool, time_point now)
+{
+    return mayOpen(pool, now) && available(pool) + countOf(pool, connection_state::running) < pool.limits.slots;
+}
+
+std::optional<connection_id> findUnused(const connection_pool &pool, duration idleFor, time_point now)
+{
+    if (available(pool) + countOf(pool, connection_state::running) <= pool.limits.slots) {
+        return std::nullopt;
+    }
+    for (const pooled_connection &connection : pool.connections) {
+        if (connection.state == connection_state::idle && now - connection.since >= idleFor) {
+            return connection.id;
+        }
     }
-    const std::size_t opening = countIn(pool, connection_state::opening);
-    const std::size_t idle = countIn(pool, connection_state::idle);
-    return opening < pool.limits.slots && opening + idle < waiting;
+    return std::nullopt;
+}
+
+std::vector<connection_id> findSilent(const connection_pool &pool, duration silentFor, time_point heardAt, time_point now)
+{
+    std::vector<connection_id> silent;
+    const time_point heard = std::max(heardAt, pool.answeredAt);
+    for (const pooled_connection &connection : pool.connections) {
+        const bool waits = connection.state == connection_state::running || connection.state == connection_state::opening;
+        if (waits && now - connection.since >= silentFor && heard - connection.since >= silentFor) {
+            silent.push_back(connection.id);
+        }
+    }
+    return silent;
+}
+
+void adjustShare(connection_pool &pool, double fastestMicros)
+{
+    constexpr double slowFactor = 3;
+    constexpr double slowMicros = 5000;
+    constexpr double leastShare = 0.02;
+    constexpr double returnStep = 0.05;
+    const bool slow = pool.serviceMicros > slowFactor * fastestMicros && pool.serviceMicros > fastestMicros + slowMicros;
+    pool.admittedShare = slow ? std::max(leastShare, pool.admittedShare / 2) : std::min(1.0, pool.admittedShare + returnStep);
 }
 
 void addConnection(connection_pool &pool, connection_id id, time_point now)
 {
     assert(pool.connections.size() < pool.limits.connections);
     pool.connections.push_back({id, connection_state::opening, now});
+    ++counterOf(pool, connection_state::opening);
 }
 
 void markOpened(connection_pool &pool, connection_id id, time_point now)
@@ -104,8 +168,7 @@
     if (connection == nullptr || connection->state != connection_state::opening) {
         return;
     }
-    connection->state = connection_state::idle;
-    connection->since = now;
+    setState(pool, *connection, connection_state::idle, now);
 }
 
 void removeConnection(connection_pool &pool, connection_id id)
@@ -118,6 +181,7 @@
         assert(pool.running > 0);
         --pool.running;
     }
+    --counterOf(pool, found->state);
     pool.connections.erase(found);
 }
 
--- a/mustardrouter/Admission/connection_pool.h
+++ b/mustardrouter/Admission/connection_pool.h
@@ -3,6 +3,8 @@
 #include "mustardrouter/Core/ids.h"
 #include "mustardrouter/Core/virtual_clock.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -13,6 +15,8 @@
 /// What a connection to a database is doing.
 enum class connection_state : std::uint8_t { opening, idle, running, pinned };
 
+constexpr std::size_t connectionStates = 4;
+
 /// One connection of a pool.
 struct pooled_connection {
     connection_id id;
@@ -36,10 +40,18 @@
     pool_limits limits;
     std::vector<pooled_connection> connections;
     std::uint32_t running = 0;
+    /// Connections in each state.
+    std::array<std::uint32_t, connectionStates> counts{};
     /// No connection is opened before this instant.
     time_point openAfter{};
-    /// Mean service time of a statement, in microseconds.
+    /// Mean service time of a statement, in microseconds, as seen from the owner: the way to the
+    /// database and back is part of it.
     double serviceMicros = 1000;
+    /// When a statement was answered last.
+    time_point answeredAt{};
+    /// Share of the reads offered to it that a slow replica takes, and the part earned so far.
+    double admittedShare = 1;
+    double admittedCredit = 0;
 };
 
 /// Whether a statement may start now.
@@ -60,6 +72,23 @@
 /// Whether another connection should and may be opened for `waiting` statements.
 bool shouldOpen(const connection_pool &pool, std::size_t waiting, time_point now);
 
+/// Connections in one state.
+std::uint32_t countOf(const connection_pool &pool, connection_state state);
+
+/// Whether a connection should be opened ahead of demand, so that every slot finds one.
+bool shouldWarm(const connection_pool &pool, time_point now);
+
+/// An idle connection that has been of no use for `idleFor` and is not needed for the slots.
+std::optional<connection_id> findUnused(const connection_pool &pool, duration idleFor, time_point now);
+
+/// Connections on which a statement has had no answer for `silentFor`, though the database has
+/// answered elsewhere (`heardAt`) since.
+std::vector<connection_id> findSilent(const connection_pool &pool, duration silentFor, time_point heardAt, time_point now);
+
+/// Halves a replica's share when it is much slower than the fastest one, and otherwise lets it
+/// back by degrees.
+void adjustShare(connection_pool &pool, double fastestMicros);
+
 /// Counts a connection that is being opened.
 void addConnection(connection_pool &pool, connection_id id, time_point now);
 
--- a/mustardrouter/Admission/database_choice.cpp
+++ b/mustardrouter/Admission/database_choice.cpp
@@ -6,48 +6,48 @@
 namespace
 {
 
-/// Slots of the primary that reads leave free for writes.
-constexpr std::size_t reservedPrimarySlots = 1;
-
 double expectedMicros(const read_candidate &candidate)
 {
     return candidate.serviceMicros * static_cast<double>(candidate.running + 1);
 }
 
+bool isBetter(const read_candidate &candidate, const read_candidate *best)
+{
+    return best == nullptr || expectedMicros(candidate) < expectedMicros(*best);
+}
+
 } // namespace
 
-std::optional<std::size_t> chooseForRead(const std::vector<read_candidate> &candidates, log_position floor)
+read_choice chooseForRead(const std::vector<read_candidate> &candidates, log_position floor)
 {
     const read_candidate *best = nullptr;
-    const read_candidate *primary = nullptr;
-    bool freshReplica = false;
+    const read_candidate *bestEjected = nullptr;
+    bool fresh = false;
+    bool freshHealthy = false;
     for (const read_candidate &candidate : candidates) {
-        if (!candidate.usable) {
+        if (!candidate.usable || candidate.primary || candidate.applied < floor) {
             continue;
         }
-        if (candidate.primary) {
-            primary = &candidate;
-            continue;
-        }
-        if (candidate.applied < floor) {
-            continue;
-        }
-        freshReplica = true;
-        if (candidate.freeSlots == 0) {
-            continue;
-        }
-        if (best == nullptr || expectedMicros(candidate) < expectedMicros(*best)) {
-            best = &candidate;
+        fresh = true;
+        freshHealthy = freshHealthy || !candidate.ejected;
+        const read_candidate *&chosen = candidate.ejected ? bestEjected : best;
+        if (candidate.freeSlots > 0 && isBetter(candidate, chosen)) {
+            chosen = &candidate;
         }
     }
-    if (best != nullptr) {
-        return best->index;
+    if (best == nullptr && !freshHealthy) {
+        best = bestEjected;
     }
-    const bool primaryHelps = primary != nullptr && !freshReplica && primary->freeSlots > reservedPrimarySlots;
-    if (primaryHelps) {
-        return primary->index;
+    if (best != nullptr) {
+        return {read_choice::kind::run, best->index};
     }
-    return std::nullopt;
+    return {fresh ? read_choice::kind::waitForSlot : read_choice::kind::noneFresh, 0};
+}
+
+std::uint32_t slotsKeptFromReads(std::uint32_t slots)
+{
+    constexpr std::uint32_t kept = 1;
+    return slots > kept ? kept : 0;
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Admission/database_choice.h
+++ b/mustardrouter/Admission/database_choice.h
@@ -3,7 +3,7 @@
 #include "mustardrouter/Core/log_entry.h"
 
 #include <cstddef>
-#include <optional>
+#include <cstdint>
 #include <vector>
 
 namespace mustardrouter
@@ -19,10 +19,29 @@
     std::size_t freeSlots = 0;
     std::size_t running = 0;
     double serviceMicros = 0;
+    /// A slow replica that gets only a share of the reads, and this one is not in it.
+    bool ejected = false;
 };
 
-/// The replica that is fresh enough and expected to answer first; the primary only when no
-/// replica is fresh enough and it keeps a slot free for writes. Nothing means: wait.
-std::optional<std::size_t> chooseForRead(const std::vector<read_candidate> &candidates, log_position floor);
+/// What a read does next.
+struct read_choice {
+    enum class kind : std::uint8_t {
+        /// Runs on the database `index`.
+        run,
+        /// A replica is fresh enough but has no free slot.
+        waitForSlot,
+        /// No replica is fresh enough.
+        noneFresh,
+    };
+    kind what = kind::noneFresh;
+    std::size_t index = 0;
+};
+
+/// The replica that is fresh enough and expected to answer first. A slow replica is passed over
+/// while another is fresh enough.
+read_choice chooseForRead(const std::vector<read_candidate> &candidates, log_position floor);
+
+/// Slots of a primary that reads leave free for writes.
+std::uint32_t slotsKeptFromReads(std::uint32_t slots);
 
 } // namespace mustardrouter
--- a/mustardrouter/Admission/fair_lane.cpp
+++ b/mustardrouter/Admission/fair_lane.cpp
@@ -29,7 +29,7 @@
 {
 }
 
-bool append(fair_lane &lane, waiting_request request)
+bool append(fair_lane &lane, waiting_request &request)
 {
     const auto [found, added] = lane.classes.try_emplace(keyOf(request.what));
     fair_class &own = found->second;
@@ -76,9 +76,9 @@
     return request;
 }
 
-std::optional<waiting_request> remove(fair_lane &lane, request_id id, const statement &what)
+std::optional<waiting_request> remove(fair_lane &lane, request_id id, const service_name &service, std::uint32_t weight)
 {
-    const auto found = lane.classes.find(keyOf(what));
+    const auto found = lane.classes.find({service, std::max(weight, 1U)});
     if (found == lane.classes.end()) {
         return std::nullopt;
     }
--- a/mustardrouter/Admission/fair_lane.h
+++ b/mustardrouter/Admission/fair_lane.h
@@ -37,8 +37,8 @@
     std::uint64_t virtualTime = 0;
 };
 
-/// Appends a request; false when its class is full.
-bool append(fair_lane &lane, waiting_request request);
+/// Appends a request and moves from it; false when its class is full.
+bool append(fair_lane &lane, waiting_request &request);
 
 /// Puts back a request that was taken but could not be served, ahead of its class.
 void putBack(fair_lane &lane, waiting_request request);
@@ -47,7 +47,7 @@
 std::optional<waiting_request> takeNext(fair_lane &lane);
 
 /// Removes one request; nothing when the lane does not hold it.
-std::optional<waiting_request> remove(fair_lane &lane, request_id id, const statement &what);
+std::optional<waiting_request> remove(fair_lane &lane, request_id id, const service_name &service, std::uint32_t weight);
 
 /// Removes and returns everything.
 std::vector<waiting_request> takeAll(fair_lane &lane);
--- a/mustardrouter/Admission/waiting_request.h
+++ b/mustardrouter/Admission/waiting_request.h
@@ -19,6 +19,8 @@
     /// Round of reports that must confirm the term before the answer goes out; zero for none.
     std::uint64_t round = 0;
     std::uint32_t attempts = 0;
+    /// A read that has waited for a replica to catch up.
+    bool waitedForReplica = false;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Load/load_report.cpp
+++ b/mustardrouter/Load/load_report.cpp
@@ -51,6 +51,17 @@
     return line + "\n";
 }
 
+std::string promiseLine(const load::promises &found)
+{
+    if (isClean(found)) {
+        return "  every promise was kept\n";
+    }
+    return "  FAILED, promises were broken: stale reads " + std::to_string(found.stale_reads()) + ", lost writes "
+           + std::to_string(found.lost_writes()) + ", doubled writes " + std::to_string(found.doubled_writes()) + ", across transactions "
+           + std::to_string(found.cross_transaction()) + ", ran though not run " + std::to_string(found.ran_though_not_run())
+           + ", misattributed " + std::to_string(found.misattributed()) + "\n";
+}
+
 std::string runLines(const load::run_report &run)
 {
     std::string text = format("%s: replica read share %.4f, primary load %.4f, generator at most %.1f ms late\n",
@@ -78,8 +89,7 @@
     if (run.shutdowns() > 0) {
         text += "  " + std::to_string(run.clean_shutdowns()) + " of " + std::to_string(run.shutdowns()) + " shutdowns were clean\n";
     }
-    text += isClean(run.promises()) ? "  every promise was kept\n"
-                                    : "  FAILED, a promise was broken: " + run.promises().ShortDebugString() + "\n";
+    text += promiseLine(run.promises());
     return text;
 }
 
--- a/mustardrouter/Routing/group_engine.cpp
+++ b/mustardrouter/Routing/group_engine.cpp
@@ -48,15 +48,6 @@
     return what.rule == read_rule::latest || (what.rule == read_rule::session && !what.floor);
 }
 
-queue_lane laneFor(const statement &what)
-{
-    if (what.transaction.value() != 0) {
-        return queue_lane::transaction;
-    }
-    const bool replicaMayServe = what.kind == statement_kind::read && what.rule != read_rule::latest;
-    return replicaMayServe ? queue_lane::replica : queue_lane::primary;
-}
-
 std::uint64_t nextRound(engine_step &step)
 {
     step.engine.roundWanted = true;
@@ -93,10 +84,9 @@
         answer(step, request, notRun(failure::overloaded, "refused too often", retryHint));
         return;
     }
-    const waiting_request copy{request.id, {}, request.arrived, {}, 0, 0};
     const queue_lane lane = laneFor(request.what);
-    if (!enqueue(step.engine.queue, lane, std::move(request))) {
-        answer(step, copy, notRun(failure::overloaded, "the queue is full", retryHint));
+    if (!enqueue(step.engine.queue, lane, request)) {
+        answer(step, request, notRun(failure::overloaded, "the queue is full", retryHint));
     }
 }
 
@@ -171,9 +161,10 @@
     resetFloors(step.engine.sessions, started.barrier);
     step.engine.history.samples.clear();
     step.engine.nextTransaction = 1;
-    for (waiting_request &request : laneOf(step.engine.queue, queue_lane::replica)) {
-        request.floor = std::max(request.floor, started.barrier);
-    }
+    // Floors of earlier terms are covered by the barrier when a read is placed.
+    restartReads(step.engine.queue);
+    restart(step.engine.catchUp);
+    step.engine.primaryLeavingSince = time_point{};
 }
 
 void endTerm(engine_step &step, const term_ended &ended)
@@ -184,9 +175,7 @@
         return;
     }
     // Statements of transactions can never run again; the rest waits for the new primary.
-    std::deque<waiting_request> orphans;
-    std::swap(orphans, laneOf(step.engine.queue, queue_lane::transaction));
-    for (const waiting_request &request : orphans) {
+    for (const waiting_request &request : takeTransactions(step.engine.queue)) {
         answer(step, request, notRun(failure::transactionLost));
     }
 }
@@ -333,10 +322,13 @@
     if (needsRound(step.engine, request.what)) {
         request.round = nextRound(step);
     }
+    if (std::optional<statement_result> refusal = refuseLate(step, request.what)) {
+        answer(step, request, std::move(*refusal));
+        return;
+    }
     const queue_lane lane = laneFor(request.what);
-    waiting_request refused{request.id, {}, request.arrived, {}, 0, 0};
-    if (!enqueue(step.engine.queue, lane, std::move(request))) {
-        answer(step, refused, notRun(failure::overloaded, "the queue is full", retryHint));
+    if (!enqueue(step.engine.queue, lane, request)) {
+        answer(step, request, notRun(failure::overloaded, "the queue is full", retryHint));
     }
 }
 
@@ -481,10 +473,8 @@
         running->second.abandoned = true;
         return;
     }
-    for (std::deque<waiting_request> &lane : engine.queue.lanes) {
-        std::erase_if(lane, [&](const waiting_request &request) {
-            return request.id == event.request;
-        });
+    if (remove(engine.queue, event.request)) {
+        return;
     }
     for (unconfirmed_result &waiting : engine.unconfirmed) {
         if (waiting.done.request.id == event.request) {
@@ -493,6 +483,69 @@
     }
 }
 
+void closeAndLose(engine_step &step, const std::vector<connection_id> &connections)
+{
+    for (const connection_id connection : connections) {
+        step.actions.emplace_back(close_connection{connection});
+        onClosed(step, connection_closed{connection});
+    }
+}
+
+/// A statement that runs past its deadline keeps its connection, but its caller is told. Its
+/// slot is counted until the database answers or the connection is given up as silent. Only a
+/// transaction loses its connection, because its caller takes it for rolled back.
+void answerOverdue(engine_step &step)
+{
+    std::vector<connection_id> transactions;
+    for (auto &[id, running] : step.engine.running) {
+        if (running.abandoned || step.now < running.request.what.deadline) {
+            continue;
+        }
+        if (running.request.what.transaction.value() != 0) {
+            transactions.push_back(running.connection);
+            continue;
+        }
+        running_request lost = running;
+        lost.answeredAt = step.now;
+        answerRun(step, lost, lostAnswer(lost, failure::deadlineExceeded));
+        running.abandoned = true;
+    }
+    closeAndLose(step, transactions);
+}
+
+/// A statement that waits for the lock of an open transaction is not silent.
+bool mayWaitForLock(const group_engine &engine, const database_name &database)
+{
+    return database == engine.ownership.primary && !engine.transactions.empty();
+}
+
+void replaceSilent(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    std::vector<connection_id> silent;
+    for (const database_view &view : engine.ownership.databases) {
+        const duration patience = mayWaitForLock(engine, view.name) ? engine.settings.idleInTransaction : engine.settings.silentConnection;
+        const auto found = findSilent(engine.pools.at(view.name), patience, view.heardAt, step.now);
+        silent.insert(silent.end(), found.begin(), found.end());
+    }
+    closeAndLose(step, silent);
+}
+
+/// Moves the primary away from a database that leaves, once nothing runs there any more.
+void leavePrimary(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    if (!isServing(engine.ownership) || !primaryLeaves(engine)) {
+        return;
+    }
+    if (engine.primaryLeavingSince == time_point{}) {
+        engine.primaryLeavingSince = step.now;
+    }
+    if (const std::optional<database_name> successor = successorOfLeaving(engine, step.now)) {
+        stepOwnership(step, primary_change_requested{*successor});
+    }
+}
+
 void expire(engine_step &step)
 {
     group_engine &engine = step.engine;
@@ -509,15 +562,11 @@
     for (const transaction_id id : idle) {
         endTransaction(step, id);
     }
-    std::vector<connection_id> silent;
-    for (const auto &[id, running] : engine.running) {
-        if (step.now >= running.request.what.deadline) {
-            silent.push_back(running.connection);
-        }
-    }
-    for (const connection_id connection : silent) {
-        step.actions.emplace_back(close_connection{connection});
-        onClosed(step, connection_closed{connection});
+    answerOverdue(step);
+    replaceSilent(step);
+    if (isServing(engine.ownership)) {
+        tendConnections(step);
+        leavePrimary(step);
     }
 }
 
@@ -544,6 +593,9 @@
     stepOwnership(step, event);
     if (const auto *reported = std::get_if<database_reported>(&event)) {
         samplePrimary(step, *reported);
+        if (const database_view *view = findDatabase(step.engine.ownership, reported->database)) {
+            noteProgress(step.engine, *view, step.now);
+        }
     }
     if (std::holds_alternative<clock_ticked>(event)) {
         expire(step);
--- a/mustardrouter/Routing/group_engine.h
+++ b/mustardrouter/Routing/group_engine.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "mustardrouter/Admission/admission_queue.h"
+#include "mustardrouter/Admission/catch_up.h"
 #include "mustardrouter/Admission/connection_pool.h"
+#include "mustardrouter/Admission/read_figures.h"
 #include "mustardrouter/Ownership/group_ownership.h"
 #include "mustardrouter/Routing/engine_action.h"
 #include "mustardrouter/Routing/engine_event.h"
@@ -30,6 +32,16 @@
     duration drainPatience = std::chrono::seconds(3);
     /// Pause before opening connections again after a database refused one.
     duration openBackoff = std::chrono::milliseconds(100);
+    /// How much later than the primary a replica may answer a read, when the primary is idle and
+    /// when all its slots are taken.
+    duration catchUpPatience = std::chrono::milliseconds(25);
+    duration catchUpPatienceBusy = std::chrono::milliseconds(250);
+    /// A statement without an answer for so long, while its database answers others, is lost.
+    duration silentConnection = std::chrono::seconds(1);
+    /// Idle connections beyond one for each slot are closed after this time.
+    duration idleConnection = std::chrono::seconds(30);
+    /// Longest wait for work in flight on a primary that leaves.
+    duration leavingPatience = std::chrono::seconds(1);
 };
 
 /// A request that runs on a connection, or has run and waits for its confirmation.
@@ -70,6 +82,10 @@
     admission_queue queue;
     session_table sessions;
     position_history history;
+    catch_up_estimate catchUp;
+    read_figures reads;
+    /// When the present primary was first seen to leave; the epoch while it stays.
+    time_point primaryLeavingSince{};
     /// When the rounds of reports were asked for; the front belongs to round `firstRound`.
     std::deque<time_point> roundAskedAt;
     std::uint64_t firstRound = 1;
--- a/mustardrouter/Routing/group_pump.cpp
+++ b/mustardrouter/Routing/group_pump.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Routing/group_pump.h"
 
 #include "mustardrouter/Admission/database_choice.h"
+#include "mustardrouter/Admission/waiting_time.h"
 
 #include <algorithm>
 
@@ -10,6 +11,9 @@
 namespace
 {
 
+/// Reads that are looked at beyond one for which there is no slot on a fresh replica.
+constexpr std::size_t readLookahead = 8;
+
 std::optional<log_position> floorFor(group_engine &engine, const waiting_request &request, time_point now)
 {
     const log_position barrier = engine.ownership.barrier.position;
@@ -25,39 +29,64 @@
     return *bound;
 }
 
-std::vector<read_candidate> readCandidates(const group_engine &engine)
+bool takesWork(const group_engine &engine, const database_view &view)
+{
+    const bool primary = view.name == engine.ownership.primary;
+    const bool follows = view.report.term == engine.ownership.term && (primary || view.report.inSync);
+    return view.reachable && follows && !view.report.leaving;
+}
+
+std::vector<read_candidate> readCandidates(group_engine &engine)
 {
     std::vector<read_candidate> candidates;
+    candidates.reserve(engine.ownership.databases.size());
     for (std::size_t index = 0; index < engine.ownership.databases.size(); ++index) {
         const database_view &view = engine.ownership.databases[index];
         const connection_pool &pool = engine.pools.at(view.name);
         read_candidate candidate;
         candidate.index = index;
         candidate.primary = view.name == engine.ownership.primary;
-        const bool follows = view.report.term == engine.ownership.term && (candidate.primary || view.report.inSync);
-        candidate.usable = view.reachable && follows && !view.report.leaving;
+        candidate.usable = takesWork(engine, view);
         candidate.applied = view.report.applied.position;
         candidate.freeSlots = pool.limits.slots - std::min(pool.limits.slots, pool.running);
         candidate.running = pool.running;
         candidate.serviceMicros = pool.serviceMicros;
+        candidate.ejected = pool.admittedShare < 1 && pool.admittedCredit < 1;
         candidates.push_back(candidate);
     }
     return candidates;
 }
 
-void openFor(engine_step &step, const database_name &database, std::size_t waiting)
+bool anyReplicaHasSlot(const std::vector<read_candidate> &candidates)
+{
+    return std::ranges::any_of(candidates, [](const read_candidate &candidate) {
+        return candidate.usable && !candidate.primary && candidate.freeSlots > 0;
+    });
+}
+
+bool anyReplicaUsable(const std::vector<read_candidate> &candidates)
+{
+    return std::ranges::any_of(candidates, [](const read_candidate &candidate) {
+        return candidate.usable && !candidate.primary;
+    });
+}
+
+void openConnection(engine_step &step, const database_name &database)
 {
     group_engine &engine = step.engine;
-    connection_pool &pool = engine.pools.at(database);
-    if (!shouldOpen(pool, waiting, step.now)) {
-        return;
-    }
     const connection_id id(engine.nextConnection++);
-    addConnection(pool, id, step.now);
+    addConnection(engine.pools.at(database), id, step.now);
     engine.connectionHome.emplace(id, database);
     step.actions.emplace_back(open_connection{database, id, engine.ownership.term});
 }
 
+void openFor(engine_step &step, const database_name &database, std::size_t waiting)
+{
+    if (shouldOpen(step.engine.pools.at(database), waiting, step.now)) {
+        openConnection(step, database);
+    }
+}
+
 void startOn(engine_step &step, const database_name &database, connection_id connection, waiting_request request, const char *reason)
 {
     run_statement action;
@@ -80,101 +109,393 @@
     step.engine.running.insert_or_assign(id, std::move(running));
 }
 
+/// Answers a request that would end after its deadline, so that it takes no slot from others.
+bool refuseIfLate(engine_step &step, const waiting_request &request, connection_pool &pool)
+{
+    const duration service(static_cast<duration::rep>(pool.serviceMicros));
+    if (step.now + service <= request.what.deadline) {
+        return false;
+    }
+    // Without new answers an estimate that is too high must not last.
+    constexpr double decay = 0.95;
+    pool.serviceMicros *= decay;
+    answer(step, request, notRun(failure::deadlineExceeded, "too late to start", retryHint));
+    return true;
+}
+
 void pumpTransactions(engine_step &step)
 {
     group_engine &engine = step.engine;
     connection_pool &pool = engine.pools.at(engine.ownership.primary);
-    std::deque<waiting_request> &lane = laneOf(engine.queue, queue_lane::transaction);
-    std::deque<waiting_request> still;
-    while (!lane.empty()) {
-        waiting_request request = std::move(lane.front());
-        lane.pop_front();
-        const auto found = engine.transactions.find(request.what.transaction);
+    std::vector<waiting_request> aside;
+    while (std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::transaction)) {
+        const auto found = engine.transactions.find(request->what.transaction);
         if (found == engine.transactions.end()) {
-            answer(step, request, notRun(failure::transactionLost));
+            answer(step, *request, notRun(failure::transactionLost));
             continue;
         }
         open_transaction &transaction = found->second;
         if (transaction.busy || !hasFreeSlot(pool)) {
-            still.push_back(std::move(request));
+            aside.push_back(std::move(*request));
             continue;
         }
         transaction.busy = true;
         transaction.usedAt = step.now;
         resumeConnection(pool, transaction.connection, step.now);
-        startOn(step, engine.ownership.primary, transaction.connection, std::move(request), "held by its transaction");
+        startOn(step, engine.ownership.primary, transaction.connection, std::move(*request), "held by its transaction");
+    }
+    for (auto request = aside.rbegin(); request != aside.rend(); ++request) {
+        putBack(engine.queue, queue_lane::transaction, std::move(*request));
     }
-    std::swap(lane, still);
+}
+
+/// A write may wait for the lock of an open transaction; a slot stays free for that to finish.
+std::uint32_t slotsKeptForTransactions(const group_engine &engine)
+{
+    return engine.transactions.empty() ? 0 : 1;
 }
 
 void pumpPrimary(engine_step &step)
 {
     group_engine &engine = step.engine;
     connection_pool &pool = engine.pools.at(engine.ownership.primary);
-    std::deque<waiting_request> &lane = laneOf(engine.queue, queue_lane::primary);
-    // A write may wait for the lock of an open transaction; a slot stays free for that to finish.
-    const std::uint32_t reserved = engine.transactions.empty() ? 0 : 1;
-    while (!lane.empty() && pool.running + reserved < pool.limits.slots) {
+    const std::uint32_t kept = slotsKeptForTransactions(engine);
+    while (pool.running + kept < pool.limits.slots) {
+        std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::primary);
+        if (!request) {
+            return;
+        }
+        if (refuseIfLate(step, *request, pool)) {
+            continue;
+        }
         const std::optional<connection_id> connection = takeConnection(pool, step.now);
         if (!connection) {
-            openFor(step, engine.ownership.primary, lane.size());
-            break;
+            putBack(engine.queue, queue_lane::primary, std::move(*request));
+            openFor(step, engine.ownership.primary, waitingIn(engine.queue, queue_lane::primary));
+            return;
+        }
+        startOn(step, engine.ownership.primary, *connection, std::move(*request), "only the primary may serve it");
+    }
+}
+
+server_speed primarySpeed(const group_engine &engine)
+{
+    const connection_pool &pool = engine.pools.at(engine.ownership.primary);
+    return {pool.serviceMicros, pool.limits.slots, pool.running};
+}
+
+server_speed replicaSpeed(const group_engine &engine)
+{
+    server_speed speed;
+    double perMicro = 0;
+    for (const database_view &view : engine.ownership.databases) {
+        if (view.name == engine.ownership.primary || !takesWork(engine, view)) {
+            continue;
+        }
+        const connection_pool &pool = engine.pools.at(view.name);
+        speed.slots += pool.limits.slots;
+        speed.running += pool.running;
+        perMicro += pool.limits.slots / std::max(pool.serviceMicros, 1.0);
+    }
+    speed.serviceMicros = perMicro > 0 ? static_cast<double>(speed.slots) / perMicro : 0;
+    return speed;
+}
+
+duration soonestCatchUp(const group_engine &engine, const std::vector<read_candidate> &candidates, log_position floor, time_point now)
+{
+    duration soonest = duration::max();
+    for (const read_candidate &candidate : candidates) {
+        if (!candidate.usable || candidate.primary) {
+            continue;
         }
-        waiting_request request = std::move(lane.front());
-        lane.pop_front();
-        startOn(step, engine.ownership.primary, *connection, std::move(request), "only the primary may serve it");
+        const database_name &name = engine.ownership.databases[candidate.index].name;
+        soonest = std::min(soonest, expectedCatchUp(engine.catchUp, name, floor, now));
+    }
+    return soonest;
+}
+
+/// How much later than on the primary an answer may come from a replica. The fuller the primary,
+/// the more its slots are worth to the writes.
+duration catchUpPatience(const group_engine &engine)
+{
+    const connection_pool &pool = engine.pools.at(engine.ownership.primary);
+    const double used = static_cast<double>(pool.running) / pool.limits.slots;
+    const auto extra = static_cast<double>((engine.settings.catchUpPatienceBusy - engine.settings.catchUpPatience).count());
+    return engine.settings.catchUpPatience + duration(static_cast<duration::rep>(used * extra));
+}
+
+void sendToPrimary(engine_step &step, waiting_request request)
+{
+    if (!enqueue(step.engine.queue, queue_lane::primaryRead, request)) {
+        answer(step, request, notRun(failure::overloaded, "the queue is full", retryHint));
+    }
+}
+
+/// Decides between a wait until a replica has caught up and the primary, by expected completion.
+void placeStaleRead(engine_step &step,
+                    const std::vector<read_candidate> &candidates,
+                    waiting_request request,
+                    std::optional<log_position> floor)
+{
+    group_engine &engine = step.engine;
+    if (!floor || !anyReplicaUsable(candidates)) {
+        sendToPrimary(step, std::move(request));
+        return;
+    }
+    const duration wait = soonestCatchUp(engine, candidates, *floor, step.now);
+    const std::size_t ahead = waitingIn(engine.queue, queue_lane::primary) + waitingIn(engine.queue, queue_lane::primaryRead);
+    const duration onPrimary = expectedCompletion(primarySpeed(engine), ahead);
+    const bool inTime = step.now + 2 * wait < request.what.deadline;
+    if (!inTime || wait > onPrimary + catchUpPatience(engine)) {
+        sendToPrimary(step, std::move(request));
+        return;
+    }
+    request.waitedForReplica = true;
+    if (!waitForCatchUp(engine.queue, request, *floor, step.now + 2 * wait)) {
+        answer(step, request, notRun(failure::overloaded, "too many reads wait for a replica", retryHint));
+    }
+}
+
+void countPlacement(group_engine &engine, const waiting_request &request)
+{
+    if (request.waitedForReplica) {
+        ++engine.reads.caughtUp;
+        return;
     }
+    ++engine.reads.fresh;
+    ++engine.reads.onReplica;
 }
 
-bool startRead(engine_step &step, const read_candidate &chosen, waiting_request &request, std::size_t waiting)
+/// Starts a read on a replica; gives the request back when no connection is free there.
+std::optional<waiting_request> startRead(engine_step &step, read_candidate &chosen, waiting_request request)
 {
-    const database_name &database = step.engine.ownership.databases[chosen.index].name;
-    const std::optional<connection_id> connection = takeConnection(step.engine.pools.at(database), step.now);
+    group_engine &engine = step.engine;
+    const database_name &database = engine.ownership.databases[chosen.index].name;
+    connection_pool &pool = engine.pools.at(database);
+    if (refuseIfLate(step, request, pool)) {
+        return std::nullopt;
+    }
+    const std::optional<connection_id> connection = takeConnection(pool, step.now);
     if (!connection) {
-        openFor(step, database, waiting);
-        return false;
+        openFor(step, database, waitingIn(engine.queue, queue_lane::replica) + 1);
+        // No connection is open yet: others may be tried for the next request.
+        chosen.freeSlots = 0;
+        return request;
+    }
+    countPlacement(engine, request);
+    pool.admittedCredit -= pool.admittedCredit >= 1 ? 1 : 0;
+    startOn(step, database, *connection, std::move(request), "fresh enough and answers first");
+    --chosen.freeSlots;
+    ++chosen.running;
+    return std::nullopt;
+}
+
+void earnCredits(group_engine &engine)
+{
+    for (auto &[name, pool] : engine.pools) {
+        pool.admittedCredit = pool.admittedShare < 1 ? std::min(1.0, pool.admittedCredit + pool.admittedShare) : 0;
     }
-    const char *reason = chosen.primary ? "no replica is fresh enough" : "fresh enough and answers first";
-    startOn(step, database, *connection, std::move(request), reason);
-    return true;
 }
 
-void pumpReads(engine_step &step)
+void pumpReads(engine_step &step, std::vector<read_candidate> &candidates)
 {
     group_engine &engine = step.engine;
-    std::deque<waiting_request> &lane = laneOf(engine.queue, queue_lane::replica);
-    std::deque<waiting_request> still;
-    std::vector<read_candidate> candidates = readCandidates(engine);
-    while (!lane.empty()) {
-        waiting_request request = std::move(lane.front());
-        lane.pop_front();
-        const std::optional<log_position> floor = floorFor(engine, request, step.now);
+    std::vector<waiting_request> aside;
+    // Without any usable replica the reads still have to be sent to the primary.
+    const bool usable = anyReplicaUsable(candidates);
+    while (aside.size() < readLookahead && (!usable || anyReplicaHasSlot(candidates))) {
+        std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::replica);
+        if (!request) {
+            break;
+        }
+        earnCredits(engine);
+        const std::optional<log_position> floor = floorFor(engine, *request, step.now);
         constexpr log_position unreachable(UINT64_MAX);
-        const std::optional<std::size_t> index = chooseForRead(candidates, floor.value_or(unreachable));
-        if (!index) {
-            still.push_back(std::move(request));
+        const read_choice choice = chooseForRead(candidates, floor.value_or(unreachable));
+        if (choice.what == read_choice::kind::noneFresh) {
+            placeStaleRead(step, candidates, std::move(*request), floor);
+            continue;
+        }
+        if (choice.what == read_choice::kind::run) {
+            request = startRead(step, candidates[choice.index], std::move(*request));
+        }
+        if (request) {
+            aside.push_back(std::move(*request));
+        }
+    }
+    for (auto request = aside.rbegin(); request != aside.rend(); ++request) {
+        putBack(engine.queue, queue_lane::replica, std::move(*request));
+    }
+}
+
+void pumpPrimaryReads(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    connection_pool &pool = engine.pools.at(engine.ownership.primary);
+    const std::uint32_t kept = std::max(slotsKeptForTransactions(engine), slotsKeptFromReads(pool.limits.slots));
+    while (pool.running + kept < pool.limits.slots) {
+        std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::primaryRead);
+        if (!request) {
+            return;
+        }
+        if (refuseIfLate(step, *request, pool)) {
             continue;
         }
-        read_candidate &chosen = candidates[*index];
-        if (!startRead(step, chosen, request, lane.size() + still.size() + 1)) {
-            // No connection is open yet: others may be tried for the next request.
-            chosen.freeSlots = 0;
-            still.push_back(std::move(request));
+        const std::optional<connection_id> connection = takeConnection(pool, step.now);
+        if (!connection) {
+            putBack(engine.queue, queue_lane::primaryRead, std::move(*request));
+            openFor(step, engine.ownership.primary, waitingIn(engine.queue, queue_lane::primaryRead));
+            return;
+        }
+        ++engine.reads.onPrimary;
+        startOn(step, engine.ownership.primary, *connection, std::move(*request), "no replica is fresh enough soon enough");
+    }
+}
+
+/// Reads whose replica has caught up, or has not done so in the time that was expected.
+void moveWaitingReads(engine_step &step, const std::vector<read_candidate> &candidates)
+{
+    group_engine &engine = step.engine;
+    log_position applied;
+    for (const read_candidate &candidate : candidates) {
+        if (candidate.usable && !candidate.primary) {
+            applied = std::max(applied, candidate.applied);
+        }
+    }
+    for (waiting_request &request : takeCaughtUp(engine.queue, applied)) {
+        putBack(engine.queue, queue_lane::replica, std::move(request));
+    }
+    for (waiting_request &request : takeImpatient(engine.queue, step.now)) {
+        sendToPrimary(step, std::move(request));
+    }
+}
+
+void closeIdle(engine_step &step, const database_name &name, duration idleFor)
+{
+    group_engine &engine = step.engine;
+    connection_pool &pool = engine.pools.at(name);
+    while (const std::optional<connection_id> unused = findUnused(pool, idleFor, step.now)) {
+        removeConnection(pool, *unused);
+        engine.connectionHome.erase(*unused);
+        step.actions.emplace_back(close_connection{*unused});
+    }
+}
+
+double fastestReplicaMicros(const group_engine &engine)
+{
+    double fastest = 0;
+    for (const database_view &view : engine.ownership.databases) {
+        if (view.name == engine.ownership.primary || !takesWork(engine, view)) {
             continue;
         }
-        --chosen.freeSlots;
-        ++chosen.running;
+        const double micros = engine.pools.at(view.name).serviceMicros;
+        fastest = fastest == 0 ? micros : std::min(fastest, micros);
     }
-    std::swap(lane, still);
+    return fastest;
 }
 
 } // namespace
 
+queue_lane laneFor(const statement &what)
+{
+    if (what.transaction.value() != 0) {
+        return queue_lane::transaction;
+    }
+    const bool replicaMayServe = what.kind == statement_kind::read && what.rule != read_rule::latest;
+    return replicaMayServe ? queue_lane::replica : queue_lane::primary;
+}
+
+std::optional<statement_result> refuseLate(engine_step &step, const statement &what)
+{
+    group_engine &engine = step.engine;
+    const queue_lane lane = laneFor(what);
+    if (lane == queue_lane::transaction || !isServing(engine.ownership)) {
+        return std::nullopt;
+    }
+    const bool onPrimary = lane == queue_lane::primary;
+    const fair_lane &waiting = onPrimary ? engine.queue.primary : engine.queue.replica;
+    const server_speed speed = onPrimary ? primarySpeed(engine) : replicaSpeed(engine);
+    const std::size_t ahead = requestsAhead(waiting, what.service, what.weight);
+    const std::optional<duration> advice = refusalAdvice(speed, ahead, what.deadline - step.now);
+    if (!advice) {
+        return std::nullopt;
+    }
+    return notRun(failure::overloaded, "the expected wait exceeds the deadline", *advice);
+}
+
+void noteProgress(group_engine &engine, const database_view &view, time_point now)
+{
+    if (view.report.term != engine.ownership.term) {
+        return;
+    }
+    if (view.name == engine.ownership.primary) {
+        notePrimary(engine.catchUp, view.report.received.position, now);
+        return;
+    }
+    noteReplica(engine.catchUp, view.name, view.report.applied.position, now);
+}
+
+void tendConnections(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    const double fastest = fastestReplicaMicros(engine);
+    for (const database_view &view : engine.ownership.databases) {
+        connection_pool &pool = engine.pools.at(view.name);
+        if (!takesWork(engine, view)) {
+            continue;
+        }
+        adjustShare(pool, view.name == engine.ownership.primary ? pool.serviceMicros : fastest);
+        if (shouldWarm(pool, step.now)) {
+            openConnection(step, view.name);
+        }
+        closeIdle(step, view.name, engine.settings.idleConnection);
+    }
+}
+
+bool primaryLeaves(const group_engine &engine)
+{
+    const database_view *primary = findDatabase(engine.ownership, engine.ownership.primary);
+    if (primary == nullptr || !primary->report.leaving) {
+        return false;
+    }
+    return std::ranges::any_of(engine.ownership.databases, [&](const database_view &view) {
+        return view.name != primary->name && takesWork(engine, view);
+    });
+}
+
+std::optional<database_name> successorOfLeaving(const group_engine &engine, time_point now)
+{
+    const database_view *primary = findDatabase(engine.ownership, engine.ownership.primary);
+    const database_view *best = nullptr;
+    for (const database_view &view : engine.ownership.databases) {
+        if (view.name == primary->name || !takesWork(engine, view)) {
+            continue;
+        }
+        if (best == nullptr || best->report.received < view.report.received) {
+            best = &view;
+        }
+    }
+    const bool quiet = engine.pools.at(primary->name).running == 0 && engine.transactions.empty() && engine.unconfirmed.empty();
+    const bool ready = best != nullptr && quiet && best->report.received == primary->report.received;
+    const bool overdue = now - engine.primaryLeavingSince >= engine.settings.leavingPatience;
+    if (best == nullptr || !(ready || overdue)) {
+        return std::nullopt;
+    }
+    return best->name;
+}
+
 void pumpQueues(engine_step &step)
 {
+    group_engine &engine = step.engine;
     pumpTransactions(step);
+    std::vector<read_candidate> candidates = readCandidates(engine);
+    moveWaitingReads(step, candidates);
+    pumpReads(step, candidates);
+    if (primaryLeaves(engine)) {
+        return;
+    }
     pumpPrimary(step);
-    pumpReads(step);
+    pumpPrimaryReads(step);
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Routing/group_pump.h
+++ b/mustardrouter/Routing/group_pump.h
@@ -2,6 +2,8 @@
 
 #include "mustardrouter/Routing/engine_step.h"
 
+#include <optional>
+
 namespace mustardrouter
 {
 
@@ -9,4 +11,22 @@
 /// the primary, then reads on the database that suits each.
 void pumpQueues(engine_step &step);
 
+/// The lane in which a statement waits first.
+queue_lane laneFor(const statement &what);
+
+/// The answer to a statement that cannot be expected to end within its deadline, or nothing.
+std::optional<statement_result> refuseLate(engine_step &step, const statement &what);
+
+/// Notes what a report says of a database's log.
+void noteProgress(group_engine &engine, const database_view &view, time_point now);
+
+/// Opens connections ahead of demand and closes those that are idle, silent or on a leaving database.
+void tendConnections(engine_step &step);
+
+/// Whether the primary asks for no more work and another database can take its place.
+bool primaryLeaves(const group_engine &engine);
+
+/// The database that is to replace a leaving primary once nothing runs there; nothing until then.
+std::optional<database_name> successorOfLeaving(const group_engine &engine, time_point now);
+
 } // namespace mustardrouter
