--- /dev/null
+++ b/UnitTests/Configuration/configuration_check_test.cpp
@@ -0,0 +1,128 @@
+#include "mustardrouter/Configuration/configuration_check.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+/// A place, a group of three databases, a rule, a policy and a service.
+change_set smallWorld()
+{
+    database_group group{"g", {}, 1};
+    for (const char *name : {"g-1", "g-2", "g-3"}) {
+        group.databases.push_back({database_name(name), "here", "10.0.0." + std::string(1, name[2]) + ":5432", 3, 45, 10});
+    }
+    session_policy policy;
+    policy.name = "default";
+    policy.readRule = "own";
+    return {
+        {place{"here", "r"}, group, named_read_rule{"own", read_rule::session, {}}, policy, service{"s", {"g"}, "default", 0.1, {}}}, {}};
+}
+
+configuration_snapshot smallSnapshot()
+{
+    return applyChanges({}, smallWorld());
+}
+
+bool has(const std::vector<configuration_problem> &problems, problem_kind kind, const std::string &object, const std::string &field)
+{
+    return std::ranges::any_of(problems, [&](const configuration_problem &problem) {
+        return problem.kind == kind && problem.object == object && problem.field == field;
+    });
+}
+
+} // namespace
+
+TEST_GROUP(configuration_check){};
+
+TEST(configuration_check, aWholeWorldHasNoProblem)
+{
+    CHECK(checkChanges({}, smallWorld()).empty());
+}
+
+TEST(configuration_check, allProblemsAreFoundAtOnce)
+{
+    change_set changes;
+    database_group group{"g", {}, 1};
+    group.databases.push_back({database_name("g-1"), "nowhere", "db:5432", 50, 45, 10});
+    group.databases.push_back({database_name("g-1"), "here", "10.0.0.2:5432", 0, 45, 10});
+    group.databases.push_back({database_name("g-3"), "here", "10.0.0.2:5432", 3, 45, 10});
+    session_policy policy;
+    policy.name = "default";
+    policy.readRule = "none";
+    policy.weight = 0;
+    changes.changed = {place{"here", "r"}, place{"", "r"}, group, policy, service{"s", {"g", "g", "h"}, "other", 2, {}}};
+    const auto problems = checkChanges({}, changes);
+    CHECK(has(problems, problem_kind::missingReference, "database_group/g", "databases[g-1].place"));
+    CHECK(has(problems, problem_kind::badAddress, "database_group/g", "databases[g-1].address"));
+    CHECK(has(problems, problem_kind::limitOutOfRange, "database_group/g", "databases[g-1].slots"));
+    CHECK(has(problems, problem_kind::limitOutOfRange, "database_group/g", "databases[g-1]"));
+    CHECK(has(problems, problem_kind::duplicateName, "database_group/g", "databases"));
+    CHECK(has(problems, problem_kind::duplicateAddress, "database_group/g", "databases[g-3].address"));
+    CHECK(has(problems, problem_kind::missingReference, "session_policy/default", "readRule"));
+    CHECK(has(problems, problem_kind::limitOutOfRange, "session_policy/default", "weight"));
+    CHECK(has(problems, problem_kind::duplicateName, "service/s", "groups"));
+    CHECK(has(problems, problem_kind::missingReference, "service/s", "groups"));
+    CHECK(has(problems, problem_kind::missingReference, "service/s", "sessionPolicy"));
+    CHECK(has(problems, problem_kind::limitOutOfRange, "service/s", "retryBudget"));
+    CHECK(has(problems, problem_kind::emptyName, "place/", "name"));
+}
+
+TEST(configuration_check, whatIsInUseCannotBeRemoved)
+{
+    const auto problems = checkChanges(smallSnapshot(), {{}, {{"database_group", "g"}, {"place", "gone"}}});
+    UNSIGNED_LONGS_EQUAL(2, problems.size());
+    CHECK(has(problems, problem_kind::unknownObject, "place/gone", "name"));
+    CHECK(has(problems, problem_kind::inUse, "database_group/g", "name"));
+    CHECK(problems.back().detail == "service/s.groups refers to it");
+    // Together with what refers to it, it can.
+    CHECK(checkChanges(smallSnapshot(), {{}, {{"database_group", "g"}, {"service", "s"}}}).empty());
+}
+
+TEST(configuration_check, anObjectIsNamedOnceInASet)
+{
+    const auto problems = checkChanges(smallSnapshot(), {{place{"here", "x"}}, {{"place", "here"}}});
+    CHECK(has(problems, problem_kind::duplicateName, "place/here", "name"));
+}
+
+TEST(configuration_check, theDatabasesOfAGroupInUseStay)
+{
+    database_group group = smallSnapshot().groups.at("g");
+    group.databases.front().slots = 4;
+    group.databases.front().address = "10.0.0.9:5432";
+    CHECK(checkChanges(smallSnapshot(), {{group}, {}}).empty());
+    group.databases.front().name = database_name("g-4");
+    group.confirmReplicas = 2;
+    const auto problems = checkChanges(smallSnapshot(), {{group}, {}});
+    CHECK(has(problems, problem_kind::unsafeChange, "database_group/g", "databases"));
+    CHECK(has(problems, problem_kind::unsafeChange, "database_group/g", "confirmReplicas"));
+}
+
+TEST(configuration_check, addressesAreIpNumbersAndPorts)
+{
+    for (const char *good : {"10.0.0.1:5432", "127.0.0.1:1", "[::1]:65535", "[fd00::1:2]:80"}) {
+        CHECK(isIpAndPort(good));
+    }
+    for (const char *bad : {"",
+                            ":",
+                            "10.0.0.1",
+                            "10.0.0.1:0",
+                            "10.0.0.1:65536",
+                            "10.0.0:80",
+                            "10.0.0.256:80",
+                            "10.0.0.1.2:80",
+                            "db:5432",
+                            "10.0.0.1:",
+                            "10..0.1:80",
+                            "[::1:80",
+                            "[1:2::3::4]:80",
+                            "[x::]:80",
+                            "10.0.0.1:80x",
+                            "-1.0.0.1:80"}) {
+        CHECK_FALSE(isIpAndPort(bad));
+    }
+}
--- /dev/null
+++ b/UnitTests/Platform/publication_test.cpp
@@ -0,0 +1,346 @@
+#include "UnitTests/Platform/fake_platform.h"
+
+#include "mustardrouter/Platform/configuration_store.h"
+#include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Platform/split_value.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+publication by(const std::string &author, std::uint64_t number = 0)
+{
+    publication what;
+    what.id = author + "-" + std::to_string(number);
+    what.author = author;
+    return what;
+}
+
+change_set placeNamed(const std::string &name, const std::string &region = "here")
+{
+    return {{place{name, region}}, {}};
+}
+
+/// A random change of a small world of objects that refer to one another.
+change_set randomChange(std::mt19937_64 &random)
+{
+    const auto pick = [&](unsigned below) {
+        return std::uniform_int_distribution<unsigned>(0, below - 1)(random);
+    };
+    change_set changes;
+    const std::string rule = "rule-" + std::to_string(pick(3));
+    const std::string policy = "policy-" + std::to_string(pick(3));
+    if (pick(3) == 0) {
+        changes.removed.push_back(pick(2) == 0 ? object_reference{"read_rule", rule} : object_reference{"session_policy", policy});
+        return changes;
+    }
+    if (pick(2) == 0) {
+        changes.changed.emplace_back(named_read_rule{rule, read_rule::age, std::chrono::milliseconds(1 + pick(1000))});
+    }
+    if (pick(2) == 0 || changes.changed.empty()) {
+        session_policy made;
+        made.name = policy;
+        made.readRule = "rule-" + std::to_string(pick(3));
+        made.weight = 1 + pick(1000);
+        changes.changed.emplace_back(made);
+    }
+    return changes;
+}
+
+struct attempt {
+    std::string id;
+    change_set changes;
+    publication_result result;
+};
+
+/// Several operators; a call of one may be followed by a whole publication of the next.
+struct operators {
+    fake_platform &platform;
+    std::mt19937_64 random;
+    std::vector<attempt> attempts{};
+    unsigned depth = 0;
+
+    void publishOne()
+    {
+        constexpr unsigned maxDepth = 3;
+        const std::size_t index = attempts.size();
+        publication what = by("operator", index);
+        what.keep = {4, 32};
+        attempts.push_back({what.id, randomChange(random), {}});
+        const change_set changes = attempts[index].changes;
+        ++depth;
+        platform.before = [this] {
+            if (depth < maxDepth && std::uniform_int_distribution<unsigned>(0, 9)(random) == 0) {
+                publishOne();
+            }
+        };
+        const publication_result result = publishChanges(platform.api(), changes, what);
+        attempts[index].result = result;
+        --depth;
+        if (depth == 0) {
+            platform.before = [] {
+            };
+        }
+    }
+};
+
+/// The head's chain, oldest first, as it would be read by someone who follows every revision.
+std::vector<objects::configuration_revision> chainAfter(const object_api &api, revision_number known)
+{
+    auto revisions = readRevisions(api, readHead(api).value.head, known).value;
+    std::ranges::reverse(revisions);
+    return revisions;
+}
+
+configuration_snapshot withoutRevision(configuration_snapshot snapshot)
+{
+    snapshot.revision = {};
+    return snapshot;
+}
+
+bool sameObjects(const configuration_snapshot &one, const configuration_snapshot &other)
+{
+    return differenceOf(withoutRevision(one), withoutRevision(other)) == change_set{};
+}
+
+} // namespace
+
+TEST_GROUP(publication){};
+
+TEST(publication, concurrentOperatorsEqualASerialOrderUnderFaults)
+{
+    const bool fine = rc::check("done once, not run never, whole and without dangling references", [](std::uint64_t seed) {
+        fake_platform platform(seed);
+        platform.percentRefused = 4;
+        platform.percentLost = 6;
+        platform.percentLate = 4;
+        operators all{platform, std::mt19937_64(seed + 1)};
+        configuration_snapshot follower;
+        std::map<std::string, std::uint64_t> inForce;
+        configuration_snapshot serial;
+        for (unsigned round = 0; round < 12; ++round) {
+            all.publishOne();
+            fake_platform healed = platform;
+            healed.heal();
+            const object_api api = healed.api();
+            for (const auto &revision : chainAfter(api, serial.revision)) {
+                RC_ASSERT(revision.revision() == serial.revision.value() + 1);
+                RC_ASSERT(inForce.emplace(revision.publication(), revision.revision()).second);
+                const auto tried = std::ranges::find(all.attempts, revision.publication(), &attempt::id);
+                RC_ASSERT(tried != all.attempts.end());
+                serial = applyChanges(serial, tried->changes);
+                serial.revision = revision_number(revision.revision());
+                RC_ASSERT(checkSnapshot(serial).empty());
+            }
+            // Faults stay on for the follower; it may stand still but never goes back or astray.
+            const auto loaded = loadConfiguration(platform.api(), follower);
+            RC_ASSERT(loaded.value.revision >= follower.revision);
+            follower = loaded.value;
+            const auto fresh = loadConfiguration(api, {});
+            RC_ASSERT(fresh.why == failure::none);
+            RC_ASSERT(sameObjects(fresh.value, serial));
+            platform = healed;
+            platform.percentRefused = 4;
+            platform.percentLost = 6;
+            platform.percentLate = 4;
+        }
+        for (const attempt &tried : all.attempts) {
+            RC_ASSERT(tried.result.kind != outcome::done || inForce.contains(tried.id));
+            RC_ASSERT(tried.result.kind != outcome::notRun || !inForce.contains(tried.id));
+        }
+    });
+    CHECK(fine);
+}
+
+TEST(publication, lostAnswersOfEachStepAreResolvedByReadingBack)
+{
+    fake_platform platform(1);
+    for (int step = 0; step < 2; ++step) {
+        int puts = 0;
+        object_api api = platform.api();
+        api.put = [&](const platform_object &object) {
+            const auto answer = platform.put(object);
+            return puts++ == step ? platform_answer<std::uint64_t>{failure::platformUnavailable, 0} : answer;
+        };
+        const auto result = publishChanges(api, placeNamed("place-" + std::to_string(step)), by("anna", step));
+        CHECK(result.kind == outcome::done);
+        UNSIGNED_LONGS_EQUAL(step + 1, result.revision.value());
+        UNSIGNED_LONGS_EQUAL(step + 1, readHead(platform.api()).value.head.revision());
+    }
+}
+
+TEST(publication, ALostAnswerIsFoundBeneathTheNextPublication)
+{
+    fake_platform platform(1);
+    object_api api = platform.api();
+    bool interfered = false;
+    api.put = [&](const platform_object &object) {
+        const auto answer = platform.put(object);
+        if (object.key != configurationHeadKey || interfered) {
+            return answer;
+        }
+        interfered = true;
+        CHECK(publishChanges(platform.api(), placeNamed("second"), by("boris")).kind == outcome::done);
+        return platform_answer<std::uint64_t>{failure::platformUnavailable, 0};
+    };
+    const auto result = publishChanges(api, placeNamed("first"), by("anna"));
+    CHECK(result.kind == outcome::done);
+    UNSIGNED_LONGS_EQUAL(1, result.revision.value());
+    UNSIGNED_LONGS_EQUAL(2, readHead(platform.api()).value.head.revision());
+}
+
+TEST(publication, anOutageAfterTheHeadWasSentIsUnknownAndBeforeItNotRun)
+{
+    fake_platform platform(1);
+    object_api api = platform.api();
+    api.put = [&](const platform_object &object) {
+        const auto answer = platform.put(object);
+        platform.down = object.key == configurationHeadKey;
+        return platform.down ? platform_answer<std::uint64_t>{failure::platformUnavailable, 0} : answer;
+    };
+    CHECK(publishChanges(api, placeNamed("first"), by("anna")).kind == outcome::unknown);
+    CHECK(publishChanges(api, placeNamed("second"), by("anna", 1)).kind == outcome::notRun);
+    platform.heal();
+    UNSIGNED_LONGS_EQUAL(1, loadConfiguration(platform.api(), {}).value.places.size());
+}
+
+TEST(publication, aCrashBetweenTheStepsLeavesNothingInForce)
+{
+    fake_platform platform(1);
+    CHECK(publishChanges(platform.api(), placeNamed("first"), by("anna")).kind == outcome::done);
+    object_api api = platform.api();
+    api.put = [&](const platform_object &object) {
+        const auto answer = platform.put(object);
+        platform.down = true;
+        return answer;
+    };
+    CHECK(publishChanges(api, placeNamed("second"), by("anna", 1)).kind == outcome::unknown);
+    platform.heal();
+    UNSIGNED_LONGS_EQUAL(1, loadConfiguration(platform.api(), {}).value.places.size());
+    CHECK(publishChanges(platform.api(), placeNamed("third"), by("boris")).kind == outcome::done);
+    CHECK_FALSE(loadConfiguration(platform.api(), {}).value.places.contains("second"));
+}
+
+TEST(publication, theSecondOperatorIsToldWhichObjectsCollided)
+{
+    fake_platform platform(1);
+    object_api api = platform.api();
+    bool interfered = false;
+    api.put = [&](const platform_object &object) {
+        if (!interfered) {
+            interfered = true;
+            CHECK(publishChanges(platform.api(), placeNamed("zilina", "theirs"), by("boris")).kind == outcome::done);
+        }
+        return platform.put(object);
+    };
+    change_set changes = placeNamed("zilina", "ours");
+    changes.changed.emplace_back(place{"kosice", "ours"});
+    const auto result = publishChanges(api, changes, by("anna"));
+    CHECK(result.kind == outcome::notRun);
+    CHECK(result.why == failure::versionConflict);
+    UNSIGNED_LONGS_EQUAL(1, result.collisions.size());
+    CHECK(result.collisions.front().object == (object_reference{"place", "zilina"}));
+    CHECK(result.collisions.front().author == "boris");
+}
+
+TEST(publication, aBaseProtectsWhatChangedSinceItWasRead)
+{
+    fake_platform platform(1);
+    CHECK(publishChanges(platform.api(), placeNamed("kosice"), by("anna", 1)).kind == outcome::done);
+    CHECK(publishChanges(platform.api(), placeNamed("zilina"), by("boris", 2)).kind == outcome::done);
+    publication what = by("anna", 3);
+    what.base = revision_number(1);
+    CHECK(publishChanges(platform.api(), placeNamed("zilina", "ours"), what).why == failure::versionConflict);
+    CHECK(publishChanges(platform.api(), placeNamed("kosice", "ours"), what).kind == outcome::done);
+}
+
+TEST(publication, theSecondIsCheckedOnTopOfTheFirst)
+{
+    fake_platform platform(1);
+    CHECK(publishChanges(platform.api(), {{named_read_rule{"fresh", read_rule::latest, {}}}, {}}, by("anna")).kind == outcome::done);
+    object_api api = platform.api();
+    bool interfered = false;
+    api.put = [&](const platform_object &object) {
+        if (!interfered) {
+            interfered = true;
+            const change_set removal{{}, {{"read_rule", "fresh"}}};
+            CHECK(publishChanges(platform.api(), removal, by("boris")).kind == outcome::done);
+        }
+        return platform.put(object);
+    };
+    session_policy policy;
+    policy.name = "default";
+    policy.readRule = "fresh";
+    const auto result = publishChanges(api, {{policy}, {}}, by("anna", 1));
+    CHECK(result.why == failure::invalidConfiguration);
+    CHECK(result.problems.front().kind == problem_kind::missingReference);
+}
+
+TEST(publication, rollbackPublishesANewRevisionWithTheOldObjects)
+{
+    fake_platform platform(1);
+    constexpr std::uint64_t revisions = 11;
+    std::map<std::uint64_t, configuration_snapshot> known;
+    for (std::uint64_t number = 1; number <= revisions; ++number) {
+        publication what = by("anna", number);
+        what.keep = {4, 100};
+        CHECK(publishChanges(platform.api(), placeNamed("p" + std::to_string(number % 3), std::to_string(number)), what).kind
+              == outcome::done);
+        known[number] = loadConfiguration(platform.api(), {}).value;
+    }
+    for (const auto &[number, snapshot] : known) {
+        CHECK(sameObjects(loadRevision(platform.api(), revision_number(number)).value, snapshot));
+    }
+    const auto result = rollBack(platform.api(), revision_number(5), by("boris"));
+    UNSIGNED_LONGS_EQUAL(revisions + 1, result.revision.value());
+    CHECK(sameObjects(loadConfiguration(platform.api(), {}).value, known[5]));
+}
+
+TEST(publication, oldRevisionsAreCollectedAndAFreshInstanceReadsFew)
+{
+    fake_platform platform(1);
+    constexpr std::uint64_t revisions = 100;
+    constexpr retention keep{8, 20};
+    for (std::uint64_t number = 1; number <= revisions; ++number) {
+        publication what = by("anna", number);
+        what.keep = keep;
+        CHECK(publishChanges(platform.api(), placeNamed("place", std::to_string(number)), what).kind == outcome::done);
+    }
+    platform.reads = 0;
+    UNSIGNED_LONGS_EQUAL(revisions, loadConfiguration(platform.api(), {}).value.revision.value());
+    CHECK(platform.reads <= 2 + keep.wholeEvery);
+    const auto oldestKept = loadRevision(platform.api(), revision_number(revisions - keep.kept));
+    CHECK(oldestKept.why == failure::none);
+    CHECK(loadRevision(platform.api(), revision_number(1)).why == failure::notFound);
+    // The kept ones, up to two spans between whole ones, and the head.
+    CHECK(platform.objects.size() <= keep.kept + 3 * keep.wholeEvery + revisions / keep.wholeEvery);
+    CHECK(readHistory(platform.api(), 1000).value.size() >= keep.kept);
+}
+
+TEST(publication, aSnapshotAboveAMegabyteIsSplitBetweenCharacters)
+{
+    fake_platform platform(1);
+    change_set changes;
+    // Three bytes a character, and no part's length is a multiple of three by chance alone.
+    std::string region = "x";
+    for (std::size_t size = 0; size < maxValueBytes; size += 3) {
+        region += "\xe2\x82\xac";
+    }
+    changes.changed.emplace_back(place{"one", region});
+    changes.changed.emplace_back(place{"two", region});
+    publication what = by("anna");
+    what.keep = {1, 4};
+    CHECK(publishChanges(platform.api(), changes, what).kind == outcome::done);
+    CHECK(platform.largestValue <= maxValueBytes);
+    CHECK(loadConfiguration(platform.api(), {}).value.places.at("two").region == region);
+    UNSIGNED_LONGS_EQUAL(1, platform.objects.erase(wholeKey(1, what.id) + "/part/1"));
+    CHECK(loadConfiguration(platform.api(), {}).why == failure::notFound);
+}
--- a/mustardrouter/Configuration/change_set.cpp
+++ b/mustardrouter/Configuration/change_set.cpp
@@ -1,5 +1,9 @@
 #include "mustardrouter/Configuration/change_set.h"
 
+#include <algorithm>
+#include <map>
+#include <optional>
+
 namespace mustardrouter
 {
 
@@ -77,6 +81,55 @@
     return {std::visit(kind_namer{}, object), name};
 }
 
+std::string toString(const object_reference &object)
+{
+    return object.kind + "/" + object.name;
+}
+
+bool contains(const configuration_snapshot &snapshot, const object_reference &object)
+{
+    bool found = false;
+    forEachKind(
+        [&](const std::string &kind, const auto &objects) {
+            found = found || (kind == object.kind && objects.contains(object.name));
+        },
+        snapshot);
+    return found;
+}
+
+std::vector<object_reference> touchedBy(const change_set &changes)
+{
+    std::vector<object_reference> touched = changes.removed;
+    for (const configuration_object &object : changes.changed) {
+        touched.push_back(referenceOf(object));
+    }
+    std::ranges::sort(touched);
+    return touched;
+}
+
+change_set mergeChanges(const change_set &first, const change_set &second)
+{
+    // Nothing stands for a removed object.
+    std::map<object_reference, std::optional<configuration_object>> last;
+    for (const change_set *changes : {&first, &second}) {
+        for (const object_reference &gone : changes->removed) {
+            last[gone] = std::nullopt;
+        }
+        for (const configuration_object &object : changes->changed) {
+            last[referenceOf(object)] = object;
+        }
+    }
+    change_set merged;
+    for (auto &[name, object] : last) {
+        if (object) {
+            merged.changed.push_back(std::move(*object));
+        } else {
+            merged.removed.push_back(name);
+        }
+    }
+    return merged;
+}
+
 configuration_snapshot applyChanges(configuration_snapshot snapshot, const change_set &changes)
 {
     for (const object_reference &gone : changes.removed) {
--- a/mustardrouter/Configuration/change_set.h
+++ b/mustardrouter/Configuration/change_set.h
@@ -24,11 +24,24 @@
 struct change_set {
     std::vector<configuration_object> changed;
     std::vector<object_reference> removed;
+    bool operator==(const change_set &) const = default;
 };
 
 /// Kind and name of an object.
 object_reference referenceOf(const configuration_object &object);
 
+/// As shown to operators: "service/scripts".
+std::string toString(const object_reference &object);
+
+/// Whether the snapshot holds an object of that kind and name.
+bool contains(const configuration_snapshot &snapshot, const object_reference &object);
+
+/// Every object that the set changes or removes, in order.
+std::vector<object_reference> touchedBy(const change_set &changes);
+
+/// Changes that have the effect of one set after the other.
+change_set mergeChanges(const change_set &first, const change_set &second);
+
 /// The snapshot after the changes. The revision is left as it was.
 configuration_snapshot applyChanges(configuration_snapshot snapshot, const change_set &changes);
 
--- a/mustardrouter/Configuration/configuration_check.cpp
+++ b/mustardrouter/Configuration/configuration_check.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Configuration/configuration_check.h"
 
+#include <algorithm>
+#include <charconv>
 #include <set>
 
 namespace mustardrouter
@@ -12,15 +14,64 @@
 
 void add(problems &found, problem_kind kind, std::string object, std::string field, std::string detail)
 {
-    found.push_back({kind, std::move(object), std::move(field), std::move(detail)});
+    found.push_back({kind, std::move(object), std::move(field), std::move(detail), {}});
 }
 
+/// Where a reference stands.
+struct reference_site {
+    const std::string &object;
+    std::string field;
+};
+
 template<typename Map>
-void requireReference(problems &found, const Map &objects, const std::string &name, const std::string &object, const std::string &field)
+void requireReference(problems &found, const Map &objects, const object_reference &target, const reference_site &site)
+{
+    if (!objects.contains(target.name)) {
+        add(found, problem_kind::missingReference, site.object, site.field, toString(target) + " does not exist");
+        found.back().target = target;
+    }
+}
+
+/// Reports each name that is given more than once.
+void requireDistinct(problems &found, std::vector<std::string> names, const reference_site &site)
+{
+    std::ranges::sort(names);
+    for (auto twice = std::ranges::adjacent_find(names); twice != names.end();) {
+        add(found, problem_kind::duplicateName, site.object, site.field, "\"" + *twice + "\" is given twice");
+        const auto next = std::ranges::upper_bound(names, *twice);
+        twice = std::adjacent_find(next, names.end());
+    }
+}
+
+bool readNumber(std::string_view text, std::uint32_t limit, std::uint32_t &value)
+{
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return code == std::errc() && end == text.data() + text.size() && value <= limit;
+}
+
+bool isIpv4(std::string_view text)
 {
-    if (!objects.contains(name)) {
-        add(found, problem_kind::missingReference, object, field, "\"" + name + "\" does not exist");
+    constexpr std::size_t partCount = 4;
+    constexpr std::uint32_t maxPart = 255;
+    for (std::size_t part = 1; part <= partCount; ++part) {
+        const std::size_t dot = text.find('.');
+        if ((dot == std::string_view::npos) != (part == partCount)) {
+            return false;
+        }
+        std::uint32_t value = 0;
+        if (!readNumber(text.substr(0, dot), maxPart, value)) {
+            return false;
+        }
+        text.remove_prefix(part == partCount ? text.size() : dot + 1);
     }
+    return true;
+}
+
+bool isIpv6(std::string_view text)
+{
+    constexpr std::string_view letters = "0123456789abcdefABCDEF:.";
+    return text.find("::") == text.rfind("::") && std::ranges::count(text, ':') >= 2
+           && text.find_first_not_of(letters) == std::string_view::npos;
 }
 
 void checkDatabase(problems &found, const configuration_snapshot &snapshot, const std::string &object, const database &item)
@@ -29,14 +80,14 @@
     if (item.name.value().empty()) {
         add(found, problem_kind::emptyName, object, "databases", "a database has no name");
     }
-    requireReference(found, snapshot.places, item.place, object, field + ".place");
+    requireReference(found, snapshot.places, {"place", item.place}, {object, field + ".place"});
     if (item.slots == 0 || item.connections == 0) {
         add(found, problem_kind::limitOutOfRange, object, field, "slots and connections must be at least 1");
     }
     if (item.slots > item.connections) {
         add(found, problem_kind::limitOutOfRange, object, field + ".slots", "more slots than connections");
     }
-    if (item.address.find(':') == std::string::npos) {
+    if (!isIpAndPort(item.address)) {
         add(found, problem_kind::badAddress, object, field + ".address", "\"" + item.address + "\" is not IP:PORT");
     }
 }
@@ -44,6 +95,7 @@
 void checkGroups(problems &found, const configuration_snapshot &snapshot)
 {
     std::set<database_name> names;
+    std::map<std::string, database_name> addresses;
     for (const auto &[name, group] : snapshot.groups) {
         const std::string object = "database_group/" + name;
         if (group.databases.empty()) {
@@ -61,6 +113,14 @@
             if (!names.insert(item.name).second) {
                 add(found, problem_kind::duplicateName, object, "databases", "database \"" + item.name.value() + "\" is named twice");
             }
+            const auto [other, added] = addresses.emplace(item.address, item.name);
+            if (!added) {
+                add(found,
+                    problem_kind::duplicateAddress,
+                    object,
+                    "databases[" + item.name.value() + "].address",
+                    "\"" + item.address + "\" is also that of database \"" + other->second.value() + "\"");
+            }
         }
     }
 }
@@ -73,9 +133,11 @@
             add(found, problem_kind::missingValue, object, "groups", "a service needs a database group");
         }
         for (const std::string &group : item.groups) {
-            requireReference(found, snapshot.groups, group, object, "groups");
+            requireReference(found, snapshot.groups, {"database_group", group}, {object, "groups"});
         }
-        requireReference(found, snapshot.policies, item.sessionPolicy, object, "sessionPolicy");
+        requireDistinct(found, item.groups, {object, "groups"});
+        requireDistinct(found, item.callers, {object, "callers"});
+        requireReference(found, snapshot.policies, {"session_policy", item.sessionPolicy}, {object, "sessionPolicy"});
         if (item.retryBudget < 0 || item.retryBudget > 1) {
             add(found, problem_kind::limitOutOfRange, object, "retryBudget", "must be between 0 and 1");
         }
@@ -86,13 +148,16 @@
 {
     for (const auto &[name, item] : snapshot.policies) {
         const std::string object = "session_policy/" + name;
-        requireReference(found, snapshot.readRules, item.readRule, object, "readRule");
+        requireReference(found, snapshot.readRules, {"read_rule", item.readRule}, {object, "readRule"});
         if (item.weight == 0) {
             add(found, problem_kind::limitOutOfRange, object, "weight", "must be at least 1");
         }
         if (item.deadline <= duration::zero()) {
             add(found, problem_kind::limitOutOfRange, object, "deadlineMs", "must be at least 1");
         }
+        if (item.idleInTransaction <= duration::zero()) {
+            add(found, problem_kind::limitOutOfRange, object, "idleInTransactionMs", "must be at least 1");
+        }
     }
     for (const auto &[name, item] : snapshot.readRules) {
         if (item.rule == read_rule::age && item.maxAge <= duration::zero()) {
@@ -101,8 +166,102 @@
     }
 }
 
+void checkNames(problems &found, const configuration_snapshot &snapshot)
+{
+    const auto check = [&](const char *kind, const auto &objects) {
+        if (objects.contains(std::string())) {
+            add(found, problem_kind::emptyName, toString({kind, {}}), "name", "is missing");
+        }
+    };
+    check("place", snapshot.places);
+    check("service", snapshot.services);
+    check("database_group", snapshot.groups);
+    check("read_rule", snapshot.readRules);
+    check("session_policy", snapshot.policies);
+}
+
+/// An object must not be named twice in one set: which of the two would count?
+void checkDuplicates(problems &found, const change_set &changes)
+{
+    std::set<object_reference> named;
+    const auto check = [&](const object_reference &object) {
+        if (!named.insert(object).second) {
+            add(found, problem_kind::duplicateName, toString(object), "name", "is changed or removed twice in one set");
+        }
+    };
+    for (const configuration_object &object : changes.changed) {
+        check(referenceOf(object));
+    }
+    for (const object_reference &gone : changes.removed) {
+        check(gone);
+    }
+}
+
+std::set<database_name> namesOf(const database_group &group)
+{
+    std::set<database_name> names;
+    for (const database &item : group.databases) {
+        names.insert(item.name);
+    }
+    return names;
+}
+
+/// Instances adopt a revision one after another. While two of them count a group's databases or
+/// confirmations differently, a write that one acknowledges could be unknown to those that the
+/// other one asks before it promotes.
+void checkGroupChanges(problems &found, const configuration_snapshot &current, const configuration_snapshot &next)
+{
+    for (const auto &[name, group] : current.groups) {
+        const auto changed = next.groups.find(name);
+        if (changed == next.groups.end()) {
+            continue;
+        }
+        const std::string object = "database_group/" + name;
+        if (namesOf(group) != namesOf(changed->second)) {
+            add(found,
+                problem_kind::unsafeChange,
+                object,
+                "databases",
+                "the databases of a group cannot be added to or removed; create a new group");
+        }
+        if (group.confirmReplicas != changed->second.confirmReplicas) {
+            add(found, problem_kind::unsafeChange, object, "confirmReplicas", "cannot change; create a new group");
+        }
+    }
+}
+
+/// Turns "service/a refers to b, which is missing" into "b is in use by service/a" where b was removed.
+void blameRemovals(problems &found, const change_set &changes)
+{
+    for (configuration_problem &problem : found) {
+        const bool removed = std::ranges::find(changes.removed, problem.target) != changes.removed.end();
+        if (problem.kind != problem_kind::missingReference || !removed) {
+            continue;
+        }
+        problem.detail = problem.object + "." + problem.field + " refers to it";
+        problem.kind = problem_kind::inUse;
+        problem.object = toString(problem.target);
+        problem.field = "name";
+    }
+}
+
 } // namespace
 
+bool isIpAndPort(std::string_view text)
+{
+    constexpr std::uint32_t maxPort = 65535;
+    const std::size_t colon = text.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string_view::npos || !readNumber(text.substr(colon + 1), maxPort, port) || port == 0) {
+        return false;
+    }
+    const std::string_view host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']')) {
+        return isIpv6(host.substr(1, host.size() - 2));
+    }
+    return isIpv4(host);
+}
+
 std::string_view toString(problem_kind kind)
 {
     switch (kind) {
@@ -120,6 +279,14 @@
         return "not_enough_databases";
     case problem_kind::badAddress:
         return "bad_address";
+    case problem_kind::duplicateAddress:
+        return "duplicate_address";
+    case problem_kind::inUse:
+        return "in_use";
+    case problem_kind::unknownObject:
+        return "unknown_object";
+    case problem_kind::unsafeChange:
+        return "unsafe_change";
     }
     return "invalid";
 }
@@ -127,10 +294,28 @@
 std::vector<configuration_problem> checkSnapshot(const configuration_snapshot &snapshot)
 {
     problems found;
+    checkNames(found, snapshot);
     checkGroups(found, snapshot);
     checkServices(found, snapshot);
     checkPolicies(found, snapshot);
     return found;
 }
 
+std::vector<configuration_problem> checkChanges(const configuration_snapshot &current, const change_set &changes)
+{
+    problems found;
+    checkDuplicates(found, changes);
+    for (const object_reference &gone : changes.removed) {
+        if (!contains(current, gone)) {
+            add(found, problem_kind::unknownObject, toString(gone), "name", "cannot be removed: it does not exist");
+        }
+    }
+    const configuration_snapshot next = applyChanges(current, changes);
+    checkGroupChanges(found, current, next);
+    const problems rest = checkSnapshot(next);
+    found.insert(found.end(), rest.begin(), rest.end());
+    blameRemovals(found, changes);
+    return found;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Instance/discovery_duty.cpp
+++ b/mustardrouter/Instance/discovery_duty.cpp
@@ -1,6 +1,6 @@
 #include "mustardrouter/Instance/discovery_duty.h"
 
-#include "mustardrouter/Platform/configuration_store.h"
+#include "mustardrouter/Platform/revision_reader.h"
 
 #include <chrono>
 
@@ -64,7 +64,7 @@
 
 void discovery_duty::followConfiguration(platform_client &platform)
 {
-    const auto loaded = loadConfiguration(platform, m_known);
+    const auto loaded = loadConfiguration(objectApiOf(platform), m_known);
     if (loaded.why != failure::none || loaded.value.revision <= m_known.revision) {
         return;
     }
--- a/mustardrouter/Load/testbed.cpp
+++ b/mustardrouter/Load/testbed.cpp
@@ -103,10 +103,9 @@
         made.connectionCostMs = static_cast<std::uint32_t>(m_sizes.connectionCost.count());
         databases.push_back(made);
     }
-    platform_client platform(m_platform.address(), platformTimeout);
-    const publication_result published = publishChanges(platform, configurationOf(m_sizes, databases), "testbed");
+    const publication_result published = publish(configurationOf(m_sizes, databases));
     if (published.why != failure::none) {
-        std::string detail = published.detail;
+        std::string detail;
         for (const configuration_problem &problem : published.problems) {
             detail += " " + problem.object + "." + problem.field + ": " + problem.detail;
         }
@@ -115,6 +114,15 @@
     return {};
 }
 
+publication_result testbed::publish(const change_set &changes)
+{
+    platform_client platform(m_platform.address(), platformTimeout);
+    publication what;
+    what.id = newPublicationId();
+    what.author = "testbed";
+    return publishChanges(objectApiOf(platform), changes, what);
+}
+
 result_of<void> testbed::addInstance()
 {
     objects::instance_settings settings;
--- a/mustardrouter/Load/testbed.h
+++ b/mustardrouter/Load/testbed.h
@@ -2,6 +2,7 @@
 
 #include "mustardrouter/Instance/instance.h"
 #include "mustardrouter/Load/deployment.h"
+#include "mustardrouter/Platform/configuration_store.h"
 #include "mustardrouter/StandIn/database_standin.h"
 #include "mustardrouter/StandIn/platform_standin.h"
 
@@ -33,6 +34,8 @@
     std::vector<std::unique_ptr<instance>> &instances();
     /// Addresses at which callers find the running instances.
     std::vector<std::string> entries() const;
+    /// Publishes changes as an operator does.
+    publication_result publish(const change_set &changes);
     /// Starts another instance.
     result_of<void> addInstance();
 
--- a/mustardrouter/Operators/command_line.cpp
+++ b/mustardrouter/Operators/command_line.cpp
@@ -25,6 +25,9 @@
         po::store(po::command_line_parser(given).options(command.options).positional(command.positional).run(), values);
         if (values.count("help") > 0) {
             std::cout << "usage: mustardrouter " << command.name << ' ' << command.usage << "\n\n" << command.options;
+            for (const std::string &example : command.examples) {
+                std::cout << (&example == &command.examples.front() ? "\nExamples:\n" : "") << "  mustardrouter " << example << '\n';
+            }
             return parse_status::helpShown;
         }
         po::notify(values);
--- a/mustardrouter/Operators/command_line.h
+++ b/mustardrouter/Operators/command_line.h
@@ -18,6 +18,8 @@
     std::string name;
     /// First line of the help.
     std::string usage;
+    /// Shown below the options, each without the program's name.
+    std::vector<std::string> examples;
     boost::program_options::options_description options;
     boost::program_options::positional_options_description positional;
 };
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -16,6 +16,12 @@
 exit_code runCheck(const arguments &given);
 /// Shows the published configuration.
 exit_code runGet(const arguments &given);
+/// Shows the newest revisions.
+exit_code runHistory(const arguments &given);
+/// Shows what changed between two revisions.
+exit_code runDiff(const arguments &given);
+/// Publishes the objects of an earlier revision as a new one.
+exit_code runRollback(const arguments &given);
 /// Shows the state of an instance and its groups.
 exit_code runStatus(const arguments &given);
 /// Moves a group's primary.
--- a/mustardrouter/Operators/configuration_commands.cpp
+++ b/mustardrouter/Operators/configuration_commands.cpp
@@ -1,12 +1,13 @@
 #include "mustardrouter/Configuration/configuration_check.h"
 #include "mustardrouter/Operators/commands.h"
 #include "mustardrouter/Operators/configuration_files.h"
+#include "mustardrouter/Operators/configuration_output.h"
 #include "mustardrouter/Platform/configuration_store.h"
-#include "mustardrouter/Platform/object_codec.h"
-#include "mustardrouter/Runtime/json_settings.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace mustardrouter
 {
@@ -17,61 +18,117 @@
 {
 
 constexpr auto platformTimeout = std::chrono::milliseconds(3000);
+constexpr auto retryPause = std::chrono::milliseconds(100);
+constexpr std::size_t historyLength = 20;
 
-exit_code codeFor(parse_status status)
+exit_code printError(const std::string &command, const error &what)
 {
-    return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
+    std::cerr << "mustardrouter " << command << ": " << toString(what.why) << ": " << what.detail << '\n';
+    return what.why == failure::platformUnavailable ? exit_code::failed : exit_code::usage;
+}
+
+std::uint64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-void printProblems(const std::vector<configuration_problem> &problems)
+publication newPublication(const po::variables_map &values)
 {
-    for (const configuration_problem &problem : problems) {
-        std::cerr << problem.object << ": " << problem.field << ": " << toString(problem.kind) << ": " << problem.detail << '\n';
+    publication what;
+    const char *user = std::getenv("USER");
+    what.id = newPublicationId();
+    what.author = user == nullptr ? "operator" : user;
+    what.unixMs = unixMilliseconds();
+    if (values.count("base") > 0) {
+        what.base = revision_number(values["base"].as<std::uint64_t>());
     }
+    what.pause = [](int turn) {
+        std::this_thread::sleep_for(retryPause * turn);
+    };
+    return what;
 }
 
-exit_code printError(const char *command, const error &what)
+void addPlatformOption(command_options &command)
 {
-    std::cerr << "mustardrouter " << command << ": " << toString(what.why) << ": " << what.detail << '\n';
-    return what.why == failure::platformUnavailable ? exit_code::failed : exit_code::usage;
+    command.options.add_options()("platform", po::value<std::string>()->required(), "address of the platform's object API");
 }
 
-std::string operatorName()
+void addRevisionOption(command_options &command, const char *name)
 {
-    const char *user = std::getenv("USER");
-    return user == nullptr ? "operator" : user;
+    command.options.add_options()(name, po::value<std::uint64_t>()->required(), "revision number");
+    command.positional.add(name, 1);
+}
+
+/// Value of a platform's answer, or its failure with the words for the operator.
+template<typename Value>
+result_of<Value> valueOf(platform_answer<Value> answer, const std::string &what)
+{
+    if (answer.why != failure::none) {
+        const std::string reason = answer.why == failure::notFound ? " does not exist or is no longer kept" : " cannot be read";
+        return fail(answer.why, what + reason);
+    }
+    return std::move(answer.value);
+}
+
+std::string revisionText(std::uint64_t revision)
+{
+    return "revision " + std::to_string(revision);
+}
+
+/// Parses, runs `work(values, platform)` and prints how it failed.
+template<typename Work>
+exit_code runOnPlatform(const command_options &command, const arguments &given, const Work &work)
+{
+    po::variables_map values;
+    const parse_status status = parse(command, given, values);
+    if (status != parse_status::parsed) {
+        return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
+    }
+    return handled(
+        [&]() -> result_of<exit_code> {
+            platform_client client(values["platform"].as<std::string>(), platformTimeout);
+            return work(values, objectApiOf(client));
+        },
+        [&](const error &what) {
+            return printError(command.name, what);
+        });
 }
 
-result_of<exit_code> apply(const po::variables_map &values)
+result_of<exit_code> apply(const po::variables_map &values, const object_api &platform)
 {
     BOOST_LEAF_AUTO(changes, readConfigurationFiles(values["files"].as<std::string>()));
-    platform_client platform(values["platform"].as<std::string>(), platformTimeout);
-    if (values.count("dry-run") > 0) {
-        const auto current = loadConfiguration(platform, {});
-        if (current.why != failure::none) {
-            return fail(current.why, "the present configuration cannot be read");
-        }
-        const configuration_snapshot next = applyChanges(current.value, changes);
-        const change_set difference = differenceOf(current.value, next);
-        for (const configuration_object &object : difference.changed) {
-            std::cout << "change " << referenceOf(object).kind << '/' << referenceOf(object).name << '\n';
-        }
-        for (const object_reference &gone : difference.removed) {
-            std::cout << "remove " << gone.kind << '/' << gone.name << '\n';
-        }
-        const std::vector<configuration_problem> problems = checkSnapshot(next);
-        printProblems(problems);
-        return problems.empty() ? exit_code::done : exit_code::usage;
+    if (values.count("dry-run") == 0) {
+        return reportPublication(publishChanges(platform, changes, newPublication(values)));
     }
-    const publication_result published = publishChanges(platform, changes, operatorName());
-    if (published.why == failure::invalidConfiguration) {
-        printProblems(published.problems);
-        return exit_code::usage;
+    BOOST_LEAF_AUTO(current, valueOf(loadConfiguration(platform, {}), "the configuration"));
+    printDifference(current, applyChanges(current, changes));
+    const std::vector<configuration_problem> problems = checkChanges(current, changes);
+    printProblems(problems);
+    return problems.empty() ? exit_code::done : exit_code::usage;
+}
+
+result_of<exit_code> showDifference(const po::variables_map &values, const object_api &platform)
+{
+    const auto from = values["from"].as<std::uint64_t>();
+    const auto to = values["to"].as<std::uint64_t>();
+    BOOST_LEAF_AUTO(before, valueOf(loadRevision(platform, revision_number(from)), revisionText(from)));
+    BOOST_LEAF_AUTO(after, valueOf(loadRevision(platform, revision_number(to)), revisionText(to)));
+    printDifference(before, after);
+    return exit_code::done;
+}
+
+result_of<exit_code> get(const po::variables_map &values, const object_api &platform)
+{
+    BOOST_LEAF_AUTO(current, valueOf(loadConfiguration(platform, {}), "the configuration"));
+    const std::string wanted = values["object"].as<std::string>();
+    if (wanted.empty()) {
+        printSnapshot(current);
+        return exit_code::done;
     }
-    if (published.why != failure::none) {
-        return fail(published.why, published.detail);
+    if (!printObject(current, wanted)) {
+        return fail(failure::notFound, wanted + " does not exist; give KIND/NAME as in service/scripts");
     }
-    std::cout << "published revision " << published.revision.value() << '\n';
     return exit_code::done;
 }
 
@@ -79,37 +136,30 @@
 
 exit_code runApply(const arguments &given)
 {
-    command_options command("apply", "--platform IP:PORT -f DIR [--dry-run]");
-    command.options.add_options()("platform", po::value<std::string>()->required(), "address of the platform's object API");
+    command_options command("apply", "--platform IP:PORT -f DIR [--dry-run] [--base REVISION]");
+    command.examples = {"apply --platform 10.0.0.5:7000 -f settings/ --dry-run", "apply --platform 10.0.0.5:7000 -f settings/ --base 41"};
+    addPlatformOption(command);
     command.options.add_options()("files,f", po::value<std::string>()->required(), "folder of JSON files");
     command.options.add_options()("dry-run", "show the difference and check it, publish nothing");
-    po::variables_map values;
-    const parse_status status = parse(command, given, values);
-    if (status != parse_status::parsed) {
-        return codeFor(status);
-    }
-    return handled(
-        [&] {
-            return apply(values);
-        },
-        [](const error &what) {
-            return printError("apply", what);
-        });
+    command.options.add_options()(
+        "base", po::value<std::uint64_t>(), "revision that the files were made from; objects changed since then are not overwritten");
+    return runOnPlatform(command, given, apply);
 }
 
 exit_code runCheck(const arguments &given)
 {
     command_options command("check", "-f DIR");
+    command.examples = {"check -f examples/kovacik/configuration"};
     command.options.add_options()("files,f", po::value<std::string>()->required(), "folder of JSON files");
     po::variables_map values;
     const parse_status status = parse(command, given, values);
     if (status != parse_status::parsed) {
-        return codeFor(status);
+        return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
     }
     return handled(
         [&]() -> result_of<exit_code> {
             BOOST_LEAF_AUTO(changes, readConfigurationFiles(values["files"].as<std::string>()));
-            const std::vector<configuration_problem> problems = checkSnapshot(applyChanges({}, changes));
+            const std::vector<configuration_problem> problems = checkChanges({}, changes);
             printProblems(problems);
             std::cout << changes.changed.size() << " objects, " << problems.size() << " problems\n";
             return problems.empty() ? exit_code::done : exit_code::usage;
@@ -121,29 +171,46 @@
 
 exit_code runGet(const arguments &given)
 {
-    command_options command("get", "--platform IP:PORT");
-    command.options.add_options()("platform", po::value<std::string>()->required(), "address of the platform's object API");
-    po::variables_map values;
-    const parse_status status = parse(command, given, values);
-    if (status != parse_status::parsed) {
-        return codeFor(status);
-    }
-    return handled(
-        [&]() -> result_of<exit_code> {
-            platform_client platform(values["platform"].as<std::string>(), platformTimeout);
-            const auto current = loadConfiguration(platform, {});
-            if (current.why != failure::none) {
-                return fail(current.why, "the configuration cannot be read");
-            }
-            objects::configuration_revision shown;
-            shown.set_revision(current.value.revision.value());
-            toSchema(differenceOf({}, current.value), shown);
-            std::cout << writeJson(shown, true) << '\n';
-            return exit_code::done;
-        },
-        [](const error &what) {
-            return printError("get", what);
-        });
+    command_options command("get", "--platform IP:PORT [KIND/NAME]");
+    command.examples = {"get --platform 10.0.0.5:7000", "get --platform 10.0.0.5:7000 service/scripts"};
+    addPlatformOption(command);
+    command.options.add_options()("object", po::value<std::string>()->default_value(""), "one object, as in service/scripts");
+    command.positional.add("object", 1);
+    return runOnPlatform(command, given, get);
+}
+
+exit_code runHistory(const arguments &given)
+{
+    command_options command("history", "--platform IP:PORT [--limit N]");
+    command.examples = {"history --platform 10.0.0.5:7000 --limit 5"};
+    addPlatformOption(command);
+    command.options.add_options()("limit", po::value<std::size_t>()->default_value(historyLength), "revisions to show");
+    return runOnPlatform(command, given, [](const po::variables_map &values, const object_api &platform) -> result_of<exit_code> {
+        BOOST_LEAF_AUTO(revisions, valueOf(readHistory(platform, values["limit"].as<std::size_t>()), "the history"));
+        printHistory(revisions);
+        return exit_code::done;
+    });
+}
+
+exit_code runDiff(const arguments &given)
+{
+    command_options command("diff", "--platform IP:PORT REVISION REVISION");
+    command.examples = {"diff --platform 10.0.0.5:7000 40 42"};
+    addPlatformOption(command);
+    addRevisionOption(command, "from");
+    addRevisionOption(command, "to");
+    return runOnPlatform(command, given, showDifference);
+}
+
+exit_code runRollback(const arguments &given)
+{
+    command_options command("rollback", "--platform IP:PORT REVISION");
+    command.examples = {"rollback --platform 10.0.0.5:7000 40"};
+    addPlatformOption(command);
+    addRevisionOption(command, "to");
+    return runOnPlatform(command, given, [](const po::variables_map &values, const object_api &platform) -> result_of<exit_code> {
+        return reportPublication(rollBack(platform, revision_number(values["to"].as<std::uint64_t>()), newPublication(values)));
+    });
 }
 
 } // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Operators/configuration_output.cpp
@@ -0,0 +1,173 @@
+#include "mustardrouter/Operators/configuration_output.h"
+
+#include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Runtime/json_settings.h"
+
+#include <algorithm>
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr std::size_t lineWidth = 80;
+
+std::vector<std::string> linesOf(const std::string &text)
+{
+    std::vector<std::string> lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+std::string jsonOf(const configuration_object &object)
+{
+    return writeJson(toSchema(object), true);
+}
+
+std::map<object_reference, configuration_object> objectsOf(const configuration_snapshot &snapshot)
+{
+    std::map<object_reference, configuration_object> objects;
+    for (const configuration_object &object : differenceOf({}, snapshot).changed) {
+        objects.emplace(referenceOf(object), object);
+    }
+    return objects;
+}
+
+/// Lines of one version that the other lacks.
+void printMissing(char sign, const std::vector<std::string> &lines, const std::vector<std::string> &others)
+{
+    for (const std::string &line : lines) {
+        if (std::ranges::find(others, line) == others.end()) {
+            std::cout << "  " << sign << ' ' << line << '\n';
+        }
+    }
+}
+
+std::string timeText(std::uint64_t unixMs)
+{
+    constexpr std::uint64_t msPerSecond = 1000;
+    const auto seconds = static_cast<std::time_t>(unixMs / msPerSecond);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::ostringstream text;
+    text << std::put_time(&parts, "%F %T");
+    return text.str();
+}
+
+std::string shortened(std::string text, std::size_t width)
+{
+    if (text.size() > width) {
+        text.resize(width - 3);
+        text += "...";
+    }
+    return text;
+}
+
+std::string touchedText(const objects::configuration_revision &revision)
+{
+    const change_set changes = handled(
+        [&] {
+            return fromSchema(revision);
+        },
+        [](const error &) {
+            return change_set{};
+        });
+    std::string text;
+    for (const object_reference &object : touchedBy(changes)) {
+        text += (text.empty() ? "" : " ") + toString(object);
+    }
+    return text;
+}
+
+void printCollisions(const publication_result &result)
+{
+    for (const publication_collision &collision : result.collisions) {
+        std::cerr << toString(collision.object) << ": also changed in revision " << collision.revision.value() << " by " << collision.author
+                  << '\n';
+    }
+}
+
+} // namespace
+
+void printProblems(const std::vector<configuration_problem> &problems)
+{
+    for (const configuration_problem &problem : problems) {
+        std::cerr << problem.object << ": " << problem.field << ": " << toString(problem.kind) << ": " << problem.detail << '\n';
+    }
+}
+
+void printDifference(const configuration_snapshot &from, const configuration_snapshot &to)
+{
+    const auto before = objectsOf(from);
+    const auto after = objectsOf(to);
+    for (const object_reference &name : touchedBy(differenceOf(from, to))) {
+        const auto old = before.find(name);
+        const auto fresh = after.find(name);
+        const std::vector<std::string> oldLines = old == before.end() ? std::vector<std::string>() : linesOf(jsonOf(old->second));
+        const std::vector<std::string> freshLines = fresh == after.end() ? std::vector<std::string>() : linesOf(jsonOf(fresh->second));
+        const char *verb = old == before.end() ? "add" : (fresh == after.end() ? "remove" : "change");
+        std::cout << verb << ' ' << toString(name) << '\n';
+        printMissing('-', oldLines, freshLines);
+        printMissing('+', freshLines, oldLines);
+    }
+}
+
+void printSnapshot(const configuration_snapshot &snapshot)
+{
+    objects::configuration_revision shown;
+    toSchema(differenceOf({}, snapshot), shown);
+    shown.set_revision(snapshot.revision.value());
+    std::cout << writeJson(shown, true) << '\n';
+}
+
+bool printObject(const configuration_snapshot &snapshot, const std::string &name)
+{
+    for (const auto &[reference, object] : objectsOf(snapshot)) {
+        if (toString(reference) == name) {
+            std::cout << jsonOf(object) << '\n';
+            return true;
+        }
+    }
+    return false;
+}
+
+void printHistory(const std::vector<objects::configuration_revision> &revisions)
+{
+    constexpr int revisionWidth = 8;
+    constexpr int timeWidth = 21;
+    constexpr int authorWidth = 14;
+    std::cout << std::left << std::setw(revisionWidth) << "REVISION"
+              << "  " << std::setw(timeWidth) << "TIME (UTC)" << std::setw(authorWidth) << "AUTHOR"
+              << "CHANGED\n";
+    constexpr std::size_t rest = lineWidth - revisionWidth - 2 - timeWidth - authorWidth;
+    for (const objects::configuration_revision &revision : revisions) {
+        std::cout << std::left << std::setw(revisionWidth) << revision.revision() << "  " << std::setw(timeWidth)
+                  << timeText(revision.unix_ms()) << std::setw(authorWidth) << shortened(revision.author(), authorWidth - 1)
+                  << shortened(touchedText(revision), rest) << '\n';
+    }
+}
+
+exit_code reportPublication(const publication_result &result)
+{
+    if (result.kind == outcome::done) {
+        std::cout << "published revision " << result.revision.value() << '\n';
+        return exit_code::done;
+    }
+    printProblems(result.problems);
+    printCollisions(result);
+    std::cerr << toString(result.why) << ": "
+              << (result.kind == outcome::unknown ? "it is not known whether this was published; see `history`" : "nothing was published")
+              << '\n';
+    return result.why == failure::invalidConfiguration ? exit_code::usage : exit_code::failed;
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Platform/configuration_store.cpp
+++ b/mustardrouter/Platform/configuration_store.cpp
@@ -1,9 +1,10 @@
 #include "mustardrouter/Platform/configuration_store.h"
 
 #include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Platform/split_value.h"
 #include "mustardrouter/Runtime/json_settings.h"
 
-#include <chrono>
+#include <algorithm>
 #include <random>
 
 namespace mustardrouter
@@ -12,173 +13,209 @@
 namespace
 {
 
-constexpr int maxRaces = 8;
-
-struct stored_head {
-    objects::configuration_head head;
-    std::uint64_t version = 0;
+constexpr int maxTurns = 8;
+/// Revisions that one publication removes at most.
+constexpr std::uint64_t maxCollected = 64;
+
+/// A publication under way.
+struct publishing {
+    const object_api &platform;
+    const change_set &changes;
+    const publication &what;
+    /// What was read before the first attempt; the changes of others are counted from here.
+    configuration_snapshot base{};
+    bool baseKnown = false;
+    /// Version of the head against which an update was sent; the update can take effect, or may
+    /// have, as long as nothing is known to have replaced that version.
+    std::optional<std::uint64_t> sentAgainst{};
 };
 
-/// The publication is part of the key: an object that lost the race for a revision is never read.
-std::string revisionKey(std::uint64_t revision, const std::string &publication)
-{
-    return "configuration/revision/" + std::to_string(revision) + "/" + publication;
-}
-
-const char *const headKey = "configuration/head";
-
-template<typename Message>
-platform_answer<Message> readMessage(platform_client &platform, const std::string &key, std::uint64_t *version = nullptr)
+publication_result ended(const publishing &work, failure why)
 {
-    const platform_answer<platform_object> answer = platform.get(key);
-    platform_answer<Message> read;
-    read.why = answer.why;
-    if (answer.why != failure::none || answer.value.version == 0) {
-        return read;
-    }
-    if (version != nullptr) {
-        *version = answer.value.version;
-    }
-    read.why = handled(
-        [&]() -> result_of<failure> {
-            BOOST_LEAF_CHECK(readJson(answer.value.value, key, read.value));
-            return failure::none;
-        },
-        [](const error &what) {
-            return what.why;
-        });
-    return read;
+    publication_result result;
+    result.kind = work.sentAgainst ? outcome::unknown : outcome::notRun;
+    result.why = why;
+    result.revision = work.base.revision;
+    return result;
 }
 
-platform_answer<stored_head> readHead(platform_client &platform)
+std::vector<publication_collision> collisionsWith(const publishing &work, const std::vector<objects::configuration_revision> &since)
 {
-    platform_answer<stored_head> stored;
-    const auto head = readMessage<objects::configuration_head>(platform, headKey, &stored.value.version);
-    stored.why = head.why;
-    stored.value.head = head.value;
-    return stored;
+    const std::vector<object_reference> own = touchedBy(work.changes);
+    std::vector<publication_collision> collisions;
+    for (const objects::configuration_revision &revision : since) {
+        const change_set theirs = handled(
+            [&] {
+                return fromSchema(revision);
+            },
+            [](const error &) {
+                return change_set{};
+            });
+        for (const object_reference &object : touchedBy(theirs)) {
+            if (work.what.exact || std::ranges::binary_search(own, object)) {
+                collisions.push_back({object, revision_number(revision.revision()), revision.author()});
+            }
+        }
+    }
+    return collisions;
 }
 
-std::string newPublication()
+/// Removes what is stored under the numbers of old revisions; gives the last number that is gone.
+std::uint64_t collect(const object_api &platform, std::uint64_t collected, std::uint64_t limit)
 {
-    std::random_device device;
-    std::mt19937_64 random(device());
-    return std::to_string(random()) + "-" + std::to_string(random());
+    limit = std::min(limit, collected + maxCollected);
+    for (std::uint64_t number = collected + 1; number <= limit; ++number) {
+        for (const std::string &prefix : {revisionKey(number, {}), wholeKey(number, {})}) {
+            const auto listed = platform.list(prefix);
+            if (listed.why != failure::none) {
+                return number - 1;
+            }
+            for (const platform_object &object : listed.value) {
+                if (platform.remove(object).why == failure::platformUnavailable) {
+                    return number - 1;
+                }
+            }
+        }
+    }
+    return std::max(collected, limit);
 }
 
-std::uint64_t unixMilliseconds()
+/// Last revision that may go: the kept ones, and the whole one that they build on, stay.
+std::uint64_t collectionLimit(const retention &keep, std::uint64_t newest)
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    const std::uint64_t oldestKept = newest > keep.kept ? newest - keep.kept : 0;
+    const std::uint64_t wholeBelow = oldestKept - oldestKept % keep.wholeEvery;
+    return wholeBelow > 0 ? wholeBelow - 1 : 0;
 }
 
-/// Reads the revisions above `known` up to the head, newest first.
-platform_answer<std::vector<objects::configuration_revision>> readRevisions(platform_client &platform,
-                                                                            const objects::configuration_head &head,
-                                                                            revision_number known)
+failure storeWhole(const publishing &work, const configuration_snapshot &next, objects::configuration_head &head)
 {
-    platform_answer<std::vector<objects::configuration_revision>> revisions;
-    std::string publication = head.publication();
-    for (std::uint64_t number = head.revision(); number > known.value(); --number) {
-        auto stored = readMessage<objects::configuration_revision>(platform, revisionKey(number, publication));
-        if (stored.why == failure::none && stored.value.revision() != number) {
-            stored.why = failure::notFound;
-        }
-        if (stored.why != failure::none) {
-            revisions.why = stored.why;
-            return revisions;
-        }
-        publication = stored.value.previous_publication();
-        revisions.value.push_back(std::move(stored.value));
+    objects::configuration_revision whole;
+    toSchema(differenceOf({}, next), whole);
+    whole.set_revision(head.revision());
+    whole.set_publication(work.what.id);
+    const failure why = putNew(work.platform, wholeKey(head.revision(), work.what.id), writeJson(whole));
+    if (why == failure::none) {
+        head.set_whole_revision(head.revision());
+        head.set_whole_publication(work.what.id);
+        const std::uint64_t limit = collectionLimit(work.what.keep, head.revision());
+        head.set_collected_revision(collect(work.platform, head.collected_revision(), limit));
     }
-    return revisions;
+    return why;
 }
 
-failure applyRevision(const objects::configuration_revision &revision, configuration_snapshot &snapshot)
+/// Stores the revision's objects, then makes it current.
+failure store(publishing &work, const stored_head &current, const configuration_snapshot &next)
 {
-    return handled(
-        [&]() -> result_of<failure> {
-            BOOST_LEAF_AUTO(changes, fromSchema(revision));
-            snapshot = applyChanges(std::move(snapshot), changes);
-            snapshot.revision = revision_number(revision.revision());
-            return failure::none;
-        },
-        [](const error &what) {
-            return what.why;
-        });
+    objects::configuration_revision revision;
+    toSchema(work.changes, revision);
+    revision.set_revision(next.revision.value());
+    revision.set_author(work.what.author);
+    revision.set_unix_ms(work.what.unixMs);
+    revision.set_publication(work.what.id);
+    revision.set_previous_publication(current.head.publication());
+    revision.set_whole(next.revision.value() % work.what.keep.wholeEvery == 0);
+    objects::configuration_head head = current.head;
+    head.set_revision(next.revision.value());
+    head.set_publication(work.what.id);
+    failure why = putNew(work.platform, revisionKey(head.revision(), work.what.id), writeJson(revision));
+    if (why == failure::none && revision.whole()) {
+        why = storeWhole(work, next, head);
+    }
+    if (why != failure::none) {
+        return why;
+    }
+    work.sentAgainst = current.version;
+    return work.platform.put({configurationHeadKey, writeJson(head), current.version}).why;
 }
 
-platform_answer<configuration_snapshot> loadUpTo(platform_client &platform,
-                                                 const objects::configuration_head &head,
-                                                 const configuration_snapshot &known)
+/// One turn: reads the head back, looks for this publication in it, else tries to publish.
+/// Nothing when another turn is needed.
+std::optional<publication_result> turn(publishing &work)
 {
-    platform_answer<configuration_snapshot> loaded{failure::none, known};
-    const auto revisions = readRevisions(platform, head, known.revision);
-    loaded.why = revisions.why;
-    for (auto revision = revisions.value.rbegin(); loaded.why == failure::none && revision != revisions.value.rend(); ++revision) {
-        loaded.why = applyRevision(*revision, loaded.value);
+    const auto head = readHead(work.platform);
+    if (head.why != failure::none) {
+        return std::nullopt;
+    }
+    const auto current = loadUpTo(work.platform, head.value.head, work.base);
+    if (current.why != failure::none) {
+        return std::nullopt;
+    }
+    if (!work.baseKnown) {
+        work.base = current.value;
+        work.baseKnown = true;
+    }
+    const revision_number since = std::min(work.what.base.value_or(work.base.revision), work.base.revision);
+    const auto others = readRevisions(work.platform, head.value.head, since);
+    if (others.why == failure::platformUnavailable) {
+        return std::nullopt;
     }
-    if (loaded.why != failure::none) {
-        loaded.value = known;
+    if (others.why != failure::none) {
+        return ended(work, others.why);
     }
-    return loaded;
+    for (const objects::configuration_revision &revision : others.value) {
+        if (revision.publication() == work.what.id) {
+            return publication_result{outcome::done, failure::none, revision_number(revision.revision()), {}, {}};
+        }
+    }
+    if (work.sentAgainst && *work.sentAgainst != head.value.version) {
+        // Another publication has replaced the version that the update names: it was refused.
+        work.sentAgainst.reset();
+    }
+    std::vector<publication_collision> collisions = collisionsWith(work, others.value);
+    if (!collisions.empty()) {
+        publication_result refused = ended(work, failure::versionConflict);
+        refused.collisions = std::move(collisions);
+        return refused;
+    }
+    std::vector<configuration_problem> problems = checkChanges(current.value, work.changes);
+    if (!problems.empty()) {
+        publication_result refused = ended(work, failure::invalidConfiguration);
+        refused.problems = std::move(problems);
+        return refused;
+    }
+    configuration_snapshot next = applyChanges(current.value, work.changes);
+    next.revision = revision_number(current.value.revision.value() + 1);
+    if (store(work, head.value, next) == failure::none) {
+        return publication_result{outcome::done, failure::none, next.revision, {}, {}};
+    }
+    return std::nullopt;
 }
 
 } // namespace
 
-platform_answer<configuration_snapshot> loadConfiguration(platform_client &platform, const configuration_snapshot &known)
+std::string newPublicationId()
 {
-    const auto head = readHead(platform);
-    if (head.why != failure::none) {
-        return {head.why, known};
-    }
-    return loadUpTo(platform, head.value.head, known);
+    std::random_device device;
+    std::mt19937_64 random(device());
+    return std::to_string(random()) + "-" + std::to_string(random());
 }
 
-publication_result publishChanges(platform_client &platform, const change_set &changes, const std::string &author)
+publication_result publishChanges(const object_api &platform, const change_set &changes, const publication &what)
 {
-    const std::string publication = newPublication();
-    configuration_snapshot snapshot;
-    for (int race = 0; race < maxRaces; ++race) {
-        const auto head = readHead(platform);
-        if (head.why != failure::none) {
-            return {head.why, {}, {}, "the platform does not answer; nothing was published"};
-        }
-        if (head.value.head.publication() == publication) {
-            return {failure::none, revision_number(head.value.head.revision()), {}, {}};
-        }
-        const auto current = loadUpTo(platform, head.value.head, snapshot);
-        if (current.why != failure::none) {
-            return {current.why, {}, {}, "the present configuration cannot be read; nothing was published"};
-        }
-        snapshot = current.value;
-        const configuration_snapshot next = applyChanges(snapshot, changes);
-        std::vector<configuration_problem> problems = checkSnapshot(next);
-        if (!problems.empty()) {
-            return {failure::invalidConfiguration, snapshot.revision, std::move(problems), {}};
-        }
-        objects::configuration_revision revision;
-        toSchema(changes, revision);
-        revision.set_revision(snapshot.revision.value() + 1);
-        revision.set_author(author);
-        revision.set_unix_ms(unixMilliseconds());
-        revision.set_publication(publication);
-        revision.set_previous_publication(head.value.head.publication());
-        // A lost answer does no harm: the same object is stored again under the same key.
-        const auto written = platform.put({revisionKey(revision.revision(), publication), writeJson(revision), 0});
-        if (written.why == failure::platformUnavailable) {
-            continue;
+    publishing work{platform, changes, what};
+    for (int number = 0; number < maxTurns; ++number) {
+        if (number > 0) {
+            what.pause(number);
         }
-        objects::configuration_head newHead;
-        newHead.set_revision(revision.revision());
-        newHead.set_publication(publication);
-        const auto stored = platform.put({headKey, writeJson(newHead), head.value.version});
-        if (stored.why == failure::none) {
-            return {failure::none, revision_number(revision.revision()), {}, {}};
+        std::optional<publication_result> result = turn(work);
+        if (result) {
+            return *std::move(result);
         }
-        // A conflict or a lost answer: the next turn reads the head back and knows.
     }
-    return {failure::platformUnavailable, {}, {}, "could not tell whether the publication took effect; read the head back"};
+    return ended(work, failure::platformUnavailable);
+}
+
+publication_result rollBack(const object_api &platform, revision_number to, publication what)
+{
+    const auto current = loadConfiguration(platform, {});
+    const auto earlier = current.why == failure::none ? loadRevision(platform, to) : current;
+    if (earlier.why != failure::none) {
+        return {outcome::notRun, earlier.why, current.value.revision, {}, {}};
+    }
+    what.base = current.value.revision;
+    what.exact = true;
+    return publishChanges(platform, differenceOf(current.value, earlier.value), what);
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Platform/configuration_store.h
+++ b/mustardrouter/Platform/configuration_store.h
@@ -2,30 +2,70 @@
 
 #include "mustardrouter/Configuration/change_set.h"
 #include "mustardrouter/Configuration/configuration_check.h"
-#include "mustardrouter/Configuration/configuration_snapshot.h"
-#include "mustardrouter/Platform/platform_client.h"
+#include "mustardrouter/Core/outcome.h"
+#include "mustardrouter/Platform/object_api.h"
+#include "mustardrouter/Platform/revision_reader.h"
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace mustardrouter
 {
 
-/// How a publication ended.
+/// What is kept of earlier revisions.
+struct retention {
+    /// Every so many revisions one is stored whole.
+    std::uint64_t wholeEvery = 32;
+    /// Revisions that are kept at least.
+    std::uint64_t kept = 256;
+};
+
+/// One publication as an operator asks for it.
+struct publication {
+    /// Identity, by which a lost answer is resolved; see newPublicationId().
+    std::string id;
+    std::string author;
+    std::uint64_t unixMs = 0;
+    /// Revision that the operator looked at; the newest one when there is none.
+    std::optional<revision_number> base;
+    /// Refuse whatever was published since the base, also changes of other objects.
+    bool exact = false;
+    retention keep{};
+    /// Waits before another try after an unanswered call.
+    std::function<void(int turn)> pause = [](int) {
+    };
+};
+
+/// An object that this publication and one since its base both change.
+struct publication_collision {
+    object_reference object;
+    revision_number revision;
+    std::string author;
+};
+
+/// How a publication ended: in force, without effect, or not known.
 struct publication_result {
+    outcome kind = outcome::notRun;
     failure why = failure::none;
+    /// The new revision, or the newest one that was seen.
     revision_number revision;
     /// Filled for failure::invalidConfiguration.
     std::vector<configuration_problem> problems;
-    std::string detail;
+    /// Filled for failure::versionConflict.
+    std::vector<publication_collision> collisions;
 };
 
-/// Reads the newest snapshot, or the changes since `known` applied to it. The result never has a
-/// lower revision than `known`.
-platform_answer<configuration_snapshot> loadConfiguration(platform_client &platform, const configuration_snapshot &known);
+/// A random identity for a publication.
+std::string newPublicationId();
+
+/// Checks the changes on top of the newest snapshot and publishes them as one revision, whole or
+/// not at all, and once. When another operator publishes in between, the changes are checked again
+/// on top of theirs; they are refused with failure::versionConflict when both touch one object.
+publication_result publishChanges(const object_api &platform, const change_set &changes, const publication &what);
 
-/// Checks the changes against the newest snapshot and publishes them as one revision, whole or not
-/// at all. Another operator's publication in between makes it check again on top of theirs.
-publication_result publishChanges(platform_client &platform, const change_set &changes, const std::string &author);
+/// Publishes a new revision with the objects of an earlier one.
+publication_result rollBack(const object_api &platform, revision_number to, publication what);
 
 } // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Platform/revision_reader.cpp
@@ -0,0 +1,196 @@
+#include "mustardrouter/Platform/revision_reader.h"
+
+#include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Platform/split_value.h"
+#include "mustardrouter/Runtime/json_settings.h"
+
+namespace mustardrouter
+{
+
+const char *const configurationHeadKey = "configuration/head";
+
+namespace
+{
+
+using revision_list = std::vector<objects::configuration_revision>;
+
+/// Runs a conversion that fails with an error; gives the failure alone.
+template<typename Work>
+failure failureFrom(const Work &work)
+{
+    return handled(
+        [&]() -> result_of<failure> {
+            BOOST_LEAF_CHECK(work());
+            return failure::none;
+        },
+        [](const error &what) {
+            return what.why;
+        });
+}
+
+platform_answer<objects::configuration_revision> readStored(const object_api &platform, const std::string &key, std::uint64_t number)
+{
+    platform_answer<objects::configuration_revision> read;
+    const platform_answer<std::string> text = getWhole(platform, key);
+    read.why = text.why;
+    if (read.why != failure::none) {
+        return read;
+    }
+    read.why = failureFrom([&] {
+        return readJson(text.value, key, read.value);
+    });
+    if (read.why == failure::none && read.value.revision() != number) {
+        read.why = failure::invalidConfiguration;
+    }
+    return read;
+}
+
+failure applyRevision(const objects::configuration_revision &revision, configuration_snapshot &snapshot)
+{
+    return failureFrom([&]() -> result_of<void> {
+        BOOST_LEAF_AUTO(changes, fromSchema(revision));
+        snapshot = applyChanges(std::move(snapshot), changes);
+        snapshot.revision = revision_number(revision.revision());
+        return {};
+    });
+}
+
+/// Applies revisions that are given newest first.
+failure applyAll(const revision_list &revisions, configuration_snapshot &snapshot)
+{
+    for (auto revision = revisions.rbegin(); revision != revisions.rend(); ++revision) {
+        const failure why = applyRevision(*revision, snapshot);
+        if (why != failure::none) {
+            return why;
+        }
+    }
+    return failure::none;
+}
+
+platform_answer<configuration_snapshot> loadWhole(const object_api &platform, std::uint64_t number, const std::string &publication)
+{
+    platform_answer<configuration_snapshot> loaded;
+    const auto stored = readStored(platform, wholeKey(number, publication), number);
+    loaded.why = stored.why == failure::none ? applyRevision(stored.value, loaded.value) : stored.why;
+    return loaded;
+}
+
+} // namespace
+
+std::string revisionKey(std::uint64_t revision, const std::string &publication)
+{
+    return "configuration/revision/" + std::to_string(revision) + "/" + publication;
+}
+
+std::string wholeKey(std::uint64_t revision, const std::string &publication)
+{
+    return "configuration/whole/" + std::to_string(revision) + "/" + publication;
+}
+
+platform_answer<stored_head> readHead(const object_api &platform)
+{
+    platform_answer<stored_head> stored;
+    const platform_answer<platform_object> answer = platform.get(configurationHeadKey);
+    stored.why = answer.why;
+    if (answer.why != failure::none || answer.value.version == 0) {
+        return stored;
+    }
+    stored.value.version = answer.value.version;
+    stored.why = failureFrom([&] {
+        return readJson(answer.value.value, configurationHeadKey, stored.value.head);
+    });
+    return stored;
+}
+
+platform_answer<revision_list> readRevisions(const object_api &platform, const objects::configuration_head &head, revision_number known)
+{
+    platform_answer<revision_list> revisions;
+    std::string publication = head.publication();
+    for (std::uint64_t number = head.revision(); number > known.value(); --number) {
+        auto stored = readStored(platform, revisionKey(number, publication), number);
+        if (stored.why != failure::none) {
+            revisions.why = stored.why;
+            return revisions;
+        }
+        publication = stored.value.previous_publication();
+        revisions.value.push_back(std::move(stored.value));
+    }
+    return revisions;
+}
+
+platform_answer<configuration_snapshot> loadUpTo(const object_api &platform,
+                                                 const objects::configuration_head &head,
+                                                 const configuration_snapshot &known)
+{
+    platform_answer<configuration_snapshot> loaded{failure::none, known};
+    if (head.revision() <= known.revision.value()) {
+        return loaded;
+    }
+    if (known.revision.value() < head.whole_revision()) {
+        loaded = loadWhole(platform, head.whole_revision(), head.whole_publication());
+    }
+    if (loaded.why == failure::none) {
+        const auto revisions = readRevisions(platform, head, loaded.value.revision);
+        loaded.why = revisions.why == failure::none ? applyAll(revisions.value, loaded.value) : revisions.why;
+    }
+    if (loaded.why != failure::none) {
+        loaded.value = known;
+    }
+    return loaded;
+}
+
+platform_answer<configuration_snapshot> loadConfiguration(const object_api &platform, const configuration_snapshot &known)
+{
+    const auto head = readHead(platform);
+    if (head.why != failure::none) {
+        return {head.why, known};
+    }
+    return loadUpTo(platform, head.value.head, known);
+}
+
+platform_answer<configuration_snapshot> loadRevision(const object_api &platform, revision_number revision)
+{
+    const auto head = readHead(platform);
+    if (head.why != failure::none) {
+        return {head.why, {}};
+    }
+    if (revision.value() > head.value.head.revision() || revision.value() == 0) {
+        return {failure::notFound, {}};
+    }
+    std::string publication = head.value.head.publication();
+    revision_list above;
+    configuration_snapshot snapshot;
+    for (std::uint64_t number = head.value.head.revision(); number > 0; --number) {
+        auto stored = readStored(platform, revisionKey(number, publication), number);
+        if (stored.why != failure::none) {
+            return {stored.why, {}};
+        }
+        if (number <= revision.value() && stored.value.whole()) {
+            auto whole = loadWhole(platform, number, publication);
+            if (whole.why != failure::none) {
+                return whole;
+            }
+            snapshot = std::move(whole.value);
+            break;
+        }
+        publication = stored.value.previous_publication();
+        if (number <= revision.value()) {
+            above.push_back(std::move(stored.value));
+        }
+    }
+    const failure why = applyAll(above, snapshot);
+    return {why, why == failure::none ? snapshot : configuration_snapshot{}};
+}
+
+platform_answer<revision_list> readHistory(const object_api &platform, std::size_t limit)
+{
+    const auto head = readHead(platform);
+    if (head.why != failure::none) {
+        return {head.why, {}};
+    }
+    const std::uint64_t newest = head.value.head.revision();
+    const std::uint64_t wanted = newest > limit ? newest - limit : 0;
+    return readRevisions(platform, head.value.head, revision_number(std::max(wanted, head.value.head.collected_revision())));
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Platform/split_value.cpp
@@ -0,0 +1,94 @@
+#include "mustardrouter/Platform/split_value.h"
+
+#include <charconv>
+#include <string_view>
+#include <vector>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Begins the object of a value that is stored in parts; a JSON object never begins so.
+constexpr std::string_view splitMark = "parts ";
+
+std::string partKey(const std::string &key, std::size_t part)
+{
+    return key + "/part/" + std::to_string(part);
+}
+
+bool continuesCharacter(char byte)
+{
+    constexpr unsigned topBits = 0xc0U;
+    constexpr unsigned continuation = 0x80U;
+    return (static_cast<unsigned char>(byte) & topBits) == continuation;
+}
+
+/// Cuts between characters: each part must be valid UTF-8 by itself.
+std::vector<std::string_view> split(std::string_view value)
+{
+    std::vector<std::string_view> parts;
+    while (value.size() > maxValueBytes) {
+        std::size_t end = maxValueBytes;
+        while (end > 1 && continuesCharacter(value[end])) {
+            --end;
+        }
+        parts.push_back(value.substr(0, end));
+        value.remove_prefix(end);
+    }
+    parts.push_back(value);
+    return parts;
+}
+
+failure putOne(const object_api &platform, const std::string &key, std::string_view value)
+{
+    const failure why = platform.put({key, std::string(value), 0}).why;
+    // The key holds the publication: whatever stands there is this very value.
+    return why == failure::versionConflict ? failure::none : why;
+}
+
+} // namespace
+
+failure putNew(const object_api &platform, const std::string &key, const std::string &value)
+{
+    const std::vector<std::string_view> parts = split(value);
+    if (parts.size() == 1) {
+        return putOne(platform, key, value);
+    }
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const failure why = putOne(platform, partKey(key, part), parts[part]);
+        if (why != failure::none) {
+            return why;
+        }
+    }
+    return putOne(platform, key, std::string(splitMark) + std::to_string(parts.size()));
+}
+
+platform_answer<std::string> getWhole(const object_api &platform, const std::string &key)
+{
+    const auto first = platform.get(key);
+    if (first.why != failure::none) {
+        return {first.why, {}};
+    }
+    if (first.value.version == 0) {
+        return {failure::notFound, {}};
+    }
+    const std::string &text = first.value.value;
+    if (!text.starts_with(splitMark)) {
+        return {failure::none, text};
+    }
+    std::size_t parts = 0;
+    std::from_chars(text.data() + splitMark.size(), text.data() + text.size(), parts);
+    std::string whole;
+    for (std::size_t part = 0; part < parts; ++part) {
+        const auto read = platform.get(partKey(key, part));
+        if (read.why != failure::none || read.value.version == 0) {
+            return {read.why == failure::none ? failure::notFound : read.why, {}};
+        }
+        whole += read.value.value;
+    }
+    return {failure::none, whole};
+}
+
+} // namespace mustardrouter
