--- /dev/null
+++ b/UnitTests/Routing/entry_router_test.cpp
@@ -0,0 +1,259 @@
+#include "mustardrouter/Routing/entry_router.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+std::shared_ptr<const configuration_snapshot> configuration()
+{
+    auto snapshot = std::make_shared<configuration_snapshot>();
+    snapshot->revision = revision_number(1);
+    snapshot->services["scripts"] = {"scripts", {"scripts-1", "scripts-2"}, "policy", 0.1, {}};
+    snapshot->readRules["session"] = {"session", read_rule::session, {}};
+    snapshot->policies["policy"].readRule = "session";
+    return snapshot;
+}
+
+} // namespace
+
+TEST_GROUP(entry_router)
+{
+    entry_router router{"key", entry_settings{}};
+    time_point now{std::chrono::seconds(10)};
+    std::vector<forward_statement> forwarded;
+    std::vector<answer_caller> answers;
+    std::vector<abandon_at_owner> abandoned;
+    std::size_t questions = 0;
+    std::uint64_t lastRequest = 0;
+
+    void setup() override
+    {
+        handle(configuration_adopted{configuration()});
+        for (const char *group : {"scripts-1", "scripts-2"}) {
+            handle(holders_found{group_name(group), {instance_name("owner"), instance_name("deputy")}});
+        }
+    }
+
+    void handle(const entry_event &event)
+    {
+        entry_actions actions;
+        step(router, event, now, actions);
+        for (const entry_action &action : actions) {
+            if (const auto *forward = std::get_if<forward_statement>(&action)) {
+                forwarded.push_back(*forward);
+            } else if (const auto *answer = std::get_if<answer_caller>(&action)) {
+                answers.push_back(*answer);
+            } else if (const auto *abandon = std::get_if<abandon_at_owner>(&action)) {
+                abandoned.push_back(*abandon);
+            } else {
+                ++questions;
+            }
+        }
+    }
+
+    void tick(duration passed)
+    {
+        now += passed;
+        handle(entry_ticked{});
+    }
+
+    caller_sent sent(statement_kind kind, transaction_id transaction = {})
+    {
+        caller_sent event;
+        event.caller = caller_id(1);
+        event.callerRequest = ++lastRequest;
+        event.partition = "partition";
+        event.patience = std::chrono::seconds(1);
+        event.what.kind = kind;
+        event.what.service = service_name("scripts");
+        event.what.transaction = transaction;
+        return event;
+    }
+
+    void answer(outcome kind, failure why = failure::none, transaction_id transaction = {})
+    {
+        owner_answered event;
+        event.request = forwarded.back().request;
+        event.result.kind = kind;
+        event.result.why = why;
+        event.result.transaction = transaction;
+        handle(event);
+    }
+
+    transaction_id begin()
+    {
+        handle(sent(statement_kind::begin));
+        answer(outcome::done, failure::none, transaction_id(77));
+        return answers.back().result.transaction;
+    }
+};
+
+TEST(entry_router, aWriteThatWasSentIsUnknownWhenNoAnswerComes)
+{
+    handle(sent(statement_kind::write));
+    tick(std::chrono::seconds(2));
+    CHECK_EQUAL(1U, answers.size());
+    CHECK(answers[0].result.kind == outcome::unknown);
+    CHECK_EQUAL(1U, abandoned.size());
+}
+
+TEST(entry_router, aWriteThatWasSentIsUnknownWhenItsOwnerGoes)
+{
+    handle(sent(statement_kind::write));
+    handle(peer_lost{instance_name("owner")});
+    CHECK(answers.at(0).result.kind == outcome::unknown);
+    CHECK_EQUAL(1U, forwarded.size());
+}
+
+TEST(entry_router, aRefusedWriteMayGoElsewhereAndIsNotRunWhenItNeverLeft)
+{
+    handle(sent(statement_kind::write));
+    answer(outcome::notRun, failure::notOwner);
+    CHECK(answers.empty());
+    tick(std::chrono::milliseconds(200));
+    CHECK(forwarded.back().to == instance_name("deputy"));
+    answer(outcome::notRun, failure::notOwner);
+    now += std::chrono::seconds(2);
+    handle(entry_ticked{});
+    CHECK(answers.at(0).result.kind == outcome::notRun);
+}
+
+TEST(entry_router, aReadGoesElsewhereWhenItsOwnerGoes)
+{
+    handle(sent(statement_kind::read));
+    handle(peer_lost{instance_name("owner")});
+    tick(std::chrono::milliseconds(200));
+    CHECK(forwarded.back().to == instance_name("deputy"));
+    CHECK(answers.empty());
+}
+
+TEST(entry_router, anAnswerToARequestThatHasEndedIsIgnored)
+{
+    handle(sent(statement_kind::write));
+    tick(std::chrono::seconds(2));
+    answer(outcome::done);
+    CHECK_EQUAL(1U, answers.size());
+}
+
+TEST(entry_router, aSilentOwnerIsDoubtedOnce)
+{
+    handle(sent(statement_kind::write));
+    tick(router.settings.ownerSilence);
+    tick(router.settings.ownerSilence / 2);
+    CHECK_EQUAL(1U, questions);
+    handle(sent(statement_kind::write));
+    CHECK(forwarded.back().to == instance_name("deputy"));
+}
+
+TEST(entry_router, anOwnerThatAnswersOthersIsNotDoubted)
+{
+    handle(sent(statement_kind::write));
+    now += router.settings.ownerSilence / 2;
+    handle(sent(statement_kind::read));
+    answer(outcome::done);
+    tick(router.settings.ownerSilence / 2);
+    CHECK_EQUAL(0U, questions);
+}
+
+TEST(entry_router, aTransactionThatBeganForNobodyIsRolledBack)
+{
+    handle(sent(statement_kind::begin));
+    handle(caller_gone{caller_id(1)});
+    answer(outcome::done, failure::none, transaction_id(77));
+    CHECK(abandoned.back().transaction == transaction_id(77));
+    CHECK(abandoned.back().to == instance_name("owner"));
+    CHECK(router.orphans.empty());
+}
+
+TEST(entry_router, anExpiredBeginIsRolledBackWhenItsAnswerComesLate)
+{
+    handle(sent(statement_kind::begin));
+    tick(std::chrono::seconds(2));
+    CHECK(answers.at(0).result.kind == outcome::notRun);
+    answer(outcome::done, failure::none, transaction_id(77));
+    CHECK(abandoned.back().transaction == transaction_id(77));
+}
+
+TEST(entry_router, orphansAreForgotten)
+{
+    handle(sent(statement_kind::begin));
+    handle(caller_gone{caller_id(1)});
+    tick(std::chrono::seconds(2) + router.settings.orphanPatience);
+    CHECK(router.orphans.empty());
+}
+
+TEST(entry_router, onlyTheCallerThatBeganMayUseATransaction)
+{
+    const transaction_id transaction = begin();
+    caller_sent other = sent(statement_kind::write, transaction);
+    other.caller = caller_id(2);
+    handle(other);
+    CHECK(answers.back().result.why == failure::transactionLost);
+    handle(sent(statement_kind::write, transaction));
+    CHECK(forwarded.back().what.transaction == transaction_id(77));
+}
+
+TEST(entry_router, aStatementOfATransactionTakesItsGroupsFloor)
+{
+    const transaction_id transaction = begin();
+    const group_name mine = forwarded.back().group;
+    const group_name foreign(mine.value() == "scripts-1" ? "scripts-2" : "scripts-1");
+    const log_entry low{term_number(1), log_position(3)};
+    const log_entry high{term_number(90), log_position(3)};
+    caller_sent event = sent(statement_kind::write, transaction);
+    event.token = encodeToken({{mine, low}, {foreign, high}}, "key");
+    // Another partition would choose the other group; the transaction decides.
+    for (const char *partition : {"partition", "p1", "p2", "p3", "p4"}) {
+        event.partition = partition;
+        event.callerRequest = ++lastRequest;
+        handle(event);
+        CHECK(forwarded.back().group == mine);
+        CHECK(forwarded.back().what.floor == low);
+    }
+}
+
+TEST(entry_router, anExpiredCommitIsUnknownAndEndsTheTransaction)
+{
+    const transaction_id transaction = begin();
+    handle(sent(statement_kind::commit, transaction));
+    tick(std::chrono::seconds(2));
+    CHECK(answers.back().result.kind == outcome::unknown);
+    CHECK(router.transactions.empty());
+}
+
+TEST(entry_router, aForgedTokenIsRefused)
+{
+    caller_sent event = sent(statement_kind::read);
+    event.token = encodeToken({{group_name("scripts-1"), {}}}, "another key");
+    handle(event);
+    CHECK(answers.at(0).result.why == failure::badSessionToken);
+    CHECK(forwarded.empty());
+}
+
+TEST(entry_router, aNonIdempotentRequestNeedsAKey)
+{
+    caller_sent event = sent(statement_kind::write);
+    event.what.nonIdempotent = true;
+    handle(event);
+    CHECK(answers.at(0).result.why == failure::malformedRequest);
+}
+
+TEST(entry_router, theTokenOfAnAnswerKeepsTheOtherGroupsFloors)
+{
+    const session_floors_by_group before{
+        {group_name("scripts-1"), {term_number(1), log_position(4)}}, {group_name("scripts-2"), {term_number(1), log_position(9)}}};
+    caller_sent event = sent(statement_kind::write);
+    event.token = encodeToken(before, "key");
+    handle(event);
+    owner_answered done;
+    done.request = forwarded.back().request;
+    done.result.kind = outcome::done;
+    done.result.floor = log_entry{term_number(2), log_position(20)};
+    handle(done);
+    session_floors_by_group wanted = before;
+    raiseFloor(wanted, forwarded.back().group, *done.result.floor);
+    CHECK(std::get<session_floors_by_group>(decodeToken(answers.back().token, "key")) == wanted);
+}
--- a/mustardrouter/Ownership/group_ownership.cpp
+++ b/mustardrouter/Ownership/group_ownership.cpp
@@ -380,7 +380,9 @@
 /// When a deputy that hears nothing takes over.
 time_point takeoverDue(const group_ownership &state)
 {
-    const std::size_t index = ownIndex(state).value_or(holdersPerGroup);
+    const std::size_t recorded = ownIndex(state).value_or(holdersPerGroup);
+    // An owner on record that has been replaced lets every deputy go first.
+    const std::size_t index = recorded == 0 ? holdersPerGroup : recorded;
     return state.ownerHeardAt + state.settings.ownerSuspicion * static_cast<int>(index);
 }
 
@@ -458,7 +460,17 @@
     }
     if (record.ranges.front().first > state.term) {
         becomeOwner(state, record.ranges.front(), now, actions);
+        return;
+    }
+    // A deputy took over without the platform. Should it die before it is on record, nobody else
+    // would claim the group: the record names a live instance.
+    if (state.resigning) {
+        return;
+    }
+    if (state.role != ownership_role::deputy) {
+        state.ownerHeardAt = now;
     }
+    state.role = ownership_role::deputy;
 }
 
 void onRecord(group_ownership &state, const ownership_record &record, time_point now, ownership_actions &actions)
--- /dev/null
+++ b/mustardrouter/Routing/engine_confirmation.cpp
@@ -0,0 +1,260 @@
+#include "mustardrouter/Routing/engine_confirmation.h"
+
+#include "mustardrouter/Routing/engine_connections.h"
+#include "mustardrouter/Routing/engine_transactions.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+bool isConfirmed(const group_engine &engine, const unconfirmed_result &waiting)
+{
+    if (waiting.position > confirmedPosition(engine.ownership)) {
+        return false;
+    }
+    return waiting.round == 0 || replicasPastRound(engine.ownership, waiting.round) >= engine.ownership.settings.confirmReplicas;
+}
+
+void finish(engine_step &step, unconfirmed_result &waiting)
+{
+    std::optional<log_entry> &floor = waiting.result.floor;
+    if (floor) {
+        const session_name &session = waiting.done.request.what.session;
+        raiseSessionFloor(step.engine.sessions, session, *floor);
+        // A caller that came without its token gets one that covers the whole session again.
+        floor = knownFloorOf(step.engine.sessions, session).value_or(*floor);
+    }
+    answerRun(step, waiting.done, std::move(waiting.result));
+}
+
+void giveUpWaiting(engine_step &step, const unconfirmed_result &waiting)
+{
+    const statement &what = waiting.done.request.what;
+    answerRun(step, waiting.done, lostAnswer(what, failure::deadlineExceeded));
+    // What the caller was told has been rolled back must not be committed later.
+    endTransaction(step, what.transaction);
+}
+
+/// When the latest round was asked for that enough replicas have answered in this term. No other
+/// term had confirmed a write until then.
+time_point termConfirmedAt(const group_engine &engine)
+{
+    const std::size_t needed = engine.ownership.settings.confirmReplicas;
+    for (std::size_t back = engine.roundAskedAt.size(); back > 0; --back) {
+        if (replicasPastRound(engine.ownership, engine.firstRound + back - 1) >= needed) {
+            return engine.roundAskedAt[back - 1];
+        }
+    }
+    return time_point::min();
+}
+
+/// Round that must confirm the term before a read of a stated age is answered; zero for none.
+std::uint64_t roundForAge(engine_step &step, const running_request &done)
+{
+    const statement &what = done.request.what;
+    const bool aged = what.kind == statement_kind::read && what.rule == read_rule::age && what.transaction.value() == 0;
+    if (!aged || step.engine.ownership.settings.confirmReplicas == 0) {
+        return 0;
+    }
+    // A replaced owner's primary can be reached still and reports positions that no longer grow.
+    const bool covered = termConfirmedAt(step.engine) >= done.startedAt - what.maxAge;
+    return covered ? 0 : nextRound(step);
+}
+
+/// Position that enough replicas must hold before a result is answered.
+log_position positionToConfirm(const group_engine &engine, const running_request &done, const statement_answered &event)
+{
+    const statement &what = done.request.what;
+    if (changesData(what.kind)) {
+        // A commit without changes appends nothing and has no entry to confirm.
+        return event.entry.position;
+    }
+    const bool reads = what.kind == statement_kind::read || what.kind == statement_kind::lookup;
+    if (!reads) {
+        return {};
+    }
+    // What a read shows can still be lost until it is confirmed. A replica is a confirmation itself,
+    // which is enough unless the policy asks for two.
+    const bool onReplica = done.database != engine.ownership.primary;
+    const bool confirmedByItself = onReplica && engine.ownership.settings.confirmReplicas <= 1;
+    return confirmedByItself ? log_position{} : event.entry.position;
+}
+
+/// A request whose key has run already is done, and its answer waits as that of the first run did.
+bool isRepeated(const running_request &done, const statement_result &result)
+{
+    const statement &what = done.request.what;
+    const bool whole = what.kind == statement_kind::commit || (what.kind == statement_kind::write && what.transaction.value() == 0);
+    return whole && result.kind == outcome::notRun && result.why == failure::duplicateKey;
+}
+
+void awaitConfirmation(
+    engine_step &step, running_request done, statement_result result, const statement_answered &event, transaction_base base)
+{
+    group_engine &engine = step.engine;
+    result.fromReplica = done.database != engine.ownership.primary;
+    if (event.entry.position.value() != 0 && done.request.what.kind != statement_kind::begin) {
+        result.floor = log_entry{engine.ownership.term, event.entry.position};
+    }
+    unconfirmed_result waiting;
+    if (done.request.what.kind != statement_kind::begin && done.request.what.kind != statement_kind::rollback) {
+        waiting.position = std::max(base.position, positionToConfirm(engine, done, event));
+        waiting.round = std::max({done.request.round, base.round, roundForAge(step, done)});
+    }
+    waiting.result = std::move(result);
+    waiting.done = std::move(done);
+    engine.unconfirmed.push_back(std::move(waiting));
+}
+
+/// A statement that the database refused because of its term has not run, and may run again.
+void onStaleTerm(engine_step &step, running_request done)
+{
+    const bool owner = step.engine.ownership.role == ownership_role::owner;
+    if (done.abandoned) {
+        return;
+    }
+    if (done.request.what.transaction.value() != 0) {
+        answerRun(step, done, notRun(failure::transactionLost, "the transaction's term is over"));
+        endTransaction(step, done.request.what.transaction);
+        return;
+    }
+    if (owner) {
+        requeue(step, std::move(done.request));
+        return;
+    }
+    answer(step, done.request, notRun(failure::notOwner));
+}
+
+} // namespace
+
+std::uint64_t nextRound(engine_step &step)
+{
+    step.engine.roundWanted = true;
+    return step.engine.ownership.round + 1;
+}
+
+bool needsRound(const group_engine &engine, const statement &what)
+{
+    if (engine.ownership.settings.confirmReplicas == 0) {
+        return false;
+    }
+    if (what.kind == statement_kind::lookup || what.kind == statement_kind::begin) {
+        return true;
+    }
+    if (what.kind != statement_kind::read || what.transaction.value() != 0) {
+        return false;
+    }
+    return what.rule == read_rule::latest || (what.rule == read_rule::session && !what.floor);
+}
+
+void onAnswer(engine_step &step, const statement_answered &event)
+{
+    group_engine &engine = step.engine;
+    const auto found = engine.running.find(event.request);
+    const bool expected = found != engine.running.end() && found->second.connection == event.connection;
+    if (!expected) {
+        return;
+    }
+    running_request done = std::move(found->second);
+    engine.running.erase(found);
+    done.answeredAt = step.now;
+    statement_result result = event.result;
+    const transaction_base base = settleTransaction(step, done, event.entry, result);
+
+    if (event.refusedByTerm > engine.ownership.term) {
+        stepOwnership(step, term_refused{event.refusedByTerm});
+    }
+    if (result.kind == outcome::notRun && result.why == failure::staleTerm) {
+        onStaleTerm(step, std::move(done));
+        return;
+    }
+    if (isRepeated(done, result)) {
+        if (event.entry.position.value() == 0) {
+            answerRun(step, done, unknownOutcome(failure::duplicateKey, "the key has run; the database does not say where"));
+            return;
+        }
+        result.kind = outcome::done;
+        result.detail = "a request with this key has run already";
+    }
+    // That a key has not run is an answer as well, and a replaced owner must not give it.
+    const bool missing = done.request.what.kind == statement_kind::lookup && result.why == failure::keyNotFound;
+    if (result.kind != outcome::done && !missing) {
+        answerRun(step, done, std::move(result));
+        return;
+    }
+    awaitConfirmation(step, std::move(done), std::move(result), event, base);
+}
+
+void confirmResults(engine_step &step)
+{
+    if (step.engine.unconfirmed.empty()) {
+        return;
+    }
+    std::vector<unconfirmed_result> still;
+    std::vector<unconfirmed_result> late;
+    for (unconfirmed_result &waiting : step.engine.unconfirmed) {
+        if (isConfirmed(step.engine, waiting)) {
+            finish(step, waiting);
+            continue;
+        }
+        if (step.now >= waiting.done.request.what.deadline) {
+            late.push_back(std::move(waiting));
+            continue;
+        }
+        still.push_back(std::move(waiting));
+    }
+    step.engine.unconfirmed = std::move(still);
+    for (const unconfirmed_result &waiting : late) {
+        giveUpWaiting(step, waiting);
+    }
+}
+
+void pumpRounds(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    if (!engine.roundWanted) {
+        return;
+    }
+    const bool due = engine.roundAskedAt.empty() || step.now - engine.roundAskedAt.back() >= engine.settings.roundInterval;
+    if (!due) {
+        return;
+    }
+    engine.roundWanted = false;
+    ownership_actions decided;
+    const std::uint64_t before = engine.ownership.round;
+    startRound(engine.ownership, step.now, decided);
+    noteRounds(step, before);
+    applyOwnership(step, decided);
+}
+
+void noteRounds(engine_step &step, std::uint64_t before)
+{
+    group_engine &engine = step.engine;
+    constexpr std::size_t maxRounds = 1024;
+    for (std::uint64_t round = before; round < engine.ownership.round; ++round) {
+        engine.roundAskedAt.push_back(step.now);
+    }
+    while (engine.roundAskedAt.size() > maxRounds) {
+        engine.roundAskedAt.pop_front();
+        ++engine.firstRound;
+    }
+}
+
+void samplePrimary(engine_step &step, const database_reported &event)
+{
+    group_engine &engine = step.engine;
+    const bool counts = event.database == engine.ownership.primary && event.report.term == engine.ownership.term;
+    if (!counts || event.report.round < engine.firstRound) {
+        return;
+    }
+    const std::size_t index = event.report.round - engine.firstRound;
+    if (index < engine.roundAskedAt.size()) {
+        recordPosition(engine.history, engine.roundAskedAt[index], event.report.received.position);
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Routing/engine_connections.cpp
@@ -0,0 +1,159 @@
+#include "mustardrouter/Routing/engine_connections.h"
+
+#include "mustardrouter/Routing/group_pump.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Reads may run twice, so one whose connection broke outside of a transaction is tried elsewhere.
+bool mayRunAgain(const running_request &lost)
+{
+    const statement &what = lost.request.what;
+    const bool harmless = what.kind == statement_kind::read || what.kind == statement_kind::lookup;
+    return harmless && what.transaction.value() == 0 && !lost.abandoned;
+}
+
+void loseRunning(engine_step &step, running_request lost, failure why)
+{
+    lost.answeredAt = step.now;
+    if (mayRunAgain(lost)) {
+        requeue(step, std::move(lost.request));
+        return;
+    }
+    answerRun(step, lost, lostAnswer(lost.request.what, why));
+}
+
+/// Forgets a connection; false when it is not known, or no longer.
+bool forgetConnection(engine_step &step, connection_id connection)
+{
+    group_engine &engine = step.engine;
+    const auto home = engine.connectionHome.find(connection);
+    if (home == engine.connectionHome.end()) {
+        return false;
+    }
+    removeConnection(engine.pools.at(home->second), connection);
+    engine.connectionHome.erase(home);
+    return true;
+}
+
+void loseWorkOn(engine_step &step, connection_id connection, failure why)
+{
+    group_engine &engine = step.engine;
+    std::erase_if(engine.transactions, [&](const auto &item) {
+        return item.second.connection == connection;
+    });
+    const auto lost = std::ranges::find_if(engine.running, [&](const auto &item) {
+        return item.second.connection == connection;
+    });
+    if (lost == engine.running.end()) {
+        return;
+    }
+    running_request request = std::move(lost->second);
+    engine.running.erase(lost);
+    loseRunning(step, std::move(request), why);
+}
+
+} // namespace
+
+statement_result lostAnswer(const statement &what, failure why)
+{
+    if (what.kind == statement_kind::commit || (what.kind == statement_kind::write && what.transaction.value() == 0)) {
+        return unknownOutcome(why, "sent, but no answer came");
+    }
+    if (what.transaction.value() != 0) {
+        return notRun(failure::transactionLost, "the transaction was rolled back");
+    }
+    if (what.kind == statement_kind::begin) {
+        return notRun(failure::transactionLost, "the transaction did not begin");
+    }
+    return notRun(why, "no answer came", retryHint);
+}
+
+void requeue(engine_step &step, waiting_request request)
+{
+    ++request.attempts;
+    if (request.attempts >= step.engine.settings.maxAttempts) {
+        answer(step, request, notRun(failure::overloaded, "refused too often", retryHint));
+        return;
+    }
+    const queue_lane lane = laneFor(request.what);
+    if (!enqueue(step.engine.queue, lane, request)) {
+        answer(step, request, notRun(failure::overloaded, "the queue is full", retryHint));
+    }
+}
+
+void loseConnection(engine_step &step, connection_id connection, failure why)
+{
+    if (!forgetConnection(step, connection)) {
+        return;
+    }
+    step.actions.emplace_back(close_connection{connection});
+    loseWorkOn(step, connection, why);
+}
+
+void dropEverything(engine_step &step, failure why)
+{
+    group_engine &engine = step.engine;
+    engine.transactions.clear();
+    auto running = std::move(engine.running);
+    engine.running.clear();
+    auto unconfirmed = std::move(engine.unconfirmed);
+    engine.unconfirmed.clear();
+    for (auto &[connection, home] : engine.connectionHome) {
+        removeConnection(engine.pools.at(home), connection);
+        step.actions.emplace_back(close_connection{connection});
+    }
+    engine.connectionHome.clear();
+    for (auto &[id, lost] : running) {
+        loseRunning(step, std::move(lost), why);
+    }
+    for (unconfirmed_result &waiting : unconfirmed) {
+        if (mayRunAgain(waiting.done)) {
+            requeue(step, std::move(waiting.done.request));
+            continue;
+        }
+        answerRun(step, waiting.done, lostAnswer(waiting.done.request.what, why));
+    }
+}
+
+void onOpened(engine_step &step, const connection_opened &event)
+{
+    group_engine &engine = step.engine;
+    const auto home = engine.connectionHome.find(event.connection);
+    if (home == engine.connectionHome.end()) {
+        return;
+    }
+    connection_pool &pool = engine.pools.at(home->second);
+    if (event.accepted) {
+        markOpened(pool, event.connection, step.now);
+        return;
+    }
+    pool.openAfter = step.now + engine.settings.openBackoff;
+    loseConnection(step, event.connection, failure::connectionLost);
+    if (event.term > engine.ownership.term) {
+        stepOwnership(step, term_refused{event.term});
+    }
+}
+
+void onClosed(engine_step &step, const connection_closed &event)
+{
+    group_engine &engine = step.engine;
+    const auto home = engine.connectionHome.find(event.connection);
+    if (home == engine.connectionHome.end()) {
+        return;
+    }
+    connection_pool &pool = engine.pools.at(home->second);
+    const pooled_connection *connection = findConnection(pool, event.connection);
+    if (connection != nullptr && connection->state == connection_state::opening) {
+        pool.openAfter = step.now + engine.settings.openBackoff;
+    }
+    forgetConnection(step, event.connection);
+    loseWorkOn(step, event.connection, failure::connectionLost);
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Routing/engine_step.cpp
+++ b/mustardrouter/Routing/engine_step.cpp
@@ -12,4 +12,24 @@
     step.actions.emplace_back(std::move(action));
 }
 
+void answerRun(engine_step &step, const running_request &done, statement_result result)
+{
+    if (done.abandoned) {
+        return;
+    }
+    answer_request action;
+    action.request = done.request.id;
+    action.result = std::move(result);
+    action.result.database = done.database;
+    action.queued = done.startedAt - done.request.arrived;
+    action.ran = done.answeredAt - done.startedAt;
+    action.confirming = step.now - done.answeredAt;
+    step.actions.emplace_back(std::move(action));
+}
+
+bool changesData(statement_kind kind)
+{
+    return kind == statement_kind::write || kind == statement_kind::commit;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Routing/engine_step.h
+++ b/mustardrouter/Routing/engine_step.h
@@ -18,4 +18,16 @@
 /// Answers a request that has not been sent to a database.
 void answer(engine_step &step, const waiting_request &request, statement_result result);
 
+/// Answers a request that has been sent to a database, unless nobody waits for it any more.
+void answerRun(engine_step &step, const running_request &done, statement_result result);
+
+/// Whether a statement of this kind leaves an entry in the log when it is done.
+bool changesData(statement_kind kind);
+
+/// Lets the ownership of the group decide on an event and applies what it decided.
+void stepOwnership(engine_step &step, const ownership_event &event);
+
+/// Carries out decisions of the ownership: starts and ends terms, passes the rest on.
+void applyOwnership(engine_step &step, ownership_actions &decided);
+
 } // namespace mustardrouter
--- a/mustardrouter/Routing/entry_router.cpp
+++ b/mustardrouter/Routing/entry_router.cpp
@@ -77,6 +77,7 @@
         request.sentTo = guess.holders[guess.current % guess.holders.size()];
     }
     request.sent = true;
+    request.sentAt = step.now;
     ++request.attempts;
     step.actions.emplace_back(forward_statement{id, request.sentTo, request.group, request.what});
 }
@@ -118,6 +119,21 @@
     return target.callers.empty() || std::ranges::find(target.callers, caller) != target.callers.end();
 }
 
+/// Sends a statement where its transaction is, whatever its partition says; false when the caller has no such transaction.
+bool joinTransaction(const entry_step &step, const caller_sent &event, entry_request &request)
+{
+    const auto found = step.router.transactions.find(event.what.transaction);
+    const bool mine = found != step.router.transactions.end() && found->second.caller == event.caller;
+    if (!mine) {
+        return false;
+    }
+    request.sentTo = found->second.owner;
+    request.group = found->second.group;
+    request.transaction = event.what.transaction;
+    request.what.transaction = found->second.atOwner;
+    return true;
+}
+
 void onCaller(entry_step &step, const caller_sent &event)
 {
     const service *target = findService(step.router, event.what.service);
@@ -150,22 +166,14 @@
     request.floors = std::get<session_floors_by_group>(std::move(floors));
     request.arrived = step.now;
     applyPolicy(step, *target, event, request.what);
+    if (event.what.transaction.value() != 0 && !joinTransaction(step, event, request)) {
+        refuseCaller(step, event, failure::transactionLost, "no such transaction on this connection");
+        return;
+    }
     const auto floor = request.floors.find(request.group);
     if (floor != request.floors.end()) {
         request.what.floor = floor->second;
     }
-    if (event.what.transaction.value() != 0) {
-        const auto transaction = step.router.transactions.find(event.what.transaction);
-        const bool mine = transaction != step.router.transactions.end() && transaction->second.caller == event.caller;
-        if (!mine) {
-            refuseCaller(step, event, failure::transactionLost, "no such transaction on this connection");
-            return;
-        }
-        request.sentTo = transaction->second.owner;
-        request.group = transaction->second.group;
-        request.transaction = event.what.transaction;
-        request.what.transaction = transaction->second.atOwner;
-    }
     const request_id id(step.router.nextRequest++);
     step.router.inFlight.emplace(id, std::move(request));
     trySend(step, id);
@@ -173,8 +181,28 @@
 
 void abandon(entry_step &step, const entry_request &request, request_id id)
 {
-    if (request.sent) {
-        step.actions.emplace_back(abandon_at_owner{id, request.sentTo, request.group, {}, request.what.session});
+    if (!request.sent) {
+        return;
+    }
+    step.actions.emplace_back(abandon_at_owner{id, request.sentTo, request.group, {}, request.what.session});
+    if (request.what.kind == statement_kind::begin) {
+        // The owner's answer may be under way and name a transaction that nobody holds.
+        const time_point forgetAt = std::max(step.now, request.what.deadline) + step.router.settings.orphanPatience;
+        step.router.orphans.emplace(id, orphaned_begin{request.sentTo, request.group, request.what.session, forgetAt});
+    }
+}
+
+/// Has a transaction rolled back whose caller went away before it began.
+void dropOrphan(entry_step &step, const owner_answered &event)
+{
+    const auto found = step.router.orphans.find(event.request);
+    if (found == step.router.orphans.end()) {
+        return;
+    }
+    const orphaned_begin orphan = std::move(found->second);
+    step.router.orphans.erase(found);
+    if (event.result.kind == outcome::done) {
+        step.actions.emplace_back(abandon_at_owner{{}, orphan.owner, orphan.group, event.result.transaction, orphan.session});
     }
 }
 
@@ -237,6 +265,29 @@
     }
 }
 
+void noteHeard(entry_step &step, request_id id)
+{
+    const auto found = step.router.inFlight.find(id);
+    if (found != step.router.inFlight.end()) {
+        step.router.heardFrom[found->second.sentTo] = step.now;
+    }
+}
+
+/// An owner that is paused or cut off answers nothing, and nobody says that it has been replaced.
+/// Later requests go elsewhere; those that were sent wait until their deadlines.
+void doubtOwner(entry_step &step, entry_request &request)
+{
+    if (!request.sent || request.doubted || step.now - request.sentAt < step.router.settings.ownerSilence) {
+        return;
+    }
+    request.doubted = true;
+    const auto heard = step.router.heardFrom.find(request.sentTo);
+    const bool silent = heard == step.router.heardFrom.end() || heard->second <= request.sentAt;
+    if (silent) {
+        correctGuess(step, request.group, request.sentTo, std::nullopt);
+    }
+}
+
 bool mayRetry(const entry_request &request, const statement_result &result)
 {
     if (result.kind != outcome::notRun || request.what.transaction.value() != 0) {
@@ -247,8 +298,10 @@
 
 void onAnswer(entry_step &step, const owner_answered &event)
 {
+    noteHeard(step, event.request);
     const auto found = step.router.inFlight.find(event.request);
     if (found == step.router.inFlight.end()) {
+        dropOrphan(step, event);
         return;
     }
     entry_request &request = found->second;
@@ -307,6 +360,11 @@
     std::erase_if(step.router.transactions, [&](const auto &item) {
         return item.second.owner == event.peer;
     });
+    step.router.heardFrom.erase(event.peer);
+    // The owner rolls back what it held for this entry.
+    std::erase_if(step.router.orphans, [&](const auto &item) {
+        return item.second.owner == event.peer;
+    });
 }
 
 void onHolders(entry_step &step, const holders_found &event)
@@ -346,7 +404,8 @@
     constexpr duration grace = std::chrono::milliseconds(100);
     std::vector<request_id> expired;
     std::vector<request_id> due;
-    for (const auto &[id, request] : step.router.inFlight) {
+    for (auto &[id, request] : step.router.inFlight) {
+        doubtOwner(step, request);
         const duration allowed = request.sent ? grace : duration::zero();
         if (step.now >= request.what.deadline + allowed) {
             expired.push_back(id);
@@ -359,8 +418,14 @@
     for (const request_id id : expired) {
         const entry_request &request = step.router.inFlight.at(id);
         abandon(step, request, id);
+        if (request.what.kind == statement_kind::commit || request.what.kind == statement_kind::rollback) {
+            step.router.transactions.erase(request.transaction);
+        }
         finish(step, id, expiredResult(request));
     }
+    std::erase_if(step.router.orphans, [&](const auto &item) {
+        return step.now >= item.second.forgetAt;
+    });
     for (const request_id id : due) {
         trySend(step, id);
     }
--- a/mustardrouter/Routing/entry_router.h
+++ b/mustardrouter/Routing/entry_router.h
@@ -22,6 +22,10 @@
     duration maxRetryPause = std::chrono::milliseconds(160);
     /// Pause between two questions to the platform about one group.
     duration findPause = std::chrono::milliseconds(200);
+    /// Silence of an owner after which the entry asks who owns the group now.
+    duration ownerSilence = std::chrono::milliseconds(400);
+    /// For which the entry remembers a transaction's begin that its caller no longer waits for.
+    duration orphanPatience = std::chrono::seconds(10);
 };
 
 /// A request between its caller and its owner.
@@ -35,6 +39,9 @@
     time_point retryAt{};
     instance_name sentTo;
     bool sent = false;
+    time_point sentAt{};
+    /// The entry has doubted the owner on account of this request already.
+    bool doubted = false;
     /// The caller's number of its transaction; the statement carries the owner's.
     transaction_id transaction;
     std::uint32_t attempts = 0;
@@ -57,6 +64,14 @@
     transaction_id atOwner;
 };
 
+/// The begin of a transaction whose caller went away before the answer came.
+struct orphaned_begin {
+    instance_name owner;
+    group_name group;
+    session_name session;
+    time_point forgetAt{};
+};
+
 /// State of an entry: what is in flight, and guesses that any answer may correct.
 struct entry_router {
     entry_router(std::string tokenKey, entry_settings settings);
@@ -65,10 +80,13 @@
     entry_settings settings;
     std::shared_ptr<const configuration_snapshot> configuration;
     std::map<group_name, owner_guess> owners;
+    /// When each owner last answered anything.
+    std::map<instance_name, time_point> heardFrom;
     std::map<service_name, retry_budget> budgets;
     std::unordered_map<request_id, entry_request> inFlight;
     /// By the number that the caller was given.
     std::unordered_map<transaction_id, entry_transaction> transactions;
+    std::unordered_map<request_id, orphaned_begin> orphans;
     std::uint64_t nextRequest = 1;
     std::uint64_t nextTransaction = 1;
 };
--- a/mustardrouter/Routing/group_engine.cpp
+++ b/mustardrouter/Routing/group_engine.cpp
@@ -1,6 +1,8 @@
 #include "mustardrouter/Routing/group_engine.h"
 
-#include "mustardrouter/Routing/engine_step.h"
+#include "mustardrouter/Routing/engine_confirmation.h"
+#include "mustardrouter/Routing/engine_connections.h"
+#include "mustardrouter/Routing/engine_transactions.h"
 #include "mustardrouter/Routing/group_pump.h"
 
 #include <algorithm>
@@ -13,142 +15,6 @@
 namespace
 {
 
-void answerRun(engine_step &step, const running_request &done, statement_result result)
-{
-    if (done.abandoned) {
-        return;
-    }
-    answer_request action;
-    action.request = done.request.id;
-    action.result = std::move(result);
-    action.result.database = done.database;
-    action.queued = done.startedAt - done.request.arrived;
-    action.ran = done.answeredAt - done.startedAt;
-    action.confirming = step.now - done.answeredAt;
-    step.actions.emplace_back(std::move(action));
-}
-
-bool changesData(statement_kind kind)
-{
-    return kind == statement_kind::write || kind == statement_kind::commit;
-}
-
-/// Reads that any owner might serve, even one that has been replaced unawares.
-bool needsRound(const group_engine &engine, const statement &what)
-{
-    if (engine.ownership.settings.confirmReplicas == 0) {
-        return false;
-    }
-    if (what.kind == statement_kind::lookup) {
-        return true;
-    }
-    if (what.kind != statement_kind::read || what.transaction.value() != 0) {
-        return false;
-    }
-    return what.rule == read_rule::latest || (what.rule == read_rule::session && !what.floor);
-}
-
-std::uint64_t nextRound(engine_step &step)
-{
-    step.engine.roundWanted = true;
-    return step.engine.ownership.round + 1;
-}
-
-void closeConnection(engine_step &step, connection_id connection)
-{
-    const auto home = step.engine.connectionHome.find(connection);
-    if (home == step.engine.connectionHome.end()) {
-        return;
-    }
-    removeConnection(step.engine.pools.at(home->second), connection);
-    step.engine.connectionHome.erase(home);
-    step.actions.emplace_back(close_connection{connection});
-}
-
-statement_result lostAnswer(const running_request &lost, failure why)
-{
-    const bool harmless = !changesData(lost.request.what.kind);
-    if (harmless && lost.request.what.transaction.value() != 0) {
-        return notRun(failure::transactionLost, "the transaction was rolled back");
-    }
-    if (lost.request.what.kind == statement_kind::begin) {
-        return notRun(failure::transactionLost, "the transaction did not begin");
-    }
-    return unknownOutcome(why, "sent, but no answer came");
-}
-
-void requeue(engine_step &step, waiting_request request)
-{
-    ++request.attempts;
-    if (request.attempts >= step.engine.settings.maxAttempts) {
-        answer(step, request, notRun(failure::overloaded, "refused too often", retryHint));
-        return;
-    }
-    const queue_lane lane = laneFor(request.what);
-    if (!enqueue(step.engine.queue, lane, request)) {
-        answer(step, request, notRun(failure::overloaded, "the queue is full", retryHint));
-    }
-}
-
-/// Reads may run twice, so an autocommit read whose connection broke is tried elsewhere.
-bool mayRunAgain(const waiting_request &request)
-{
-    return request.what.kind == statement_kind::read && request.what.transaction.value() == 0;
-}
-
-void loseRunning(engine_step &step, running_request lost, failure why)
-{
-    lost.answeredAt = step.now;
-    if (mayRunAgain(lost.request) && !lost.abandoned) {
-        requeue(step, std::move(lost.request));
-        return;
-    }
-    answerRun(step, lost, lostAnswer(lost, why));
-}
-
-void loseTransactionOn(engine_step &step, connection_id connection)
-{
-    std::erase_if(step.engine.transactions, [&](const auto &item) {
-        return item.second.connection == connection;
-    });
-}
-
-void endTransaction(engine_step &step, transaction_id transaction)
-{
-    const auto found = step.engine.transactions.find(transaction);
-    if (found == step.engine.transactions.end()) {
-        return;
-    }
-    const connection_id connection = found->second.connection;
-    step.engine.transactions.erase(found);
-    closeConnection(step, connection);
-}
-
-void dropEverything(engine_step &step, failure why)
-{
-    group_engine &engine = step.engine;
-    engine.transactions.clear();
-    auto running = std::move(engine.running);
-    engine.running.clear();
-    auto unconfirmed = std::move(engine.unconfirmed);
-    engine.unconfirmed.clear();
-    for (auto &[connection, home] : engine.connectionHome) {
-        removeConnection(engine.pools.at(home), connection);
-        step.actions.emplace_back(close_connection{connection});
-    }
-    engine.connectionHome.clear();
-    for (auto &[id, lost] : running) {
-        loseRunning(step, std::move(lost), why);
-    }
-    for (unconfirmed_result &waiting : unconfirmed) {
-        if (mayRunAgain(waiting.done.request) && !waiting.done.abandoned) {
-            requeue(step, std::move(waiting.done.request));
-            continue;
-        }
-        answerRun(step, waiting.done, lostAnswer(waiting.done, why));
-    }
-}
-
 void refuseWaiting(engine_step &step, failure why)
 {
     for (const waiting_request &request : takeAll(step.engine.queue)) {
@@ -160,7 +26,6 @@
 {
     resetFloors(step.engine.sessions, started.barrier);
     step.engine.history.samples.clear();
-    step.engine.nextTransaction = 1;
     // Floors of earlier terms are covered by the barrier when a read is placed.
     restartReads(step.engine.queue);
     restart(step.engine.catchUp);
@@ -180,6 +45,8 @@
     }
 }
 
+} // namespace
+
 void applyOwnership(engine_step &step, ownership_actions &decided)
 {
     for (ownership_action &action : decided) {
@@ -193,92 +60,17 @@
     }
 }
 
-void noteRound(engine_step &step, std::uint64_t before)
-{
-    group_engine &engine = step.engine;
-    constexpr std::size_t maxRounds = 1024;
-    for (std::uint64_t round = before; round < engine.ownership.round; ++round) {
-        engine.roundAskedAt.push_back(step.now);
-    }
-    while (engine.roundAskedAt.size() > maxRounds) {
-        engine.roundAskedAt.pop_front();
-        ++engine.firstRound;
-    }
-}
-
 void stepOwnership(engine_step &step, const ownership_event &event)
 {
     ownership_actions decided;
     const std::uint64_t before = step.engine.ownership.round;
     mustardrouter::step(step.engine.ownership, event, step.now, decided);
-    noteRound(step, before);
+    noteRounds(step, before);
     applyOwnership(step, decided);
 }
 
-void samplePrimary(engine_step &step, const database_reported &event)
-{
-    group_engine &engine = step.engine;
-    const bool counts = event.database == engine.ownership.primary && event.report.term == engine.ownership.term;
-    if (!counts || event.report.round < engine.firstRound) {
-        return;
-    }
-    const std::size_t index = event.report.round - engine.firstRound;
-    if (index < engine.roundAskedAt.size()) {
-        recordPosition(engine.history, engine.roundAskedAt[index], event.report.received.position);
-    }
-}
-
-bool isConfirmed(const group_engine &engine, const unconfirmed_result &waiting)
-{
-    if (waiting.position > confirmedPosition(engine.ownership)) {
-        return false;
-    }
-    return waiting.round == 0 || replicasPastRound(engine.ownership, waiting.round) >= engine.ownership.settings.confirmReplicas;
-}
-
-void finish(engine_step &step, unconfirmed_result &waiting)
-{
-    if (waiting.result.floor) {
-        raiseSessionFloor(step.engine.sessions, waiting.done.request.what.session, *waiting.result.floor);
-    }
-    answerRun(step, waiting.done, std::move(waiting.result));
-}
-
-void confirmResults(engine_step &step)
-{
-    group_engine &engine = step.engine;
-    std::vector<unconfirmed_result> still;
-    for (unconfirmed_result &waiting : engine.unconfirmed) {
-        if (isConfirmed(engine, waiting)) {
-            finish(step, waiting);
-            continue;
-        }
-        if (step.now >= waiting.done.request.what.deadline) {
-            answerRun(step, waiting.done, unknownOutcome(failure::deadlineExceeded, "not confirmed in time"));
-            continue;
-        }
-        still.push_back(std::move(waiting));
-    }
-    engine.unconfirmed = std::move(still);
-}
-
-void pumpRounds(engine_step &step)
+namespace
 {
-    group_engine &engine = step.engine;
-    if (!engine.roundWanted) {
-        return;
-    }
-    const bool due = engine.roundAskedAt.empty() || step.now - engine.roundAskedAt.back() >= engine.settings.roundInterval;
-    if (!due) {
-        return;
-    }
-    engine.roundWanted = false;
-    ownership_actions decided;
-    const std::uint64_t before = engine.ownership.round;
-    startRound(engine.ownership, step.now, decided);
-    noteRound(step, before);
-    applyOwnership(step, decided);
-}
 
 std::optional<statement_result> refuse(engine_step &step, const statement &what)
 {
@@ -306,6 +98,15 @@
     return std::nullopt;
 }
 
+log_entry sessionFloor(group_engine &engine, const statement &what)
+{
+    if (!what.floor) {
+        return floorOf(engine.sessions, what.session);
+    }
+    // A caller with several requests under way may present an older token than it was given.
+    return std::max(*what.floor, knownFloorOf(engine.sessions, what.session).value_or(log_entry{}));
+}
+
 void onRequest(engine_step &step, const request_arrived &event)
 {
     waiting_request request;
@@ -317,7 +118,7 @@
         return;
     }
     if (request.what.rule == read_rule::session) {
-        request.floor = request.what.floor ? *request.what.floor : floorOf(step.engine.sessions, request.what.session);
+        request.floor = sessionFloor(step.engine, request.what);
     }
     if (needsRound(step.engine, request.what)) {
         request.round = nextRound(step);
@@ -332,139 +133,6 @@
     }
 }
 
-void settleTransaction(engine_step &step, running_request &done, statement_result &result)
-{
-    group_engine &engine = step.engine;
-    const statement &what = done.request.what;
-    if (what.kind == statement_kind::begin && result.kind == outcome::done) {
-        constexpr unsigned termShift = 24;
-        const transaction_id id((engine.ownership.term.value() << termShift) | engine.nextTransaction++);
-        engine.transactions.emplace(id, open_transaction{done.connection, what.session, step.now, false});
-        result.transaction = id;
-        if (done.abandoned) {
-            endTransaction(step, id);
-        }
-        return;
-    }
-    const auto found = engine.transactions.find(what.transaction);
-    if (found == engine.transactions.end()) {
-        return;
-    }
-    found->second.busy = false;
-    found->second.usedAt = step.now;
-    const bool over = what.kind == statement_kind::commit || what.kind == statement_kind::rollback;
-    if (over) {
-        unpinConnection(engine.pools.at(done.database), done.connection, step.now);
-        engine.transactions.erase(found);
-        return;
-    }
-    result.transaction = what.transaction;
-}
-
-bool staysPinned(const running_request &done, const statement_result &result)
-{
-    const statement &what = done.request.what;
-    if (what.kind == statement_kind::begin) {
-        return result.kind == outcome::done;
-    }
-    return what.transaction.value() != 0;
-}
-
-void onAnswer(engine_step &step, const statement_answered &event)
-{
-    group_engine &engine = step.engine;
-    const auto found = engine.running.find(event.request);
-    const bool expected = found != engine.running.end() && found->second.connection == event.connection;
-    if (!expected) {
-        return;
-    }
-    running_request done = std::move(found->second);
-    engine.running.erase(found);
-    done.answeredAt = step.now;
-    statement_result result = event.result;
-    releaseConnection(engine.pools.at(done.database), done.connection, staysPinned(done, result), step.now);
-    settleTransaction(step, done, result);
-
-    if (event.refusedByTerm > engine.ownership.term) {
-        stepOwnership(step, term_refused{event.refusedByTerm});
-    }
-    const bool refused = result.kind == outcome::notRun && result.why == failure::staleTerm;
-    if (refused && done.request.what.transaction.value() == 0 && !done.abandoned) {
-        if (engine.ownership.role == ownership_role::owner) {
-            requeue(step, std::move(done.request));
-            return;
-        }
-        answer(step, done.request, notRun(failure::notOwner));
-        return;
-    }
-    if (result.kind != outcome::done) {
-        answerRun(step, done, std::move(result));
-        return;
-    }
-    result.fromReplica = done.database != engine.ownership.primary;
-    unconfirmed_result waiting;
-    // A commit without changes appends nothing and has no entry to confirm.
-    const bool appended = changesData(done.request.what.kind) && event.entry.position.value() != 0;
-    // What the primary shows to a read can still be lost until it is confirmed.
-    const bool seenOnPrimary = !changesData(done.request.what.kind) && done.request.what.transaction.value() == 0
-                               && done.request.what.kind != statement_kind::begin && !result.fromReplica;
-    if (appended || seenOnPrimary) {
-        waiting.position = event.entry.position;
-    }
-    if (event.entry.position.value() != 0 && done.request.what.kind != statement_kind::begin) {
-        result.floor = log_entry{engine.ownership.term, event.entry.position};
-    }
-    waiting.round = done.request.round;
-    waiting.result = std::move(result);
-    waiting.done = std::move(done);
-    engine.unconfirmed.push_back(std::move(waiting));
-}
-
-void onOpened(engine_step &step, const connection_opened &event)
-{
-    group_engine &engine = step.engine;
-    const auto home = engine.connectionHome.find(event.connection);
-    if (home == engine.connectionHome.end()) {
-        return;
-    }
-    connection_pool &pool = engine.pools.at(home->second);
-    if (event.accepted) {
-        markOpened(pool, event.connection, step.now);
-        return;
-    }
-    pool.openAfter = step.now + engine.settings.openBackoff;
-    closeConnection(step, event.connection);
-    if (event.term > engine.ownership.term) {
-        stepOwnership(step, term_refused{event.term});
-    }
-}
-
-void onClosed(engine_step &step, const connection_closed &event)
-{
-    group_engine &engine = step.engine;
-    const auto home = engine.connectionHome.find(event.connection);
-    if (home == engine.connectionHome.end()) {
-        return;
-    }
-    connection_pool &pool = engine.pools.at(home->second);
-    const pooled_connection *connection = findConnection(pool, event.connection);
-    if (connection != nullptr && connection->state == connection_state::opening) {
-        pool.openAfter = step.now + engine.settings.openBackoff;
-    }
-    removeConnection(pool, event.connection);
-    engine.connectionHome.erase(home);
-    loseTransactionOn(step, event.connection);
-    const auto lost = std::ranges::find_if(engine.running, [&](const auto &item) {
-        return item.second.connection == event.connection;
-    });
-    if (lost == engine.running.end()) {
-        return;
-    }
-    running_request request = std::move(lost->second);
-    engine.running.erase(lost);
-    loseRunning(step, std::move(request), failure::connectionLost);
-}
-
 void onAbandoned(engine_step &step, const request_abandoned &event)
 {
     group_engine &engine = step.engine;
@@ -483,14 +151,6 @@
     }
 }
 
-void closeAndLose(engine_step &step, const std::vector<connection_id> &connections)
-{
-    for (const connection_id connection : connections) {
-        step.actions.emplace_back(close_connection{connection});
-        onClosed(step, connection_closed{connection});
-    }
-}
-
 /// A statement that runs past its deadline keeps its connection, but its caller is told. Its
 /// slot is counted until the database answers or the connection is given up as silent. Only a
 /// transaction loses its connection, because its caller takes it for rolled back.
@@ -507,10 +167,12 @@
         }
         running_request lost = running;
         lost.answeredAt = step.now;
-        answerRun(step, lost, lostAnswer(lost, failure::deadlineExceeded));
+        answerRun(step, lost, lostAnswer(lost.request.what, failure::deadlineExceeded));
         running.abandoned = true;
     }
-    closeAndLose(step, transactions);
+    for (const connection_id connection : transactions) {
+        loseConnection(step, connection, failure::deadlineExceeded);
+    }
 }
 
 /// A statement that waits for the lock of an open transaction is not silent.
@@ -528,7 +190,9 @@
         const auto found = findSilent(engine.pools.at(view.name), patience, view.heardAt, step.now);
         silent.insert(silent.end(), found.begin(), found.end());
     }
-    closeAndLose(step, silent);
+    for (const connection_id connection : silent) {
+        loseConnection(step, connection, failure::connectionLost);
+    }
 }
 
 /// Moves the primary away from a database that leaves, once nothing runs there any more.
@@ -553,15 +217,7 @@
         const failure why = isServing(engine.ownership) ? failure::deadlineExceeded : failure::noQuorum;
         answer(step, request, notRun(why, "waited until its deadline", retryHint));
     }
-    std::vector<transaction_id> idle;
-    for (const auto &[id, transaction] : engine.transactions) {
-        if (!transaction.busy && step.now - transaction.usedAt >= engine.settings.idleInTransaction) {
-            idle.push_back(id);
-        }
-    }
-    for (const transaction_id id : idle) {
-        endTransaction(step, id);
-    }
+    endIdleTransactions(step);
     answerOverdue(step);
     replaceSilent(step);
     if (isServing(engine.ownership)) {
--- a/mustardrouter/Routing/group_engine.h
+++ b/mustardrouter/Routing/group_engine.h
@@ -60,6 +60,10 @@
     session_name session;
     time_point usedAt{};
     bool busy = false;
+    /// What its statements may have read up to, and the round that shows the term to be current:
+    /// their answers wait for both.
+    log_position base;
+    std::uint64_t round = 0;
 };
 
 /// A result that waits until enough replicas confirm its position or its round.
--- a/mustardrouter/Sessions/session_table.cpp
+++ b/mustardrouter/Sessions/session_table.cpp
@@ -24,13 +24,18 @@
 }
 
 log_entry floorOf(session_table &table, const session_name &session)
+{
+    return knownFloorOf(table, session).value_or(table.unknownFloor);
+}
+
+std::optional<log_entry> knownFloorOf(session_table &table, const session_name &session)
 {
     const auto found = table.bySession.find(session);
     if (found == table.bySession.end()) {
-        return table.unknownFloor;
+        return std::nullopt;
     }
     table.byUse.splice(table.byUse.begin(), table.byUse, found->second);
-    return std::max(found->second->floor, log_entry{});
+    return found->second->floor;
 }
 
 void raiseSessionFloor(session_table &table, const session_name &session, const log_entry &floor)
--- a/mustardrouter/Sessions/session_table.h
+++ b/mustardrouter/Sessions/session_table.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 namespace mustardrouter
@@ -31,6 +32,9 @@
 /// The floor of a session, known or not.
 log_entry floorOf(session_table &table, const session_name &session);
 
+/// The floor of a session that is in the table, or nothing.
+std::optional<log_entry> knownFloorOf(session_table &table, const session_name &session);
+
 /// Raises the floor of a session; an empty name changes nothing.
 void raiseSessionFloor(session_table &table, const session_name &session, const log_entry &floor);
 
--- a/mustardrouter/Sessions/session_token.cpp
+++ b/mustardrouter/Sessions/session_token.cpp
@@ -123,6 +123,10 @@
         return std::nullopt;
     }
     bytes.resize(static_cast<std::size_t>(length) - padding);
+    // The decoder overlooks spaces and bits that no byte uses; a token has one spelling only.
+    if (toBase64Url(bytes) != token) {
+        return std::nullopt;
+    }
     return bytes;
 }
 
--- a/mustardrouter/StandIn/database_standin.cpp
+++ b/mustardrouter/StandIn/database_standin.cpp
@@ -558,6 +558,7 @@
     const bool records = statement.kind() == wire::STATEMENT_WRITE || statement.kind() == wire::STATEMENT_COMMIT;
     if (repeated && records) {
         refuse(answer, failure::duplicateKey, "a request with this key has run already");
+        setEntry(*answer.mutable_entry(), m_log.records[m_log.keys.at(key).value() - 1].entry);
         return;
     }
     switch (statement.kind()) {
@@ -566,6 +567,8 @@
         from->inTransaction = true;
         from->transactionStatements.clear();
         m_store->begin();
+        // Nothing else writes while the transaction is open: this is what its reads see.
+        setEntry(*answer.mutable_entry(), lastEntry(m_log));
         return;
     case wire::STATEMENT_COMMIT:
         from->transactionKey = key;
