Differential histories: the real core against a naive router in virtual time

Cause: nothing drove entries, engines and ownership together under pairs of faults. Change: hand-written fakes (network, databases, platform, instances, callers) around the real entry_router, group_engine and group_ownership; scenarios from rapidcheck with a printed seed, shrunk on failure; a checker that replays the surviving log on a naive router and compares every answer.

--- /dev/null
+++ b/UnitTests/Histories/event_queue.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "mustardrouter/Core/virtual_clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace mustardrouter::histories
+{
+
+/// Work in the order of its virtual time; equal times keep the order in which they were added.
+class event_queue
+{
+public:
+    time_point now() const
+    {
+        return m_now;
+    }
+
+    void after(duration delay, std::function<void()> work)
+    {
+        m_items.push({m_now + delay, m_next++, std::move(work)});
+    }
+
+    /// Runs everything up to `end` and stops the clock there.
+    void runUntil(time_point end)
+    {
+        while (!m_items.empty() && m_items.top().due <= end) {
+            // The queue gives constant access only; the item is removed right away.
+            item next = std::move(const_cast<item &>(m_items.top()));
+            m_items.pop();
+            m_now = next.due;
+            next.work();
+        }
+        m_now = end;
+    }
+
+private:
+    struct item {
+        time_point due;
+        std::uint64_t order;
+        std::function<void()> work;
+
+        bool operator<(const item &other) const
+        {
+            return due != other.due ? due > other.due : order > other.order;
+        }
+    };
+
+    // Starts above the epoch, which stands for "never" in the decision modules.
+    time_point m_now{std::chrono::seconds(1)};
+    std::uint64_t m_next = 0;
+    std::priority_queue<item> m_items;
+};
+
+} // namespace mustardrouter::histories
