--- a/UnitTests/Admission/choice_test.cpp
+++ b/UnitTests/Admission/choice_test.cpp
@@ -92,9 +92,11 @@
 TEST(database_choice, aRequestIsRefusedOnlyWhenAQueueMakesItLate)
 {
     const server_speed speed{10000, 5, 5};
-    CHECK(!refusalAdvice(speed, 0, 1ms));
-    CHECK(!refusalAdvice(speed, 100, 1s));
-    const auto advice = refusalAdvice(speed, 500, 500ms);
+    CHECK(!refusalAdvice(speed, 0, 1s, 1ms));
+    CHECK(!refusalAdvice(speed, 100, 0ms, 1s));
+    const auto advice = refusalAdvice(speed, 500, 0ms, 500ms);
     CHECK(advice.has_value());
     CHECK(*advice > 500ms);
+    // Few requests ahead, but their class has been served slowly.
+    CHECK(refusalAdvice(speed, 10, 900ms, 1s).has_value());
 }
--- a/UnitTests/Admission/fair_lane_test.cpp
+++ b/UnitTests/Admission/fair_lane_test.cpp
@@ -9,6 +9,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace mustardrouter;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -66,6 +67,20 @@
     CHECK(second);
 }
 
+TEST(fair_lane, theMeasuredWaitFollowsThePaceOfTheClass)
+{
+    fair_lane lane(100);
+    fill(lane, "slow", 1, 50);
+    time_point now;
+    for (int started = 0; started < 10; ++started) {
+        now += 20ms;
+        const auto taken = takeNext(lane);
+        noteStarted(lane, taken->what, now);
+    }
+    LONGS_EQUAL(40 * 20000, measuredWait(lane, service_name("slow"), 1).count());
+    LONGS_EQUAL(0, measuredWait(lane, service_name("other"), 1).count());
+}
+
 TEST(fair_lane, aFloodFillsOnlyItsOwnRoom)
 {
     fair_lane lane(10);
--- a/mustardrouter/Admission/fair_lane.cpp
+++ b/mustardrouter/Admission/fair_lane.cpp
@@ -107,6 +107,32 @@
     return all;
 }
 
+void noteStarted(fair_lane &lane, const statement &what, time_point now)
+{
+    const auto found = lane.classes.find(keyOf(what));
+    if (found == lane.classes.end()) {
+        return;
+    }
+    constexpr double newWeight = 0.05;
+    fair_class &own = found->second;
+    if (own.startedAt != time_point{}) {
+        const auto interval = static_cast<double>((now - own.startedAt).count());
+        const bool measured = own.startIntervalMicros > 0;
+        own.startIntervalMicros = measured ? own.startIntervalMicros + newWeight * (interval - own.startIntervalMicros) : interval;
+    }
+    own.startedAt = now;
+}
+
+duration measuredWait(const fair_lane &lane, const service_name &service, std::uint32_t weight)
+{
+    const auto found = lane.classes.find({service, std::max(weight, 1U)});
+    if (found == lane.classes.end()) {
+        return duration::zero();
+    }
+    const fair_class &own = found->second;
+    return duration(static_cast<duration::rep>(static_cast<double>(own.requests.size()) * own.startIntervalMicros));
+}
+
 std::size_t requestsAhead(const fair_lane &lane, const service_name &service, std::uint32_t weight)
 {
     const std::uint64_t own = std::max(weight, 1U);
--- a/mustardrouter/Admission/fair_lane.h
+++ b/mustardrouter/Admission/fair_lane.h
@@ -20,6 +20,10 @@
     std::deque<waiting_request> requests;
     /// Virtual time at which the class is due; it advances by 1/weight with each request taken.
     std::uint64_t dueAt = 0;
+    /// When one of its requests was started last, and the mean time between two starts since the
+    /// class has had a backlog; zero before the second start.
+    time_point startedAt{};
+    double startIntervalMicros = 0;
 };
 
 /// A queue that shares its server between classes by weight: start-time fair queueing. A class
@@ -52,6 +56,13 @@
 /// Removes and returns everything.
 std::vector<waiting_request> takeAll(fair_lane &lane);
 
+/// Notes that a request of the class was started.
+void noteStarted(fair_lane &lane, const statement &what, time_point now);
+
+/// Wait of a request that is appended now, from the pace at which its class has been served.
+/// It covers what classes with larger weights take away, also when they keep no backlog.
+duration measuredWait(const fair_lane &lane, const service_name &service, std::uint32_t weight);
+
 /// How many requests are served before one that is appended now, at worst by its class's share.
 std::size_t requestsAhead(const fair_lane &lane, const service_name &service, std::uint32_t weight);
 
--- a/mustardrouter/Admission/read_figures.h
+++ b/mustardrouter/Admission/read_figures.h
@@ -7,9 +7,7 @@
 
 /// How the reads that rules allow on replicas were placed.
 struct read_figures {
-    /// A replica was fresh enough for the read when it could first have started.
-    std::uint64_t fresh = 0;
-    /// Started on a replica at once, or after a wait for a slot.
+    /// Started on a replica that was fresh enough, at once or after a wait for a slot.
     std::uint64_t onReplica = 0;
     /// Started on a replica after a wait until it had caught up.
     std::uint64_t caughtUp = 0;
--- a/mustardrouter/Admission/waiting_time.cpp
+++ b/mustardrouter/Admission/waiting_time.cpp
@@ -23,12 +23,13 @@
     return duration(static_cast<duration::rep>((rounds + 1) * speed.serviceMicros));
 }
 
-std::optional<duration> refusalAdvice(const server_speed &speed, std::size_t ahead, duration patience)
+std::optional<duration> refusalAdvice(const server_speed &speed, std::size_t ahead, duration measuredWait, duration patience)
 {
     if (ahead == 0) {
         return std::nullopt;
     }
-    const duration expected = expectedCompletion(speed, ahead);
+    const duration service(static_cast<duration::rep>(speed.serviceMicros));
+    const duration expected = std::max(expectedCompletion(speed, ahead), measuredWait + service);
     const duration usable(static_cast<duration::rep>(usablePatience * static_cast<double>(patience.count())));
     if (expected <= usable) {
         return std::nullopt;
--- a/mustardrouter/Admission/waiting_time.h
+++ b/mustardrouter/Admission/waiting_time.h
@@ -19,7 +19,8 @@
 duration expectedCompletion(const server_speed &speed, std::size_t ahead);
 
 /// Whether a statement that comes now should be refused at once, because its answer cannot be
-/// expected within `patience`; then, when it may come again. A server without a queue takes all.
-std::optional<duration> refusalAdvice(const server_speed &speed, std::size_t ahead, duration patience);
+/// expected within `patience`; then, when it may come again. The longer of the wait that `ahead`
+/// gives and the one that was measured counts. A server without a queue takes all.
+std::optional<duration> refusalAdvice(const server_speed &speed, std::size_t ahead, duration measuredWait, duration patience);
 
 } // namespace mustardrouter
--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -254,10 +254,16 @@
         return;
     }
     m_draining = true;
+    m_drainingSince = now();
     m_identity.self.leaving = true;
     mergeInstance(m_directory, m_identity.self);
     updateRankings();
     m_outputs.network.stopAccepting();
+    for (const auto &[link, use] : m_links) {
+        if (std::holds_alternative<caller_link>(use)) {
+            askToLeave(link);
+        }
+    }
     for (auto &[group, engine] : m_engines) {
         stepEngine(group, ownership_event(resignation_requested{}));
     }
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -136,6 +136,8 @@
     void guessHolders(const group_name &group, const std::vector<term_range> &ranking);
     void onCommand(const operator_command &command);
     void beginDraining();
+    void askToLeave(link_id caller);
+    bool hasCallers() const;
     void post(platform_job job);
 
     // Engines.
@@ -208,6 +210,7 @@
     /// Whether the platform's list has named this instance.
     bool m_listed = false;
     bool m_draining = false;
+    time_point m_drainingSince{};
     std::atomic<bool> m_drained{false};
     mutable std::mutex m_statusMutex;
     std::condition_variable m_statusPublished;
--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -2,6 +2,8 @@
 #include "mustardrouter/Instance/wire_codec.h"
 #include "mustardrouter/Runtime/log.h"
 
+#include <algorithm>
+
 namespace mustardrouter
 {
 
@@ -21,7 +23,10 @@
 
 void decision_duty::onMessage(link_id link, wire::caller_request &request)
 {
-    m_links.try_emplace(link, caller_link{});
+    const bool added = m_links.try_emplace(link, caller_link{}).second;
+    if (added && m_draining) {
+        askToLeave(link);
+    }
     const wire::statement &message = request.statement();
     if (!isKnown(message)) {
         wire::caller_response refusal;
@@ -48,6 +53,21 @@
     stepEntry(sent);
 }
 
+/// Requests that cross this notice on their way are served still.
+void decision_duty::askToLeave(link_id caller)
+{
+    wire::caller_response notice;
+    *notice.mutable_result() = toWire(notRun(failure::shuttingDown, "use another entry"));
+    send(caller, std::move(notice));
+}
+
+bool decision_duty::hasCallers() const
+{
+    return std::ranges::any_of(m_links, [](const auto &item) {
+        return std::holds_alternative<caller_link>(item.second);
+    });
+}
+
 void decision_duty::onMessage(link_id, wire::caller_response &)
 {
     // Callers send requests; the parser of caller links yields nothing else.
--- a/mustardrouter/Instance/decision_status.cpp
+++ b/mustardrouter/Instance/decision_status.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// For callers to leave an entry that shuts down.
+constexpr duration callerPatience = std::chrono::seconds(2);
+
 const char *nameOf(ownership_role role)
 {
     switch (role) {
@@ -111,7 +114,9 @@
 
 void decision_duty::publishFigures()
 {
-    bool busy = !m_entry.inFlight.empty();
+    // Callers get time to go elsewhere; one that knows nothing of the notice is not waited for.
+    const bool callersLeave = hasCallers() && now() - m_drainingSince < callerPatience;
+    bool busy = !m_entry.inFlight.empty() || !m_entry.transactions.empty() || callersLeave;
     for (const auto &[group, engine] : m_engines) {
         const bool owns = engine.ownership.role == ownership_role::owner;
         busy = busy || owns || !isQuiet(engine);
@@ -164,6 +169,9 @@
     for (const database_view &view : ownership.databases) {
         item["databases"].append(makeDatabaseStatus(engine, view));
     }
+    item["reads"]["onReplica"] = Json::UInt64(engine.reads.onReplica);
+    item["reads"]["caughtUp"] = Json::UInt64(engine.reads.caughtUp);
+    item["reads"]["onPrimary"] = Json::UInt64(engine.reads.onPrimary);
     item["degraded"] = degradedOf(engine);
     return item;
 }
--- a/mustardrouter/Load/caller_client.cpp
+++ b/mustardrouter/Load/caller_client.cpp
@@ -27,6 +27,11 @@
 {
 }
 
+caller_client::~caller_client()
+{
+    close();
+}
+
 void caller_client::connect()
 {
     m_connection = std::make_shared<frame_connection>(asio::ip::tcp::socket(m_context));
@@ -81,6 +86,11 @@
     return m_connection && m_connection->isOpen();
 }
 
+bool caller_client::takesNew() const
+{
+    return isOpen() && !m_entryLeaves;
+}
+
 const std::string &caller_client::entry() const
 {
     return m_entry;
@@ -93,6 +103,10 @@
         m_connection->close(failure::malformedFrame);
         return;
     }
+    if (response.id() == 0) {
+        m_entryLeaves = true;
+        return;
+    }
     const auto found = m_waiting.find(response.id());
     if (found == m_waiting.end()) {
         return;
--- a/mustardrouter/Load/caller_client.h
+++ b/mustardrouter/Load/caller_client.h
@@ -22,6 +22,9 @@
     using handler = std::function<void(const wire::result &)>;
 
     caller_client(asio::io_context &context, std::string entry);
+    ~caller_client();
+    caller_client(const caller_client &) = delete;
+    caller_client &operator=(const caller_client &) = delete;
 
     /// Connects; failure::addressUnavailable in `detail` of later results when it cannot.
     void connect();
@@ -29,6 +32,8 @@
     void send(const wire::statement &statement, handler onResult);
     void close();
     bool isOpen() const;
+    /// False when the entry has said that it shuts down: what is new belongs elsewhere.
+    bool takesNew() const;
     const std::string &entry() const;
 
 private:
@@ -40,6 +45,7 @@
     std::shared_ptr<frame_connection> m_connection;
     std::unordered_map<std::uint64_t, handler> m_waiting;
     std::uint64_t m_nextId = 1;
+    bool m_entryLeaves = false;
 };
 
 /// Sends one statement to an entry and waits for the result.
--- a/mustardrouter/Load/load_profile.cpp
+++ b/mustardrouter/Load/load_profile.cpp
@@ -76,6 +76,9 @@
     if (profile.apply_lag_us() > 0) {
         sizes.applyLag = std::chrono::microseconds(profile.apply_lag_us());
     }
+    if (profile.connections() > 0) {
+        sizes.connections = profile.connections();
+    }
     for (const load::class_policy &policy : profile.policies()) {
         sizes.classServices.push_back({serviceFor(sizes, policy.class_()), std::max(policy.weight(), 1U)});
     }
--- a/mustardrouter/Load/load_report.cpp
+++ b/mustardrouter/Load/load_report.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Load/load_report.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <optional>
@@ -74,11 +75,12 @@
         text += classLine(item);
     }
     for (const load::database_use &use : run.databases()) {
-        text += format("  %-32s %8llu statements, %llu of %llu connections\n",
+        text += format("  %-32s %8llu statements, %llu of %llu connections, %llu refused\n",
                        use.database().c_str(),
                        static_cast<unsigned long long>(use.statements()),
                        static_cast<unsigned long long>(use.most_connections()),
-                       static_cast<unsigned long long>(use.connection_limit()));
+                       static_cast<unsigned long long>(use.connection_limit()),
+                       static_cast<unsigned long long>(use.refused_connections()));
     }
     for (const load::fault_mark &mark : run.faults()) {
         text += format("  %7.2f s %s\n", mark.at_seconds(), mark.what().c_str());
@@ -196,6 +198,13 @@
            == 0;
 }
 
+bool keptLimits(const load::run_report &run)
+{
+    return std::ranges::none_of(run.databases(), [](const load::database_use &use) {
+        return use.refused_connections() > 0 || use.most_connections() > use.connection_limit();
+    });
+}
+
 std::string toTable(const load::report &report)
 {
     std::string text =
--- a/mustardrouter/Load/load_report.h
+++ b/mustardrouter/Load/load_report.h
@@ -19,6 +19,9 @@
 /// Whether every promise was kept.
 bool isClean(const load::promises &found);
 
+/// Whether no database was asked for more connections than it takes.
+bool keptLimits(const load::run_report &run);
+
 /// The report as a table for people.
 std::string toTable(const load::report &report);
 
--- a/mustardrouter/Load/load_run.cpp
+++ b/mustardrouter/Load/load_run.cpp
@@ -47,6 +47,7 @@
             load::database_use &use = *report.add_databases();
             use.set_database(database->name());
             use.set_most_connections(database->mostConnections());
+            use.set_refused_connections(database->refusedConnections());
             use.set_connection_limit(bed.sizes().connections);
             const auto found = statistics.byDatabase.find(database->name());
             use.set_statements(found == statistics.byDatabase.end() ? 0 : found->second);
--- a/mustardrouter/Load/workload.cpp
+++ b/mustardrouter/Load/workload.cpp
@@ -161,7 +161,7 @@
 std::shared_ptr<caller_client> workload::anyClient()
 {
     std::shared_ptr<caller_client> &chosen = m_clients[m_random() % m_clients.size()];
-    if (!chosen->isOpen()) {
+    if (!chosen->takesNew()) {
         // The balancer sends a new connection to any entry that still listens.
         const std::string &entry = m_settings.entries[m_random() % m_settings.entries.size()];
         chosen = std::make_shared<caller_client>(m_context, entry);
@@ -231,7 +231,8 @@
     ++m_inFlight;
     const bool replicaMayServe = statement.kind() == wire::STATEMENT_READ && statement.transaction() == 0;
     const statement_origin origin{what.phase, what.workClass, replicaMayServe, what.intended};
-    client->send(statement, [this, origin, onResult = std::move(onResult)](const wire::result &result) {
+    // The client lives until its last answer, also when it has been replaced for new work.
+    client->send(statement, [this, client, origin, onResult = std::move(onResult)](const wire::result &result) {
         countOutcome(result);
         const auto now = std::chrono::steady_clock::now();
         recordAnswer(m_statistics, origin, result, now - origin.intended, now - m_start);
--- a/mustardrouter/Routing/group_pump.cpp
+++ b/mustardrouter/Routing/group_pump.cpp
@@ -174,6 +174,7 @@
             openFor(step, engine.ownership.primary, waitingIn(engine.queue, queue_lane::primary));
             return;
         }
+        noteStarted(engine.queue.primary, request->what, step.now);
         startOn(step, engine.ownership.primary, *connection, std::move(*request), "only the primary may serve it");
     }
 }
@@ -258,12 +259,7 @@
 
 void countPlacement(group_engine &engine, const waiting_request &request)
 {
-    if (request.waitedForReplica) {
-        ++engine.reads.caughtUp;
-        return;
-    }
-    ++engine.reads.fresh;
-    ++engine.reads.onReplica;
+    ++(request.waitedForReplica ? engine.reads.caughtUp : engine.reads.onReplica);
 }
 
 /// Starts a read on a replica; gives the request back when no connection is free there.
@@ -283,6 +279,7 @@
         return request;
     }
     countPlacement(engine, request);
+    noteStarted(engine.queue.replica, request.what, step.now);
     pool.admittedCredit -= pool.admittedCredit >= 1 ? 1 : 0;
     startOn(step, database, *connection, std::move(request), "fresh enough and answers first");
     --chosen.freeSlots;
@@ -416,7 +413,8 @@
     const fair_lane &waiting = onPrimary ? engine.queue.primary : engine.queue.replica;
     const server_speed speed = onPrimary ? primarySpeed(engine) : replicaSpeed(engine);
     const std::size_t ahead = requestsAhead(waiting, what.service, what.weight);
-    const std::optional<duration> advice = refusalAdvice(speed, ahead, what.deadline - step.now);
+    const std::optional<duration> advice =
+        refusalAdvice(speed, ahead, measuredWait(waiting, what.service, what.weight), what.deadline - step.now);
     if (!advice) {
         return std::nullopt;
     }
--- a/mustardrouter/StandIn/database_standin.cpp
+++ b/mustardrouter/StandIn/database_standin.cpp
@@ -237,6 +237,15 @@
     return most;
 }
 
+std::size_t database_standin::refusedConnections()
+{
+    std::size_t refused = 0;
+    runOnThread([&] {
+        refused = m_refusedOpens;
+    });
+    return refused;
+}
+
 void database_standin::after(std::chrono::microseconds delay, std::function<void()> work)
 {
     const auto guarded = [this, life = m_life, work = std::move(work)] {
@@ -347,6 +356,7 @@
 void database_standin::finishOpen(const session_ptr &from, std::uint64_t term)
 {
     wire::database_message message;
+    m_refusedOpens += m_open >= m_settings.connections() ? 1 : 0;
     const bool accepted = term >= m_term && m_open < m_settings.connections() && !from->statements;
     message.mutable_opened()->set_accepted(accepted);
     message.mutable_opened()->set_term(m_term);
--- a/mustardrouter/StandIn/database_standin.h
+++ b/mustardrouter/StandIn/database_standin.h
@@ -62,6 +62,8 @@
     wire::result query(const std::string &sql);
     /// Most statement connections that were ever open at once.
     std::size_t mostConnections();
+    /// Statement connections refused because the limit was reached.
+    std::size_t refusedConnections();
 
 private:
     using clock = std::chrono::steady_clock;
@@ -142,6 +144,7 @@
     std::uint32_t m_running = 0;
     std::size_t m_open = 0;
     std::size_t m_mostOpen = 0;
+    std::size_t m_refusedOpens = 0;
     bool m_reportPosted = false;
     session_ptr m_writer;
     std::deque<waiting_write> m_waitingWrites;
