--- a/mustardrouter/Admission/fair_lane.cpp
+++ b/mustardrouter/Admission/fair_lane.cpp
@@ -12,6 +12,9 @@
 /// Virtual time that a request of weight 1 takes.
 constexpr std::uint64_t virtualCost = 1'000'000;
 
+/// Starts from which a class's pace is known.
+constexpr std::uint32_t startsForPace = 32;
+
 std::uint64_t costOf(std::uint32_t weight)
 {
     return std::max<std::uint64_t>(1, virtualCost / std::max(weight, 1U));
@@ -113,13 +116,13 @@
     if (found == lane.classes.end()) {
         return;
     }
-    constexpr double newWeight = 0.05;
+    // A plain mean at first, then one over about as many starts as make a pace.
     fair_class &own = found->second;
-    if (own.startedAt != time_point{}) {
+    if (own.starts > 0) {
         const auto interval = static_cast<double>((now - own.startedAt).count());
-        const bool measured = own.startIntervalMicros > 0;
-        own.startIntervalMicros = measured ? own.startIntervalMicros + newWeight * (interval - own.startIntervalMicros) : interval;
+        own.startIntervalMicros += (interval - own.startIntervalMicros) / std::min(own.starts, startsForPace);
     }
+    ++own.starts;
     own.startedAt = now;
 }
 
@@ -130,6 +133,9 @@
         return duration::zero();
     }
     const fair_class &own = found->second;
+    if (own.starts < startsForPace) {
+        return duration::zero();
+    }
     return duration(static_cast<duration::rep>(static_cast<double>(own.requests.size()) * own.startIntervalMicros));
 }
 
--- a/mustardrouter/Admission/fair_lane.h
+++ b/mustardrouter/Admission/fair_lane.h
@@ -20,9 +20,10 @@
     std::deque<waiting_request> requests;
     /// Virtual time at which the class is due; it advances by 1/weight with each request taken.
     std::uint64_t dueAt = 0;
-    /// When one of its requests was started last, and the mean time between two starts since the
-    /// class has had a backlog; zero before the second start.
+    /// When one of its requests was started last, how many were since the class has had a backlog,
+    /// and the mean time between two starts.
     time_point startedAt{};
+    std::uint32_t starts = 0;
     double startIntervalMicros = 0;
 };
 
@@ -60,7 +61,8 @@
 void noteStarted(fair_lane &lane, const statement &what, time_point now);
 
 /// Wait of a request that is appended now, from the pace at which its class has been served.
-/// It covers what classes with larger weights take away, also when they keep no backlog.
+/// It covers what classes with larger weights take away, also when they keep no backlog. Zero until
+/// enough requests have been started to tell a pace from a stall.
 duration measuredWait(const fair_lane &lane, const service_name &service, std::uint32_t weight);
 
 /// How many requests are served before one that is appended now, at worst by its class's share.
--- /dev/null
+++ b/tests.d/load-granite-notch-faults.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Failovers with few connections ask no database for more than its limit, and instances that shut
+# down one after another cut off no request.
+set -euo pipefail
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+./build/mustardrouter load --profile examples/load/granite-notch-failover.json --scale 0.7 --rate 0.5
+./build/mustardrouter load --profile examples/load/granite-notch-rolling-shutdown.json --rate 0.5 --report "$out/rolling.json"
+grep -q '"cleanShutdowns": 3' "$out/rolling.json"
+if grep -q '"unknown"' "$out/rolling.json"; then
+    echo "a shutdown cut off requests"
+    exit 1
+fi
