--- /dev/null
+++ b/UnitTests/Membership/instance_directory_test.cpp
@@ -0,0 +1,126 @@
+#include "mustardrouter/Membership/instance_directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+instance_view viewOf(const std::string &name, const std::string &address, std::uint64_t incarnation, bool leaving = false)
+{
+    return {instance_name(name), address, "here", incarnation, leaving};
+}
+
+const instance_view first = viewOf("a.1", "10.0.0.1:1", 1);
+const instance_view second = viewOf("b.1", "10.0.0.2:1", 1);
+
+bool isLive(const instance_directory &directory, const instance_view &view, time_point now)
+{
+    for (const instance_view &live : liveInstances(directory, now)) {
+        if (live.name == view.name) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(instance_directory)
+{
+    instance_directory directory;
+    time_point now = time_point(100s);
+};
+
+TEST(instance_directory, leavingSticksWhateverAnOldListSays)
+{
+    mergeList(directory, {first}, now);
+    CHECK(mergeHeard(directory, viewOf("a.1", first.address, 1, true), now));
+    CHECK_FALSE(mergeList(directory, {first}, now));
+    CHECK_FALSE(isLive(directory, first, now));
+}
+
+TEST(instance_directory, aRestartUnderTheSameAddressReplacesTheOldLife)
+{
+    const instance_view restarted = viewOf("a.2", first.address, 2);
+    mergeList(directory, {first, second}, now);
+    CHECK(mergeHeard(directory, restarted, now));
+    CHECK_FALSE(isLive(directory, first, now));
+    // The lagging list still names the old life.
+    mergeList(directory, {first, second}, now);
+    CHECK_FALSE(isLive(directory, first, now));
+    CHECK(isLive(directory, restarted, now));
+}
+
+TEST(instance_directory, anInstanceThatIsHeardIsKeptThoughNotListedYet)
+{
+    mergeHeard(directory, first, now);
+    mergeList(directory, {second}, now + 1s);
+    CHECK(isLive(directory, first, now + 1s));
+    mergeList(directory, {second}, now + 20s);
+    CHECK_FALSE(isLive(directory, first, now + 20s));
+}
+
+TEST(instance_directory, aDeadInstanceIsNoticedThroughItsLinksBeforeTheList)
+{
+    mergeList(directory, {first, second}, now);
+    CHECK(markUnreachable(directory, first.name, now));
+    CHECK_FALSE(isLive(directory, first, now));
+    CHECK_FALSE(mergeList(directory, {first, second}, now + 1s));
+    CHECK_FALSE(isLive(directory, first, now + 1s));
+    CHECK(mergeList(directory, {second}, now + 2s));
+}
+
+TEST(instance_directory, aPartialPartitionEndsWithTheFirstMessageOrAfterAWhile)
+{
+    mergeList(directory, {first}, now);
+    markUnreachable(directory, first.name, now);
+    // Unreachable from here, it is still listed, and may be heard again at any moment.
+    CHECK(mergeHeard(directory, first, now + 1s));
+    CHECK(isLive(directory, first, now + 1s));
+    markUnreachable(directory, first.name, now + 2s);
+    CHECK(isLive(directory, first, now + 13s));
+}
+
+TEST(instance_directory, anInstanceMissingForLongIsDroppedWithoutTheList)
+{
+    mergeList(directory, {first, second}, now);
+    markUnreachable(directory, first.name, now);
+    CHECK_FALSE(expireInstances(directory, now + 59s));
+    CHECK(expireInstances(directory, now + 61s));
+    UNSIGNED_LONGS_EQUAL(1, directory.instances.size());
+}
+
+TEST(instance_directory, addressesOfTheGoneAreForgottenInTheEnd)
+{
+    for (std::uint64_t number = 0; number < 10000; ++number) {
+        mergeList(directory, {viewOf("n", "address-" + std::to_string(number), number)}, now);
+    }
+    CHECK(directory.newestAt.size() <= 4097);
+}
+
+TEST(instance_directory, aLaterLifeAtAnAddressReplacesTheEarlier)
+{
+    CHECK(mergeHeard(directory, viewOf("a.1", "10.0.0.1:1", 1), now));
+    CHECK(mergeHeard(directory, viewOf("a.2", "10.0.0.1:1", 2), now));
+    CHECK_FALSE(mergeHeard(directory, viewOf("a.1", "10.0.0.1:1", 1), now));
+    UNSIGNED_LONGS_EQUAL(1, liveInstances(directory, now).size());
+    CHECK(liveInstances(directory, now).front().name == instance_name("a.2"));
+}
+
+TEST(instance_directory, aListDoesNotBringAnEarlierLifeBack)
+{
+    mergeHeard(directory, viewOf("a.2", "10.0.0.1:1", 2), now);
+    mergeList(directory, {viewOf("a.1", "10.0.0.1:1", 1), viewOf("b.1", "10.0.0.2:1", 1)}, now + 11s);
+    UNSIGNED_LONGS_EQUAL(1, liveInstances(directory, now + 11s).size());
+    CHECK(liveInstances(directory, now + 11s).front().name == instance_name("b.1"));
+}
+
+TEST(instance_directory, leavingStaysSet)
+{
+    mergeHeard(directory, viewOf("a.1", "10.0.0.1:1", 1, true), now);
+    CHECK_FALSE(mergeHeard(directory, viewOf("a.1", "10.0.0.1:1", 1), now));
+    CHECK(liveInstances(directory, now).empty());
+}
--- a/UnitTests/Membership/rendezvous_test.cpp
+++ b/UnitTests/Membership/rendezvous_test.cpp
@@ -1,4 +1,3 @@
-#include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Membership/rendezvous.h"
 
 #include <rapidcheck.h>
@@ -21,11 +20,6 @@
     return names;
 }
 
-instance_view life(const std::string &name, const std::string &address, std::uint64_t incarnation)
-{
-    return {instance_name(name), address, "place", incarnation, false};
-}
-
 } // namespace
 
 // clang-format off
@@ -58,36 +52,3 @@
     });
     CHECK(held);
 }
-
-// clang-format off
-TEST_GROUP(instance_directory) {};
-// clang-format on
-
-TEST(instance_directory, aLaterLifeAtAnAddressReplacesTheEarlier)
-{
-    instance_directory directory;
-    CHECK(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
-    CHECK(mergeInstance(directory, life("a.2", "10.0.0.1:1", 2)));
-    CHECK_FALSE(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
-    CHECK_EQUAL(1, liveInstances(directory).size());
-    CHECK(liveInstances(directory).front().name == instance_name("a.2"));
-}
-
-TEST(instance_directory, aListDoesNotBringAnEarlierLifeBack)
-{
-    instance_directory directory;
-    mergeInstance(directory, life("a.2", "10.0.0.1:1", 2));
-    mergeList(directory, {life("a.1", "10.0.0.1:1", 1), life("b.1", "10.0.0.2:1", 1)});
-    CHECK_EQUAL(1, liveInstances(directory).size());
-    CHECK(liveInstances(directory).front().name == instance_name("b.1"));
-}
-
-TEST(instance_directory, leavingStaysSet)
-{
-    instance_directory directory;
-    instance_view view = life("a.1", "10.0.0.1:1", 1);
-    view.leaving = true;
-    mergeInstance(directory, view);
-    CHECK_FALSE(mergeInstance(directory, life("a.1", "10.0.0.1:1", 1)));
-    CHECK(liveInstances(directory).empty());
-}
--- a/bench/capacity/measure_nodes.cpp
+++ b/bench/capacity/measure_nodes.cpp
@@ -45,10 +45,10 @@
 {
     constexpr int rounds = 20;
     instance_directory directory;
-    mergeList(directory, nodes);
+    mergeList(directory, nodes, time_point{});
     const double before = threadMicros();
     for (int round = 0; round < rounds; ++round) {
-        mergeList(directory, nodes);
+        mergeList(directory, nodes, time_point{});
     }
     return (threadMicros() - before) / rounds;
 }
@@ -57,7 +57,7 @@
 {
     const std::int64_t before = heapBytes();
     instance_directory directory;
-    mergeList(directory, nodes);
+    mergeList(directory, nodes, time_point{});
     return static_cast<double>(heapBytes() - before);
 }
 
--- /dev/null
+++ b/mustardrouter/Configuration/distribution.cpp
@@ -0,0 +1,215 @@
+#include "mustardrouter/Configuration/distribution.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Splitmix64 (Steele, Lea and Flood, "Fast splittable pseudorandom number generators", 2014).
+std::uint64_t nextRandom(std::uint64_t &state)
+{
+    state += 0x9e3779b97f4a7c15U;
+    std::uint64_t mixed = state;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
+duration randomBelow(distribution &state, duration limit)
+{
+    return duration(static_cast<std::int64_t>(nextRandom(state.random) % static_cast<std::uint64_t>(limit.count())));
+}
+
+distribution_source *findSource(distribution &state, const instance_name &name)
+{
+    const auto found = std::ranges::find(state.sources, name, &distribution_source::name);
+    return found == state.sources.end() ? nullptr : &*found;
+}
+
+/// Everything that a follower at `have` lacks.
+configuration_delta deltaSince(const distribution &state, revision_number have)
+{
+    const revision_number own = revisionOf(state);
+    configuration_delta delta{have, own, {}, false};
+    if (have >= own) {
+        delta.from = own;
+        return delta;
+    }
+    const auto first = std::ranges::find(state.changes, have, &configuration_delta::from);
+    if (first == state.changes.end()) {
+        return {{}, own, differenceOf({}, *state.known), true};
+    }
+    for (auto change = first; change != state.changes.end(); ++change) {
+        delta.changes = mergeChanges(delta.changes, change->changes);
+    }
+    return delta;
+}
+
+void tellFollowers(const distribution &state, const configuration_delta &delta, distribution_actions &actions)
+{
+    for (const auto &[follower, askedAt] : state.followers) {
+        actions.emplace_back(send_changes{follower, delta});
+    }
+}
+
+/// Puts a newer snapshot in force and passes on what it changes.
+void adopt(distribution &state, std::shared_ptr<const configuration_snapshot> snapshot, change_set changes, distribution_actions &actions)
+{
+    assert(snapshot->revision > revisionOf(state));
+    const configuration_delta delta{revisionOf(state), snapshot->revision, std::move(changes), false};
+    state.known = std::move(snapshot);
+    state.changes.push_back(delta);
+    if (state.changes.size() > state.settings.changesKept) {
+        state.changes.pop_front();
+    }
+    actions.emplace_back(adopt_configuration{state.known});
+    tellFollowers(state, delta, actions);
+}
+
+void askSource(distribution &state, distribution_source &source, time_point now, distribution_actions &actions)
+{
+    source.askedAt = now;
+    // Until it answers it is asked again soon; the answer sets the usual interval.
+    source.askNextAt = now + state.settings.answerPatience + randomBelow(state, state.settings.answerPatience);
+    actions.emplace_back(request_changes{source.name, revisionOf(state)});
+}
+
+bool answers(const distribution_source &source, const distribution_settings &settings, time_point now)
+{
+    const bool waiting = source.heardAt < source.askedAt;
+    return source.heardAt != time_point{} && (!waiting || now - source.askedAt < settings.answerPatience);
+}
+
+void pollNow(distribution &state, time_point now, distribution_actions &actions)
+{
+    state.pollAt = now + state.settings.pollInterval + randomBelow(state, state.settings.pollInterval);
+    actions.emplace_back(poll_platform{});
+}
+
+void on(distribution &state, const sources_chosen &event, time_point now, distribution_actions &actions)
+{
+    std::vector<distribution_source> sources;
+    for (const instance_name &name : event.sources) {
+        const distribution_source *old = findSource(state, name);
+        sources.push_back(old == nullptr ? distribution_source{name} : *old);
+    }
+    state.sources = std::move(sources);
+    for (distribution_source &source : state.sources) {
+        if (source.askedAt == time_point{}) {
+            askSource(state, source, now, actions);
+        }
+    }
+    if (event.relay != state.relay) {
+        state.relay = event.relay;
+        actions.emplace_back(watch_platform{state.relay});
+    }
+}
+
+void on(distribution &state, const configuration_read &event, time_point, distribution_actions &actions)
+{
+    if (event.snapshot->revision <= revisionOf(state)) {
+        return;
+    }
+    change_set changes = differenceOf(state.known ? *state.known : configuration_snapshot{}, *event.snapshot);
+    adopt(state, event.snapshot, std::move(changes), actions);
+}
+
+void on(distribution &state, const delta_received &event, time_point now, distribution_actions &actions)
+{
+    distribution_source *source = findSource(state, event.from);
+    if (source != nullptr) {
+        if (source->heardAt < source->askedAt) {
+            // The answer. What comes without being asked for does not put off the next request, by
+            // which the source knows that it is followed.
+            source->askNextAt = now + state.settings.requestInterval + randomBelow(state, state.settings.requestInterval / 2);
+        }
+        source->heardAt = now;
+    }
+    const configuration_delta &delta = event.delta;
+    if (delta.to <= revisionOf(state)) {
+        return;
+    }
+    if (!delta.whole && delta.from != revisionOf(state)) {
+        if (delta.from == delta.to) {
+            // What is missing is too long to be sent.
+            pollNow(state, now, actions);
+        } else {
+            actions.emplace_back(request_changes{event.from, revisionOf(state)});
+        }
+        return;
+    }
+    const configuration_snapshot before = state.known ? *state.known : configuration_snapshot{};
+    configuration_snapshot next = applyChanges(delta.whole ? configuration_snapshot{} : before, delta.changes);
+    next.revision = delta.to;
+    change_set changes = delta.whole ? differenceOf(before, next) : delta.changes;
+    adopt(state, std::make_shared<const configuration_snapshot>(std::move(next)), std::move(changes), actions);
+}
+
+void on(distribution &state, const changes_requested &event, time_point now, distribution_actions &actions)
+{
+    if (state.followers.size() < state.settings.maxFollowers || state.followers.contains(event.from)) {
+        state.followers[event.from] = now;
+    }
+    if (event.have > revisionOf(state)) {
+        // The follower is ahead: the platform may have gone before this instance could read it.
+        actions.emplace_back(request_changes{event.from, revisionOf(state)});
+    }
+    actions.emplace_back(send_changes{event.from, deltaSince(state, event.have)});
+}
+
+void on(distribution &state, const source_lost &event, time_point now, distribution_actions &)
+{
+    state.followers.erase(event.name);
+    if (distribution_source *source = findSource(state, event.name)) {
+        source->heardAt = time_point{};
+        source->askNextAt = std::min(source->askNextAt, now + state.settings.answerPatience);
+    }
+}
+
+void on(distribution &state, const distribution_ticked &, time_point now, distribution_actions &actions)
+{
+    std::erase_if(state.followers, [&](const auto &follower) {
+        return now - follower.second > state.settings.followerPatience;
+    });
+    bool answered = false;
+    for (distribution_source &source : state.sources) {
+        if (now >= source.askNextAt) {
+            askSource(state, source, now, actions);
+        }
+        answered = answered || answers(source, state.settings, now);
+    }
+    const bool alone = !state.relay && !answered;
+    if ((alone || !state.known) && now >= state.pollAt) {
+        pollNow(state, now, actions);
+    }
+}
+
+} // namespace
+
+distribution::distribution(distribution_settings chosen, std::uint64_t seed)
+    : settings(chosen)
+    , random(seed)
+{
+}
+
+void step(distribution &state, const distribution_event &event, time_point now, distribution_actions &actions)
+{
+    const revision_number before = revisionOf(state);
+    std::visit(
+        [&](const auto &what) {
+            on(state, what, now, actions);
+        },
+        event);
+    assert(revisionOf(state) >= before);
+}
+
+revision_number revisionOf(const distribution &state)
+{
+    return state.known ? state.known->revision : revision_number();
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Instance/decision_configuration.cpp
@@ -0,0 +1,315 @@
+#include "mustardrouter/Instance/decision_duty.h"
+#include "mustardrouter/Instance/wire_codec.h"
+#include "mustardrouter/Membership/relays.h"
+#include "mustardrouter/Membership/rendezvous.h"
+#include "mustardrouter/Network/frame_connection.h"
+#include "mustardrouter/Platform/object_codec.h"
+#include "mustardrouter/Runtime/json_settings.h"
+#include "mustardrouter/Runtime/log.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Connections of different groups get numbers from different ranges.
+constexpr unsigned connectionRangeBits = 40;
+/// Enough to fill all places of a record whoever asks, with one to spare.
+constexpr std::size_t candidatesPerGroup = holdersPerGroup + 2;
+/// Longest wait for a removed group to be quiet before its work is given up.
+constexpr auto removalPatience = std::chrono::seconds(10);
+/// A list that has not changed for so long names whoever started together with this instance.
+constexpr auto listSettles = std::chrono::milliseconds(300);
+
+std::map<database_name, pool_limits> limitsOf(const database_group &group)
+{
+    std::map<database_name, pool_limits> limits;
+    for (const database &item : group.databases) {
+        limits.emplace(item.name, pool_limits{item.slots, item.connections});
+    }
+    return limits;
+}
+
+/// Name under which a seed is a source until it says its own.
+instance_name seedName(const std::string &address)
+{
+    return instance_name("seed/" + address);
+}
+
+wire::configuration_delta toWire(const configuration_delta &delta)
+{
+    objects::configuration_revision changes;
+    toSchema(delta.changes, changes);
+    wire::configuration_delta message;
+    message.set_from_revision(delta.from.value());
+    message.set_to_revision(delta.to.value());
+    message.set_whole(delta.whole);
+    if (!delta.changes.changed.empty() || !delta.changes.removed.empty()) {
+        message.set_changes(writeJson(changes));
+    }
+    return message;
+}
+
+result_of<configuration_delta> fromWire(const wire::configuration_delta &message)
+{
+    configuration_delta delta{revision_number(message.from_revision()), revision_number(message.to_revision()), {}, message.whole()};
+    objects::configuration_revision changes;
+    if (!message.changes().empty()) {
+        BOOST_LEAF_CHECK(readJson(message.changes(), "configuration delta", changes));
+    }
+    BOOST_LEAF_AUTO(read, fromSchema(changes));
+    delta.changes = std::move(read);
+    return delta;
+}
+
+} // namespace
+
+void decision_duty::stepDistribution(const distribution_event &event)
+{
+    distribution_actions actions;
+    step(m_distribution, event, now(), actions);
+    for (const distribution_action &action : actions) {
+        std::visit(
+            [&](const auto &what) {
+                apply(what);
+            },
+            action);
+    }
+}
+
+void decision_duty::apply(const adopt_configuration &action)
+{
+    adopt(action.snapshot);
+}
+
+void decision_duty::apply(const request_changes &action)
+{
+    wire::peer_message message;
+    message.mutable_configuration_request()->set_have_revision(action.have.value());
+    sendToPeer(action.to, std::move(message));
+}
+
+void decision_duty::apply(const send_changes &action)
+{
+    wire::peer_message message;
+    *message.mutable_configuration_delta() = toWire(action.delta);
+    constexpr std::size_t envelopeBytes = 1024;
+    if (message.ByteSizeLong() + envelopeBytes > maxFrameBytes) {
+        // The follower sees that it lacks something and reads the platform.
+        *message.mutable_configuration_delta() = toWire(configuration_delta{action.delta.to, action.delta.to, {}, false});
+    }
+    sendToPeer(action.to, std::move(message));
+}
+
+void decision_duty::apply(const poll_platform &)
+{
+    m_outputs.discovery.poll();
+}
+
+void decision_duty::apply(const watch_platform &action)
+{
+    m_outputs.discovery.setWatching(action.on);
+}
+
+void decision_duty::onDelta(const instance_name &from, const wire::configuration_delta &message)
+{
+    handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_AUTO(delta, fromWire(message));
+            stepDistribution(delta_received{from, std::move(delta)});
+            return true;
+        },
+        [&](const error &what) {
+            writeLog(log_level::error, "configuration", "unreadable changes", {{"from", from.value()}, {"reason", what.detail}});
+            return false;
+        });
+}
+
+void decision_duty::onChangesRequest(const instance_name &from, const wire::configuration_request &message)
+{
+    const bool isNew = !m_distribution.followers.contains(from);
+    stepDistribution(changes_requested{from, revision_number(message.have_revision())});
+    if (isNew && m_distribution.relay) {
+        sendInstances(from);
+    }
+}
+
+void decision_duty::sendInstances(const instance_name &to)
+{
+    wire::peer_message message;
+    for (const instance_view &view : allInstances(m_directory)) {
+        *message.mutable_instance_list()->add_instances() = toWire(view);
+    }
+    sendToPeer(to, std::move(message));
+}
+
+void decision_duty::onInstanceList(const wire::instance_list &message)
+{
+    // A relay reads the platform's list itself.
+    if (m_distribution.relay) {
+        return;
+    }
+    std::vector<instance_view> list;
+    for (const wire::instance_location &item : message.instances()) {
+        list.push_back(fromWire(item));
+    }
+    takeList(list);
+}
+
+void decision_duty::takeList(const std::vector<instance_view> &list)
+{
+    mergeList(m_directory, list, now());
+    if (list != m_lastList) {
+        m_lastList = list;
+        m_listChangedAt = now();
+    }
+    mergeHeard(m_directory, m_identity.self, now());
+    refreshInstances();
+}
+
+void decision_duty::refreshInstances()
+{
+    mergeHeard(m_directory, m_identity.self, now());
+    expireInstances(m_directory, now());
+    // A list that is still growing would make this instance believe that it is first in line.
+    const bool named = std::ranges::find(m_lastList, m_identity.self.name, &instance_view::name) != m_lastList.end();
+    m_listed = m_listed || (named && now() - m_listChangedAt >= listSettles);
+    std::vector<instance_view> all = allInstances(m_directory);
+    if (all != m_allInstances && m_distribution.relay) {
+        for (const auto &[follower, askedAt] : std::map(m_distribution.followers)) {
+            sendInstances(follower);
+        }
+    }
+    m_allInstances = std::move(all);
+    std::vector<instance_view> live = liveInstances(m_directory, now());
+    if (live == m_liveInstances && m_listed == m_rankedWhenListed) {
+        return;
+    }
+    m_liveInstances = std::move(live);
+    m_rankedWhenListed = m_listed;
+    for (const instance_view &view : m_liveInstances) {
+        m_addresses[view.name] = view.address;
+    }
+    updateRankings();
+    chooseSources();
+}
+
+void decision_duty::chooseSources()
+{
+    relay_choice choice = chooseRelays(m_liveInstances, m_identity.self);
+    choice.relay = choice.relay && m_listed;
+    const bool alone = choice.sources.empty() && !m_listed;
+    for (const std::string &seed : m_identity.seeds) {
+        if (alone && seed != m_identity.self.address) {
+            m_addresses[seedName(seed)] = seed;
+            choice.sources.push_back(seedName(seed));
+        }
+    }
+    stepDistribution(sources_chosen{choice.relay, std::move(choice.sources)});
+}
+
+void decision_duty::adopt(const std::shared_ptr<const configuration_snapshot> &snapshot)
+{
+    m_configuration = snapshot;
+    for (const auto &[name, group] : snapshot->groups) {
+        adoptGroup(group_name(name), group);
+    }
+    for (auto &[group, engine] : m_engines) {
+        if (!snapshot->groups.contains(group.value()) && !m_removedGroups.contains(group)) {
+            m_removedGroups.emplace(group, now() + removalPatience);
+        }
+    }
+    dropRemovedGroups();
+    m_outputs.figures.setRevision(static_cast<double>(snapshot->revision.value()));
+    updateRankings();
+    stepEntry(configuration_adopted{snapshot});
+    m_revision.store(snapshot->revision.value());
+}
+
+void decision_duty::adoptGroup(const group_name &key, const database_group &group)
+{
+    m_removedGroups.erase(key);
+    const auto known = m_engines.find(key);
+    if (known != m_engines.end()) {
+        reconfigure(known->second, limitsOf(group));
+        return;
+    }
+    std::vector<database_name> names;
+    for (const database &item : group.databases) {
+        names.push_back(item.name);
+    }
+    ownership_settings intervals;
+    intervals.confirmReplicas = group.confirmReplicas;
+    group_ownership ownership(key, m_identity.self.name, m_identity.self.address, std::move(names), intervals);
+    group_engine engine(std::move(ownership), limitsOf(group), engine_settings{});
+    engine.nextConnection = (m_groupsMade << connectionRangeBits) + 1;
+    ++m_groupsMade;
+    m_engines.emplace(key, std::move(engine));
+    m_wakeups.set(key, time_point::min());
+}
+
+void decision_duty::dropRemovedGroups()
+{
+    for (auto removed = m_removedGroups.begin(); removed != m_removedGroups.end();) {
+        const auto engine = m_engines.find(removed->first);
+        const bool waits = engine != m_engines.end() && !isQuiet(engine->second) && now() < removed->second;
+        if (waits) {
+            ++removed;
+            continue;
+        }
+        if (engine != m_engines.end()) {
+            for (const auto &[connection, database] : engine->second.connectionHome) {
+                apply(removed->first, close_connection{connection});
+            }
+            endOwnedLinks(removed->first);
+            m_engines.erase(engine);
+            m_wakeups.set(removed->first, time_point::max());
+            writeLog(log_level::info, "configuration", "group removed", {{"group", removed->first.value()}});
+        }
+        removed = m_removedGroups.erase(removed);
+    }
+}
+
+void decision_duty::updateRankings()
+{
+    // Until the platform lists this instance, it cannot tell who else there is.
+    if (!m_listed) {
+        return;
+    }
+    std::vector<instance_name> live;
+    for (const instance_view &view : m_liveInstances) {
+        live.push_back(view.name);
+    }
+    const auto shared = std::make_shared<const std::set<instance_name>>(live.begin(), live.end());
+    for (auto &[group, engine] : m_engines) {
+        candidates_changed changed;
+        changed.live = shared;
+        for (const std::size_t index : rankFirst(group.value(), live, candidatesPerGroup)) {
+            changed.ranking.push_back({live[index], m_addresses[live[index]], {}, {}});
+        }
+        guessHolders(group, changed.ranking);
+        stepEngine(group, ownership_event(changed));
+    }
+}
+
+/// The first candidates are the likely holders: asking them spares the platform a read for each
+/// group and entry. A wrong guess is answered with the owner's name.
+void decision_duty::guessHolders(const group_name &group, const std::vector<term_range> &ranking)
+{
+    const auto known = m_entry.owners.find(group);
+    if (known != m_entry.owners.end() && !known->second.holders.empty()) {
+        return;
+    }
+    holders_found guess{group, {}};
+    for (const term_range &candidate : ranking) {
+        if (guess.holders.size() < holdersPerGroup) {
+            guess.holders.push_back(candidate.holder);
+        }
+    }
+    stepEntry(guess);
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -1,6 +1,5 @@
 #include "mustardrouter/Instance/decision_duty.h"
 
-#include "mustardrouter/Membership/rendezvous.h"
 #include "mustardrouter/Runtime/log.h"
 
 #include <algorithm>
@@ -16,16 +15,8 @@
 constexpr auto figuresInterval = std::chrono::milliseconds(200);
 /// A caller of status() gets the last one when the decision thread does not answer in time.
 constexpr auto statusPatience = std::chrono::milliseconds(500);
-/// Connections of different groups get numbers from different ranges.
-constexpr unsigned connectionRangeBits = 40;
-
-/// Enough to fill all places of a record whoever asks, with one to spare.
-constexpr std::size_t candidatesPerGroup = holdersPerGroup + 2;
-
-pool_limits limitsOf(const database &item)
-{
-    return {item.slots, item.connections};
-}
+/// Between two looks at what time alone changes in the directory and the removed groups.
+constexpr auto membershipInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -42,9 +33,9 @@
     , m_inputs(inputs)
     , m_outputs(outputs)
     , m_entry(m_identity.tokenKey, entry_settings{})
+    , m_distribution(distribution_settings{}, m_identity.self.incarnation)
     , m_random(std::random_device{}())
 {
-    mergeInstance(m_directory, m_identity.self);
 }
 
 decision_duty::~decision_duty()
@@ -69,6 +60,11 @@
     }
 }
 
+std::uint64_t decision_duty::revision() const
+{
+    return m_revision.load();
+}
+
 bool decision_duty::isDrained() const
 {
     return m_drained.load();
@@ -101,6 +97,8 @@
 {
     time_point tickAt = now();
     time_point figuresAt = tickAt;
+    time_point membershipAt = tickAt;
+    chooseSources();
     while (!m_stopping.load()) {
         m_inputs.signal.wait(tickInterval);
         while (std::optional<link_event> event = m_inputs.links.pop()) {
@@ -122,6 +120,12 @@
             }
             stepEntry(entry_ticked{});
         }
+        if (now() >= membershipAt) {
+            membershipAt = now() + membershipInterval;
+            refreshInstances();
+            stepDistribution(distribution_ticked{});
+            dropRemovedGroups();
+        }
         if (now() >= figuresAt) {
             figuresAt = now() + figuresInterval;
             publishFigures();
@@ -134,17 +138,11 @@
 void decision_duty::onPlatform(platform_event &event)
 {
     if (auto *listed = std::get_if<instances_listed>(&event)) {
-        const bool changed = mergeList(m_directory, listed->instances);
-        const bool firstTime = !m_listed && m_directory.instances.contains(m_identity.self.name);
-        m_listed = m_listed || firstTime;
-        mergeInstance(m_directory, m_identity.self);
-        if (changed || firstTime) {
-            updateRankings();
-        }
+        takeList(listed->instances);
         return;
     }
     if (auto *loaded = std::get_if<configuration_loaded>(&event)) {
-        adopt(loaded->snapshot);
+        stepDistribution(configuration_read{loaded->snapshot});
         return;
     }
     auto &record = std::get<record_event>(event);
@@ -168,76 +166,6 @@
     stepEngine(record.group, ownership_event(record.event));
 }
 
-void decision_duty::adopt(const std::shared_ptr<const configuration_snapshot> &snapshot)
-{
-    if (m_configuration && snapshot->revision <= m_configuration->revision) {
-        return;
-    }
-    m_configuration = snapshot;
-    for (const auto &[name, group] : snapshot->groups) {
-        const group_name key(name);
-        if (m_engines.contains(key)) {
-            continue;
-        }
-        std::vector<database_name> names;
-        std::map<database_name, pool_limits> limits;
-        for (const database &item : group.databases) {
-            names.push_back(item.name);
-            limits.emplace(item.name, limitsOf(item));
-        }
-        ownership_settings intervals;
-        intervals.confirmReplicas = group.confirmReplicas;
-        group_ownership ownership(key, m_identity.self.name, m_identity.self.address, std::move(names), intervals);
-        group_engine engine(std::move(ownership), limits, engine_settings{});
-        engine.nextConnection = (static_cast<std::uint64_t>(m_engines.size()) << connectionRangeBits) + 1;
-        m_engines.emplace(key, std::move(engine));
-        m_wakeups.set(key, time_point::min());
-    }
-    m_outputs.figures.setRevision(static_cast<double>(snapshot->revision.value()));
-    updateRankings();
-    stepEntry(configuration_adopted{snapshot});
-}
-
-void decision_duty::updateRankings()
-{
-    // Until the platform lists this instance, it cannot tell who else there is.
-    if (!m_listed) {
-        return;
-    }
-    std::vector<instance_name> live;
-    for (const instance_view &view : liveInstances(m_directory)) {
-        live.push_back(view.name);
-        m_addresses[view.name] = view.address;
-    }
-    const auto shared = std::make_shared<const std::set<instance_name>>(live.begin(), live.end());
-    for (auto &[group, engine] : m_engines) {
-        candidates_changed changed;
-        changed.live = shared;
-        for (const std::size_t index : rankFirst(group.value(), live, candidatesPerGroup)) {
-            changed.ranking.push_back({live[index], m_addresses[live[index]], {}, {}});
-        }
-        guessHolders(group, changed.ranking);
-        stepEngine(group, ownership_event(changed));
-    }
-}
-
-/// The first candidates are the likely holders: asking them spares the platform a read for each
-/// group and entry. A wrong guess is answered with the owner's name.
-void decision_duty::guessHolders(const group_name &group, const std::vector<term_range> &ranking)
-{
-    const auto known = m_entry.owners.find(group);
-    if (known != m_entry.owners.end() && !known->second.holders.empty()) {
-        return;
-    }
-    holders_found guess{group, {}};
-    for (const term_range &candidate : ranking) {
-        if (guess.holders.size() < holdersPerGroup) {
-            guess.holders.push_back(candidate.holder);
-        }
-    }
-    stepEntry(guess);
-}
-
 void decision_duty::onCommand(const operator_command &command)
 {
     if (const auto *move = std::get_if<move_primary>(&command)) {
@@ -256,8 +184,7 @@
     m_draining = true;
     m_drainingSince = now();
     m_identity.self.leaving = true;
-    mergeInstance(m_directory, m_identity.self);
-    updateRankings();
+    refreshInstances();
     m_outputs.network.stopAccepting();
     for (const auto &[link, use] : m_links) {
         if (std::holds_alternative<caller_link>(use)) {
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mustardrouter/Configuration/distribution.h"
+#include "mustardrouter/Instance/discovery_duty.h"
 #include "mustardrouter/Instance/link.h"
 #include "mustardrouter/Instance/network_duty.h"
 #include "mustardrouter/Instance/operator_command.h"
@@ -47,6 +49,7 @@
     platform_duty &platform;
     telemetry_duty &telemetry;
     metrics &figures;
+    discovery_duty &discovery;
 };
 
 /// Identity of the instance and what all instances share.
@@ -54,6 +57,8 @@
     instance_view self;
     std::string tokenKey;
     double traceSample = 0;
+    /// Peer addresses to ask while no instance is known.
+    std::vector<std::string> seeds;
 };
 
 /// The thread that owns all decision modules of an instance: the entry, and an engine for each
@@ -70,6 +75,8 @@
     void stop();
     /// Whether everything has been handed over and nothing is in flight; any thread.
     bool isDrained() const;
+    /// Revision of the configuration that is in force; any thread.
+    std::uint64_t revision() const;
     /// State as shown to operators; any thread.
     Json::Value status();
 
@@ -131,8 +138,6 @@
 
     // Platform and operators.
     void onPlatform(platform_event &event);
-    void adopt(const std::shared_ptr<const configuration_snapshot> &snapshot);
-    void updateRankings();
     void guessHolders(const group_name &group, const std::vector<term_range> &ranking);
     void onCommand(const operator_command &command);
     void beginDraining();
@@ -140,6 +145,26 @@
     bool hasCallers() const;
     void post(platform_job job);
 
+    // Configuration and membership.
+    void stepDistribution(const distribution_event &event);
+    void apply(const adopt_configuration &action);
+    void apply(const request_changes &action);
+    void apply(const send_changes &action);
+    void apply(const poll_platform &action);
+    void apply(const watch_platform &action);
+    void onDelta(const instance_name &from, const wire::configuration_delta &message);
+    void onChangesRequest(const instance_name &from, const wire::configuration_request &message);
+    void sendInstances(const instance_name &to);
+    void onInstanceList(const wire::instance_list &message);
+    void takeList(const std::vector<instance_view> &list);
+    /// Acts upon what has changed in the directory.
+    void refreshInstances();
+    void chooseSources();
+    void adopt(const std::shared_ptr<const configuration_snapshot> &snapshot);
+    void adoptGroup(const group_name &key, const database_group &group);
+    void dropRemovedGroups();
+    void updateRankings();
+
     // Engines.
     void stepEngine(const group_name &group, const engine_event &event);
     void apply(const group_name &group, engine_action &action);
@@ -189,6 +214,19 @@
     std::map<group_name, group_engine> m_engines;
     wakeup_list m_wakeups;
     instance_directory m_directory;
+    /// What the directory held when it was last acted upon.
+    std::vector<instance_view> m_allInstances;
+    std::vector<instance_view> m_liveInstances;
+    bool m_rankedWhenListed = false;
+    std::vector<instance_view> m_lastList;
+    time_point m_listChangedAt{};
+    distribution m_distribution;
+    /// Groups that the configuration no longer has, and until when their work may go on.
+    std::map<group_name, time_point> m_removedGroups;
+    std::uint64_t m_groupsMade = 0;
+    /// Bytes of messages for configuration and membership sent to peers.
+    std::uint64_t m_configurationBytes = 0;
+    std::uint64_t m_heartbeatBytes = 0;
     /// Addresses of instances that only records and messages name.
     std::map<instance_name, std::string> m_addresses;
     std::shared_ptr<const configuration_snapshot> m_configuration;
@@ -207,11 +245,12 @@
     std::map<std::pair<std::uint64_t, std::uint64_t>, entry_trace> m_entryTraces;
 
     std::mt19937_64 m_random;
-    /// Whether the platform's list has named this instance.
+    /// Whether a settled list has named this instance.
     bool m_listed = false;
     bool m_draining = false;
     time_point m_drainingSince{};
     std::atomic<bool> m_drained{false};
+    std::atomic<std::uint64_t> m_revision{0};
     mutable std::mutex m_statusMutex;
     std::condition_variable m_statusPublished;
     /// Calls of status() so far, and how many of them the last status answers.
--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -126,6 +126,10 @@
             return;
         }
         m_peerLinks.erase(peer->peer);
+        stepDistribution(source_lost{peer->peer});
+        if (markUnreachable(m_directory, peer->peer, now())) {
+            refreshInstances();
+        }
         stepEntry(peer_lost{peer->peer, event.why == failure::addressUnavailable});
         return;
     }
--- a/mustardrouter/Instance/decision_peers.cpp
+++ b/mustardrouter/Instance/decision_peers.cpp
@@ -10,9 +10,8 @@
     if (message.has_from()) {
         const wire::instance_location &from = message.from();
         m_addresses[instance_name(from.name())] = from.address();
-        instance_view view{instance_name(from.name()), from.address(), from.place(), from.incarnation(), from.leaving()};
-        if (mergeInstance(m_directory, view)) {
-            updateRankings();
+        if (mergeHeard(m_directory, fromWire(from), now())) {
+            refreshInstances();
         }
     }
     switch (message.body_case()) {
@@ -37,6 +36,15 @@
     case wire::peer_message::kAbandon:
         onAbandon(link, message.abandon());
         break;
+    case wire::peer_message::kConfigurationRequest:
+        onChangesRequest(instance_name(message.from().name()), message.configuration_request());
+        break;
+    case wire::peer_message::kConfigurationDelta:
+        onDelta(instance_name(message.from().name()), message.configuration_delta());
+        break;
+    case wire::peer_message::kInstanceList:
+        onInstanceList(message.instance_list());
+        break;
     default:
         break;
     }
@@ -106,12 +114,10 @@
     if (address == m_addresses.end()) {
         return false;
     }
-    wire::instance_location &from = *message.mutable_from();
-    from.set_name(m_identity.self.name.value());
-    from.set_address(m_identity.self.address);
-    from.set_place(m_identity.self.place);
-    from.set_incarnation(m_identity.self.incarnation);
-    from.set_leaving(m_identity.self.leaving);
+    *message.mutable_from() = toWire(m_identity.self);
+    const bool isConfiguration = message.has_configuration_request() || message.has_configuration_delta() || message.has_instance_list();
+    m_configurationBytes += isConfiguration ? message.ByteSizeLong() : 0;
+    m_heartbeatBytes += message.has_heartbeat() ? message.ByteSizeLong() : 0;
     auto link = m_peerLinks.find(peer);
     if (link == m_peerLinks.end()) {
         link = m_peerLinks.emplace(peer, openLink(link_kind::peer, address->second, peer_link{peer})).first;
--- a/mustardrouter/Instance/decision_status.cpp
+++ b/mustardrouter/Instance/decision_status.cpp
@@ -183,19 +183,22 @@
     status["incarnation"] = Json::UInt64(m_identity.self.incarnation);
     status["revision"] = Json::UInt64(m_configuration ? m_configuration->revision.value() : 0);
     status["draining"] = m_draining;
+    status["relay"] = m_distribution.relay;
+    status["configurationBytes"] = Json::UInt64(m_configurationBytes);
+    status["heartbeatBytes"] = Json::UInt64(m_heartbeatBytes);
     status["inFlight"] = Json::UInt64(m_entry.inFlight.size());
     status["groups"] = Json::Value(Json::objectValue);
     for (const auto &[group, engine] : m_engines) {
         status["groups"][group.value()] = makeGroupStatus(engine);
     }
     status["instances"] = Json::Value(Json::objectValue);
-    for (const auto &[name, view] : m_directory.instances) {
+    for (const instance_view &view : m_allInstances) {
         Json::Value item(Json::objectValue);
         item["address"] = view.address;
         item["place"] = view.place;
         item["incarnation"] = Json::UInt64(view.incarnation);
         item["leaving"] = view.leaving;
-        status["instances"][name.value()] = item;
+        status["instances"][view.name.value()] = item;
     }
     return status;
 }
--- a/mustardrouter/Instance/discovery_duty.cpp
+++ b/mustardrouter/Instance/discovery_duty.cpp
@@ -2,7 +2,7 @@
 
 #include "mustardrouter/Platform/revision_reader.h"
 
-#include <chrono>
+#include <algorithm>
 
 namespace mustardrouter
 {
@@ -11,7 +11,17 @@
 {
 
 constexpr auto platformTimeout = std::chrono::milliseconds(1000);
-constexpr auto discoveryInterval = std::chrono::milliseconds(300);
+/// Longest wait of one watch; a stop waits as long.
+constexpr auto watchPatience = std::chrono::milliseconds(500);
+/// Between two reads of the list by a relay.
+constexpr auto listInterval = std::chrono::milliseconds(1000);
+/// Between two reads by an instance that is not listed yet.
+constexpr auto startInterval = std::chrono::milliseconds(200);
+/// Reads of a list that names this instance, before it is left to a relay to bring the next one.
+constexpr int readsAtStart = 3;
+constexpr auto idleWait = std::chrono::milliseconds(100);
+/// Shortest pause after the platform did not answer; the true one is up to twice this.
+constexpr auto failurePause = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -19,6 +29,7 @@
     : m_address(std::move(platformAddress))
     , m_self(std::move(self))
     , m_events(events)
+    , m_random(m_self.incarnation)
 {
 }
 
@@ -37,6 +48,7 @@
 void discovery_duty::stop()
 {
     m_stopping.store(true);
+    m_signal.notify();
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -45,42 +57,112 @@
 void discovery_duty::announceLeaving()
 {
     m_leaving.store(true);
+    m_signal.notify();
+}
+
+void discovery_duty::poll()
+{
+    m_polling.store(true);
+    m_signal.notify();
+}
+
+void discovery_duty::setWatching(bool on)
+{
+    m_watching.store(on);
+    m_signal.notify();
 }
 
 void discovery_duty::run()
 {
     platform_client platform(m_address, platformTimeout);
     while (!m_stopping.load()) {
-        const bool leaving = m_leaving.load();
-        if (!m_announced || leaving != m_self.leaving) {
-            m_self.leaving = leaving;
-            m_announced = platform.announce(m_self) == failure::none;
+        announce(platform);
+        bool answered = true;
+        const bool isStarting = m_readsNamed < readsAtStart;
+        if (m_watching.load()) {
+            answered = watchOnce(platform);
+        } else if (m_polling.exchange(false) || isStarting) {
+            answered = readConfiguration(platform) && readInstances(platform);
+            m_signal.wait(isStarting ? startInterval : idleWait);
+        } else {
+            m_signal.wait(idleWait);
+        }
+        if (!answered) {
+            pauseAfterFailure();
         }
-        followConfiguration(platform);
-        followInstances(platform);
-        std::this_thread::sleep_for(discoveryInterval);
     }
 }
 
-void discovery_duty::followConfiguration(platform_client &platform)
+void discovery_duty::pauseAfterFailure()
+{
+    const auto extra = std::uniform_int_distribution<std::int64_t>(0, failurePause.count())(m_random);
+    m_signal.wait(failurePause + std::chrono::milliseconds(extra));
+}
+
+void discovery_duty::announce(platform_client &platform)
 {
-    const auto loaded = loadConfiguration(objectApiOf(platform), m_known);
-    if (loaded.why != failure::none || loaded.value.revision <= m_known.revision) {
+    const bool leaving = m_leaving.load();
+    if (m_announced && leaving == m_self.leaving) {
         return;
     }
-    const auto snapshot = std::make_shared<const configuration_snapshot>(loaded.value);
+    instance_view self = m_self;
+    self.leaving = leaving;
+    m_announced = platform.announce(self) == failure::none;
+    if (m_announced) {
+        m_self.leaving = leaving;
+    }
+}
+
+bool discovery_duty::watchOnce(platform_client &platform)
+{
+    if (m_headVersion == 0 && !readConfiguration(platform)) {
+        return false;
+    }
+    const auto changed = platform.watch(configurationHeadKey, m_headVersion, watchPatience);
+    if (changed.why != failure::none) {
+        return false;
+    }
+    if (!changed.value.empty() && !readConfiguration(platform)) {
+        return false;
+    }
+    return std::chrono::steady_clock::now() < m_listAt || readInstances(platform);
+}
+
+bool discovery_duty::readConfiguration(platform_client &platform)
+{
+    const object_api api = objectApiOf(platform);
+    const auto head = readHead(api);
+    if (head.why != failure::none) {
+        return false;
+    }
+    if (head.value.head.revision() <= m_known.revision.value()) {
+        m_headVersion = head.value.version;
+        return true;
+    }
+    const auto loaded = loadUpTo(api, head.value.head, m_known);
+    if (loaded.why != failure::none) {
+        return false;
+    }
     // A full ring leaves the revision unknown, so that the next turn brings it again.
-    if (m_events.push(configuration_loaded{snapshot}) == failure::none) {
-        m_known = loaded.value;
+    if (m_events.push(configuration_loaded{std::make_shared<const configuration_snapshot>(loaded.value)}) != failure::none) {
+        return false;
     }
+    m_known = loaded.value;
+    m_headVersion = head.value.version;
+    return true;
 }
 
-void discovery_duty::followInstances(platform_client &platform)
+bool discovery_duty::readInstances(platform_client &platform)
 {
     const auto listed = platform.instances();
-    if (listed.why == failure::none) {
-        m_events.push(instances_listed{listed.value});
+    if (listed.why != failure::none) {
+        return false;
     }
+    m_listAt = std::chrono::steady_clock::now() + listInterval;
+    const bool named = std::ranges::find(listed.value, m_self.name, &instance_view::name) != listed.value.end();
+    m_readsNamed = named ? m_readsNamed + 1 : 0;
+    m_events.push(instances_listed{listed.value});
+    return true;
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Instance/discovery_duty.h
+++ b/mustardrouter/Instance/discovery_duty.h
@@ -5,13 +5,16 @@
 #include "mustardrouter/Runtime/ring.h"
 
 #include <atomic>
+#include <chrono>
+#include <random>
 #include <string>
 #include <thread>
 
 namespace mustardrouter
 {
 
-/// The thread that follows the configuration and the platform's list of instances.
+/// The thread that reads the configuration and the list of instances from the platform: once when it
+/// is asked to, and all the time while this instance is a relay.
 class discovery_duty
 {
 public:
@@ -22,20 +25,37 @@
 
     void start();
     void stop();
-    /// Tells the platform that this instance leaves.
+    /// Tells the platform that this instance leaves; any thread.
     void announceLeaving();
+    /// Reads the platform once, soon; any thread.
+    void poll();
+    /// Begins or ends to watch the platform; any thread.
+    void setWatching(bool on);
 
 private:
     void run();
-    void followConfiguration(platform_client &platform);
-    void followInstances(platform_client &platform);
+    void announce(platform_client &platform);
+    /// False when the platform did not answer.
+    bool readConfiguration(platform_client &platform);
+    bool readInstances(platform_client &platform);
+    bool watchOnce(platform_client &platform);
+    void pauseAfterFailure();
 
     std::string m_address;
     instance_view m_self;
     ring<platform_event> &m_events;
+    ring_signal m_signal;
     configuration_snapshot m_known;
+    /// Version of the head's object at which m_known was read.
+    std::uint64_t m_headVersion = 0;
+    std::mt19937_64 m_random;
+    std::chrono::steady_clock::time_point m_listAt;
     bool m_announced = false;
+    /// Lists in a row that have named this instance.
+    int m_readsNamed = 0;
     std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_polling{false};
+    std::atomic<bool> m_watching{false};
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
--- a/mustardrouter/Instance/instance.h
+++ b/mustardrouter/Instance/instance.h
@@ -39,6 +39,8 @@
     std::string callerAddress() const;
     std::string controlAddress() const;
     Json::Value status() const;
+    /// Revision of the configuration that is in force.
+    std::uint64_t revision() const;
 
 private:
     Json::Value onControl(const std::string &method, const Json::Value &parameters);
--- a/mustardrouter/Instance/wire_codec.cpp
+++ b/mustardrouter/Instance/wire_codec.cpp
@@ -125,4 +125,20 @@
     return report;
 }
 
+instance_view fromWire(const wire::instance_location &message)
+{
+    return {instance_name(message.name()), message.address(), message.place(), message.incarnation(), message.leaving()};
+}
+
+wire::instance_location toWire(const instance_view &view)
+{
+    wire::instance_location message;
+    message.set_name(view.name.value());
+    message.set_address(view.address);
+    message.set_place(view.place);
+    message.set_incarnation(view.incarnation);
+    message.set_leaving(view.leaving);
+    return message;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Instance/wire_codec.h
+++ b/mustardrouter/Instance/wire_codec.h
@@ -3,6 +3,7 @@
 #include "mustardrouter/Core/log_entry.h"
 #include "mustardrouter/Core/statement.h"
 #include "mustardrouter/Core/statement_result.h"
+#include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Ownership/database_report.h"
 #include "mustardrouter/Schema/wire.pb.h"
 
@@ -21,6 +22,9 @@
 log_entry fromWire(const wire::log_entry &message);
 wire::log_entry toWire(const log_entry &entry);
 
+instance_view fromWire(const wire::instance_location &message);
+wire::instance_location toWire(const instance_view &view);
+
 /// Kind of a statement as it travels.
 wire::statement_kind toWire(statement_kind kind);
 
--- a/mustardrouter/Membership/instance_directory.cpp
+++ b/mustardrouter/Membership/instance_directory.cpp
@@ -1,54 +1,134 @@
 #include "mustardrouter/Membership/instance_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace mustardrouter
 {
 
-bool mergeInstance(instance_directory &directory, const instance_view &view)
+namespace
+{
+
+/// Addresses that are remembered for instances that have gone.
+constexpr std::size_t maxAddresses = 4096;
+
+void boundAddresses(instance_directory &directory)
+{
+    if (directory.newestAt.size() <= maxAddresses) {
+        return;
+    }
+    std::set<std::string> used;
+    for (const auto &[name, known] : directory.instances) {
+        used.insert(known.view.address);
+    }
+    std::erase_if(directory.newestAt, [&](const auto &item) {
+        return !used.contains(item.first);
+    });
+}
+
+/// Joins one view in; nothing when it belongs to an earlier life.
+known_instance *mergeView(instance_directory &directory, const instance_view &view, bool &changed)
 {
     seen_life &newest = directory.newestAt[view.address];
     if (view.incarnation < newest.incarnation) {
-        return false;
+        return nullptr;
     }
-    bool changed = false;
     if (view.incarnation > newest.incarnation) {
         // The earlier life at this address is over.
-        changed = directory.instances.erase(newest.name) > 0;
+        changed = directory.instances.erase(newest.name) > 0 || changed;
         newest = {view.name, view.incarnation};
+        boundAddresses(directory);
     }
-    const auto [found, added] = directory.instances.try_emplace(view.name, view);
-    if (added) {
-        return true;
+    const auto [found, added] = directory.instances.try_emplace(view.name, known_instance{view});
+    instance_view &known = found->second.view;
+    changed = changed || added || (view.leaving && !known.leaving);
+    known.leaving = known.leaving || view.leaving;
+    return &found->second;
+}
+
+bool isTrusted(const known_instance &known, const directory_settings &settings, time_point now)
+{
+    return known.heardAt != time_point{} && now - known.heardAt < settings.heardTrust && !known.unreachableSince;
+}
+
+} // namespace
+
+bool mergeHeard(instance_directory &directory, const instance_view &view, time_point now)
+{
+    bool changed = false;
+    known_instance *known = mergeView(directory, view, changed);
+    if (known != nullptr) {
+        known->heardAt = now;
+        changed = changed || known->unreachableSince;
+        known->unreachableSince.reset();
     }
-    const bool leaves = view.leaving && !found->second.leaving;
-    found->second.leaving = found->second.leaving || view.leaving;
-    return changed || leaves;
+    return changed;
 }
 
-bool mergeList(instance_directory &directory, const std::vector<instance_view> &list)
+bool mergeList(instance_directory &directory, const std::vector<instance_view> &list, time_point now)
 {
     bool changed = false;
-    std::set<instance_name> named;
+    for (auto &[name, known] : directory.instances) {
+        known.listed = false;
+    }
     for (const instance_view &view : list) {
-        named.insert(view.name);
-        changed = mergeInstance(directory, view) || changed;
+        known_instance *known = mergeView(directory, view, changed);
+        if (known != nullptr) {
+            known->listed = true;
+        }
     }
     const std::size_t dropped = std::erase_if(directory.instances, [&](const auto &item) {
-        return !named.contains(item.first);
+        return !item.second.listed && !isTrusted(item.second, directory.settings, now);
     });
     return changed || dropped > 0;
 }
 
-std::vector<instance_view> liveInstances(const instance_directory &directory)
+bool markUnreachable(instance_directory &directory, const instance_name &name, time_point now)
+{
+    const auto found = directory.instances.find(name);
+    if (found == directory.instances.end()) {
+        return false;
+    }
+    known_instance &known = found->second;
+    if (!known.listed) {
+        directory.instances.erase(found);
+        return true;
+    }
+    if (known.unreachableSince) {
+        return false;
+    }
+    known.unreachableSince = now;
+    return true;
+}
+
+bool expireInstances(instance_directory &directory, time_point now)
+{
+    const std::size_t dropped = std::erase_if(directory.instances, [&](const auto &item) {
+        const known_instance &known = item.second;
+        return known.unreachableSince && now - *known.unreachableSince > directory.settings.unreachableLimit;
+    });
+    return dropped > 0;
+}
+
+std::vector<instance_view> liveInstances(const instance_directory &directory, time_point now)
 {
     std::vector<instance_view> live;
-    for (const auto &[name, view] : directory.instances) {
-        if (!view.leaving) {
-            live.push_back(view);
+    for (const auto &[name, known] : directory.instances) {
+        const bool unreachable = known.unreachableSince && now - *known.unreachableSince < directory.settings.unreachableTrust;
+        if (!known.view.leaving && !unreachable) {
+            live.push_back(known.view);
         }
     }
     return live;
 }
 
+std::vector<instance_view> allInstances(const instance_directory &directory)
+{
+    std::vector<instance_view> all;
+    for (const auto &[name, known] : directory.instances) {
+        all.push_back(known.view);
+    }
+    return all;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Routing/group_engine.cpp
+++ b/mustardrouter/Routing/group_engine.cpp
@@ -304,6 +304,16 @@
     }
 }
 
+void reconfigure(group_engine &engine, const std::map<database_name, pool_limits> &limits)
+{
+    for (auto &[name, pool] : engine.pools) {
+        const auto changed = limits.find(name);
+        if (changed != limits.end()) {
+            pool.limits = changed->second;
+        }
+    }
+}
+
 bool isQuiet(const group_engine &engine)
 {
     return waitingCount(engine.queue) == 0 && engine.running.empty() && engine.unconfirmed.empty() && engine.transactions.empty();
--- a/mustardrouter/Routing/group_engine.h
+++ b/mustardrouter/Routing/group_engine.h
@@ -104,6 +104,10 @@
     time_point drainingSince{};
 };
 
+/// Takes new limits of the databases over. Connections and statements above a lower limit end by
+/// themselves; no more are begun until they have.
+void reconfigure(group_engine &engine, const std::map<database_name, pool_limits> &limits);
+
 /// Advances the engine by one event and appends what is to be done.
 void step(group_engine &engine, const engine_event &event, time_point now, engine_actions &actions);
 
