--- a/UnitTests/Routing/group_engine_test.cpp
+++ b/UnitTests/Routing/group_engine_test.cpp
@@ -231,3 +231,34 @@
     stubborn.tick(stubborn.engine.settings.drainPatience);
     CHECK(stubborn.engine.ownership.resigning);
 }
+
+TEST(group_engine, withoutConfirmingReplicasThePrimarysReportIsEnough)
+{
+    serving_engine none(0);
+    const request_id id = none.request(statement_kind::write);
+    none.reply(id, outcome::done, 2);
+    none.report("db0", database_role::primary, 2);
+    CHECK(none.answerTo(id) != nullptr);
+    CHECK(none.answerTo(id)->result.kind == outcome::done);
+}
+
+TEST(group_engine, twoConfirmingReplicasMustBothHoldAWrite)
+{
+    serving_engine two(2);
+    const request_id id = two.request(statement_kind::write);
+    two.reply(id, outcome::done, 2);
+    two.report("db1", database_role::replica, 2);
+    CHECK(two.answerTo(id) == nullptr);
+    two.report("db2", database_role::replica, 2);
+    CHECK(two.answerTo(id)->result.kind == outcome::done);
+}
+
+TEST(group_engine, anEmptyTransactionWaitsForItsRoundOnly)
+{
+    const transaction_id transaction = bed.begin(1);
+    const request_id commit = bed.inTransaction(transaction, statement_kind::commit);
+    bed.reply(commit, outcome::done, 0);
+    CHECK(bed.answerTo(commit) == nullptr);
+    confirmUpTo(1);
+    CHECK(outcomeOf(commit) == outcome::done);
+}
