--- /dev/null
+++ b/UnitTests/Network/frame_reader_test.cpp
@@ -0,0 +1,31 @@
+#include "mustardrouter/Network/frame_reader.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+TEST_GROUP(frame_reader){};
+
+TEST(frame_reader, aFrameIsWholePartialOrRefused)
+{
+    const std::string two("\x03"
+                          "abc"
+                          "\x01"
+                          "d",
+                          6);
+    const frame_read whole = readFrame(two);
+    CHECK(whole.state == frame_state::whole);
+    CHECK(whole.payload == "abc");
+    UNSIGNED_LONGS_EQUAL(4, whole.taken);
+    CHECK(readFrame("").state == frame_state::partial);
+    CHECK(readFrame("\x03"
+                    "ab")
+              .state
+          == frame_state::partial);
+    CHECK(readFrame("\xff\xff").state == frame_state::partial);
+    // Five megabytes, and a length that never ends.
+    CHECK(readFrame("\x80\x80\xc0\x02").why == failure::frameTooLarge);
+    CHECK(readFrame("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff").state == frame_state::refused);
+}
--- /dev/null
+++ b/fuzz/fuzz_frames.cpp
@@ -0,0 +1,71 @@
+// Frames come from callers, peers and databases. Whatever arrives is cut into frames within their
+// bounds, however it is split, and each payload is parsed or refused.
+
+#include "mustardrouter/Instance/wire_codec.h"
+#include "mustardrouter/Network/frame_reader.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace mustardrouter;
+
+void parse(std::string_view payload)
+{
+    const auto size = static_cast<int>(payload.size());
+    wire::caller_request request;
+    if (request.ParseFromArray(payload.data(), size)) {
+        isKnown(request.statement());
+        fromWire(request.statement(), time_point{});
+    }
+    wire::peer_message peer;
+    if (peer.ParseFromArray(payload.data(), size)) {
+        fromWire(peer.from());
+        fromWire(peer.forward_answer().result());
+    }
+    wire::database_message database;
+    if (database.ParseFromArray(payload.data(), size)) {
+        fromWire(database.report());
+        fromWire(database.answer().result());
+    }
+}
+
+/// Payloads of all whole frames.
+std::vector<std::string> framesOf(std::string_view rest)
+{
+    std::vector<std::string> frames;
+    for (;;) {
+        const frame_read read = readFrame(rest);
+        if (read.state != frame_state::whole) {
+            return frames;
+        }
+        if (read.taken == 0 || read.taken > rest.size() || read.payload.size() >= read.taken) {
+            std::abort();
+        }
+        frames.emplace_back(read.payload);
+        rest.remove_prefix(read.taken);
+    }
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view input(reinterpret_cast<const char *>(data), size);
+    const std::vector<std::string> frames = framesOf(input);
+    for (const std::string &frame : frames) {
+        parse(frame);
+    }
+    parse(input);
+    // What arrives in two pieces holds no frame that the whole does not begin with.
+    const std::vector<std::string> early = framesOf(input.substr(0, size / 2));
+    if (early.size() > frames.size() || !std::equal(early.begin(), early.end(), frames.begin())) {
+        std::abort();
+    }
+    return 0;
+}
--- a/mustardrouter/Network/frame_connection.cpp
+++ b/mustardrouter/Network/frame_connection.cpp
@@ -142,25 +142,16 @@
     std::size_t taken = 0;
     while (!m_closed) {
         const std::string_view rest = std::string_view(m_incoming).substr(taken);
-        google::protobuf::io::CodedInputStream prefix(reinterpret_cast<const std::uint8_t *>(rest.data()), static_cast<int>(rest.size()));
-        std::uint32_t size = 0;
-        if (!prefix.ReadVarint32(&size)) {
-            if (rest.size() >= maxPrefixBytes) {
-                close(failure::malformedFrame);
-                return false;
-            }
-            break;
-        }
-        if (size > maxFrameBytes) {
-            close(failure::frameTooLarge);
+        const frame_read read = readFrame(rest);
+        if (read.state == frame_state::refused) {
+            close(read.why);
             return false;
         }
-        const auto prefixBytes = static_cast<std::size_t>(prefix.CurrentPosition());
-        if (rest.size() < prefixBytes + size) {
+        if (read.state == frame_state::partial) {
             break;
         }
-        m_onFrame(*this, rest.substr(prefixBytes, size));
-        taken += prefixBytes + size;
+        m_onFrame(*this, read.payload);
+        taken += read.taken;
     }
     m_incoming.erase(0, taken);
     if (m_incoming.empty() && m_incoming.capacity() > readBytes) {
--- a/mustardrouter/Network/frame_connection.h
+++ b/mustardrouter/Network/frame_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Core/failure.h"
+#include "mustardrouter/Network/frame_reader.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -15,8 +16,6 @@
 namespace mustardrouter
 {
 
-/// Greatest size of one frame's payload, in bytes.
-constexpr std::size_t maxFrameBytes = 4U << 20U;
 /// Bytes that may wait to be sent on one connection.
 constexpr std::size_t maxUnsentBytes = 16U << 20U;
 
--- /dev/null
+++ b/mustardrouter/Network/frame_reader.cpp
@@ -0,0 +1,27 @@
+#include "mustardrouter/Network/frame_reader.h"
+
+#include <google/protobuf/io/coded_stream.h>
+
+namespace mustardrouter
+{
+
+frame_read readFrame(std::string_view bytes)
+{
+    constexpr std::size_t maxPrefixBytes = 5;
+    google::protobuf::io::CodedInputStream prefix(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<int>(bytes.size()));
+    std::uint32_t size = 0;
+    if (!prefix.ReadVarint32(&size)) {
+        const bool endless = bytes.size() >= maxPrefixBytes;
+        return {endless ? frame_state::refused : frame_state::partial, {}, 0, endless ? failure::malformedFrame : failure::none};
+    }
+    if (size > maxFrameBytes) {
+        return {frame_state::refused, {}, 0, failure::frameTooLarge};
+    }
+    const auto prefixBytes = static_cast<std::size_t>(prefix.CurrentPosition());
+    if (bytes.size() < prefixBytes + size) {
+        return {};
+    }
+    return {frame_state::whole, bytes.substr(prefixBytes, size), prefixBytes + size, failure::none};
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Operators/control_commands.cpp
+++ b/mustardrouter/Operators/control_commands.cpp
@@ -1,10 +1,13 @@
 #include "mustardrouter/Operators/commands.h"
+#include "mustardrouter/Operators/status_table.h"
 #include "mustardrouter/Runtime/json_rpc_client.h"
 
 #include <json/writer.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace mustardrouter
 {
@@ -16,6 +19,12 @@
 
 constexpr long controlTimeoutMs = 3000;
 
+/// How far an operation has come.
+struct progress_state {
+    std::string text;
+    bool reached = false;
+};
+
 void addControlOptions(command_options &command)
 {
     command.options.add_options()("control", po::value<std::string>()->required(), "control address of an instance");
@@ -46,29 +55,52 @@
     return exit_code::failed;
 }
 
-void printStatus(const Json::Value &status)
+constexpr auto progressInterval = std::chrono::milliseconds(200);
+constexpr auto progressPatience = std::chrono::seconds(30);
+
+/// Prints each state once and waits until `stateOf(status)` says that the end is reached.
+template<typename StateOf>
+exit_code followProgress(const po::variables_map &values, const char *command, const StateOf &stateOf)
 {
-    std::cout << "instance " << status["instance"].asString() << ", revision " << status["revision"].asString()
-              << (status["draining"].asBool() ? ", draining" : "") << '\n';
-    for (const std::string &group : status["groups"].getMemberNames()) {
-        const Json::Value &item = status["groups"][group];
-        std::cout << "group " << group << ": " << item["role"].asString() << ", term " << item["term"].asString();
-        if (item["role"].asString() != "owner") {
-            std::cout << '\n';
-            continue;
+    const auto until = std::chrono::steady_clock::now() + progressPatience;
+    std::string shown;
+    while (std::chrono::steady_clock::now() < until) {
+        const json_rpc_answer answer = callControl(values, "status", Json::Value(Json::objectValue));
+        if (answer.status != json_rpc_status::answered) {
+            return report(answer, command);
         }
-        std::cout << ", primary " << item["primary"].asString() << (item["serving"].asBool() ? "" : ", NOT SERVING") << ", waiting "
-                  << item["waiting"].asString() << '\n';
-        for (const Json::Value &database : item["databases"]) {
-            std::cout << "    " << database["name"].asString() << ": term " << database["term"].asString() << ", received "
-                      << database["received"].asString() << ", applied " << database["applied"].asString() << ", connections "
-                      << database["connections"].asString() << '\n';
+        const progress_state state = stateOf(answer.value);
+        if (state.text != shown) {
+            std::cout << state.text << std::endl;
+            shown = state.text;
         }
+        if (state.reached) {
+            return exit_code::done;
+        }
+        std::this_thread::sleep_for(progressInterval);
     }
-    for (const std::string &name : status["instances"].getMemberNames()) {
-        const Json::Value &item = status["instances"][name];
-        std::cout << "instance " << name << " at " << item["address"].asString() << (item["leaving"].asBool() ? ", leaving" : "") << '\n';
+    std::cerr << "mustardrouter " << command << ": not done within " << progressPatience.count() << " s; it goes on, see status\n";
+    return exit_code::failed;
+}
+
+progress_state failoverState(const Json::Value &status, const std::string &group, const std::string &to, Json::UInt64 termBefore)
+{
+    const Json::Value &item = status["groups"][group];
+    const bool serving = item["serving"].asBool();
+    const bool moved = item["term"].asUInt64() > termBefore && (to.empty() || item["primary"].asString() == to);
+    std::string text = "term " + item["term"].asString() + ", primary " + item["primary"].asString() + ", " + item["phase"].asString();
+    return {text, serving && moved};
+}
+
+progress_state drainState(const Json::Value &status)
+{
+    std::size_t owned = 0;
+    for (const Json::Value &item : status["groups"]) {
+        owned += item["role"].asString() == "owner" ? 1U : 0U;
     }
+    const auto inFlight = status["inFlight"].asUInt64();
+    const std::string text = std::to_string(owned) + " groups owned, " + std::to_string(inFlight) + " requests in flight";
+    return {text, status["draining"].asBool() && owned == 0 && inFlight == 0};
 }
 
 } // namespace
@@ -76,6 +108,7 @@
 exit_code runStatus(const arguments &given)
 {
     command_options command("status", "--control IP:PORT [--json]");
+    command.examples = {"status --control 127.0.0.1:6002", "status --control 127.0.0.1:6002 --json"};
     addControlOptions(command);
     command.options.add_options()("json", "print the whole state as JSON");
     po::variables_map values;
@@ -87,7 +120,7 @@
     if (answer.status == json_rpc_status::answered && values.count("json") > 0) {
         std::cout << Json::writeString(Json::StreamWriterBuilder(), answer.value) << '\n';
     } else if (answer.status == json_rpc_status::answered) {
-        printStatus(answer.value);
+        printStatusTable(answer.value, std::cout);
     }
     return report(answer, "status");
 }
@@ -95,6 +128,7 @@
 exit_code runFailover(const arguments &given)
 {
     command_options command("failover", "GROUP --control IP:PORT [--to DATABASE]");
+    command.examples = {"failover scripts-1 --control 127.0.0.1:6002 --to scripts-1-kosice"};
     addControlOptions(command);
     command.options.add_options()("group", po::value<std::string>()->required(), "group whose primary moves");
     command.options.add_options()("to", po::value<std::string>()->default_value(""), "database that becomes primary");
@@ -104,22 +138,46 @@
     if (status != parse_status::parsed) {
         return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
     }
+    const std::string group = values["group"].as<std::string>();
+    const std::string to = values["to"].as<std::string>();
+    const json_rpc_answer before = callControl(values, "status", Json::Value(Json::objectValue));
+    if (before.status != json_rpc_status::answered) {
+        return report(before, "failover");
+    }
+    const Json::Value &item = before.value["groups"][group];
+    if (item["role"].asString() != "owner") {
+        std::cerr << "mustardrouter failover: not_owner: ask the control interface of the group's owner, "
+                  << (item["owner"].asString().empty() ? "which is not known here" : item["owner"].asString()) << '\n';
+        return exit_code::failed;
+    }
     Json::Value parameters(Json::objectValue);
-    parameters["group"] = values["group"].as<std::string>();
-    parameters["to"] = values["to"].as<std::string>();
-    return report(callControl(values, "failover", parameters), "failover");
+    parameters["group"] = group;
+    parameters["to"] = to;
+    const json_rpc_answer accepted = callControl(values, "failover", parameters);
+    if (accepted.status != json_rpc_status::answered) {
+        return report(accepted, "failover");
+    }
+    const Json::UInt64 term = item["term"].asUInt64();
+    return followProgress(values, "failover", [&](const Json::Value &state) {
+        return failoverState(state, group, to, term);
+    });
 }
 
 exit_code runDrain(const arguments &given)
 {
     command_options command("drain", "--control IP:PORT");
+    command.examples = {"drain --control 127.0.0.1:6002"};
     addControlOptions(command);
     po::variables_map values;
     const parse_status status = parse(command, given, values);
     if (status != parse_status::parsed) {
         return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
     }
-    return report(callControl(values, "drain", Json::Value(Json::objectValue)), "drain");
+    const json_rpc_answer accepted = callControl(values, "drain", Json::Value(Json::objectValue));
+    if (accepted.status != json_rpc_status::answered) {
+        return report(accepted, "drain");
+    }
+    return followProgress(values, "drain", drainState);
 }
 
 } // namespace mustardrouter
