--- /dev/null
+++ b/bench/failover/group_simulation.cpp
@@ -0,0 +1,519 @@
+#include "group_simulation.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr duration tickInterval = std::chrono::milliseconds(5);
+constexpr duration writeInterval = std::chrono::milliseconds(2);
+/// A refused connection attempt is known after one round trip; a silent one is not known at all.
+constexpr std::size_t instanceCount = 3;
+constexpr std::size_t databaseCount = 3;
+
+instance_name nameOf(std::size_t index, std::uint64_t life)
+{
+    return instance_name("i" + std::to_string(index) + "." + std::to_string(life));
+}
+
+} // namespace
+
+bool group_simulation::later::operator()(const pending_event &a, const pending_event &b) const
+{
+    return a.at == b.at ? a.order > b.order : a.at > b.at;
+}
+
+group_simulation::group_simulation(simulated_delays delays, ownership_settings settings, std::uint64_t seed)
+    : m_delays(delays)
+    , m_settings(settings)
+    , m_random(seed)
+    , m_instances(instanceCount)
+{
+    for (std::size_t index = 0; index < databaseCount; ++index) {
+        simulated_database made;
+        made.name = database_name("d" + std::to_string(index));
+        m_databases.push_back(std::move(made));
+    }
+    for (std::size_t index = 0; index < instanceCount; ++index) {
+        startInstance(index);
+    }
+}
+
+void group_simulation::runFor(duration span)
+{
+    const time_point until = m_now + span;
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const pending_event next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.work();
+    }
+    m_now = until;
+}
+
+bool group_simulation::runUntilDone(duration patience)
+{
+    const time_point until = m_now + patience;
+    while (m_times.firstDone == time_point{} && m_now < until) {
+        runFor(std::chrono::milliseconds(1));
+    }
+    return m_times.firstDone != time_point{};
+}
+
+void group_simulation::killPrimary()
+{
+    const std::size_t primary = indexOf(m_instances[*m_serving].ownership->primary);
+    m_databases[primary].state = fault::killed;
+    m_times = {m_times.lastDone, m_now, {}, {}, {}, {}};
+    ++m_databases[primary].link;
+    const duration reset = jittered(m_delays.betweenDataCentres);
+    for (std::size_t index = 0; index < databaseCount; ++index) {
+        simulated_database &replica = m_databases[index];
+        if (replica.primary != primary) {
+            continue;
+        }
+        after(reset, [this, index, primary] {
+            if (m_databases[index].primary == primary) {
+                m_databases[index].inSync = false;
+            }
+        });
+    }
+    const std::size_t owner = *m_serving;
+    const database_name name = m_databases[primary].name;
+    after(reset, [this, owner, name] {
+        give(owner, database_unreachable{name});
+    });
+}
+
+void group_simulation::silencePrimary()
+{
+    m_databases[indexOf(m_instances[*m_serving].ownership->primary)].state = fault::silent;
+    m_times = {m_times.lastDone, m_now, {}, {}, {}, {}};
+}
+
+void group_simulation::breakPrimaryLink()
+{
+    const std::size_t owner = *m_serving;
+    simulated_database &primary = m_databases[indexOf(m_instances[owner].ownership->primary)];
+    ++primary.link;
+    give(owner, database_unreachable{primary.name});
+}
+
+void group_simulation::killOwner()
+{
+    m_instances[*m_serving].alive = false;
+    m_times = {m_times.lastDone, m_now, {}, {}, {}, {}};
+    m_serving.reset();
+}
+
+void group_simulation::setPlatformDown(bool down)
+{
+    m_platformDown = down;
+}
+
+void group_simulation::repair()
+{
+    m_platformDown = false;
+    for (simulated_database &database : m_databases) {
+        database.state = fault::none;
+    }
+    for (std::size_t index = 0; index < instanceCount; ++index) {
+        if (!m_instances[index].alive) {
+            startInstance(index);
+        }
+    }
+}
+
+const failover_times &group_simulation::times() const
+{
+    return m_times;
+}
+
+std::uint64_t group_simulation::endedTerms() const
+{
+    return m_endedTerms;
+}
+
+const std::vector<duration> &group_simulation::confirmationTimes() const
+{
+    return m_confirmations;
+}
+
+void group_simulation::after(duration delay, std::function<void()> work)
+{
+    m_events.push({m_now + delay, m_nextOrder++, std::move(work)});
+}
+
+duration group_simulation::jittered(duration base)
+{
+    return base + duration(std::uniform_int_distribution<std::int64_t>(0, base.count() / 4)(m_random));
+}
+
+void group_simulation::startInstance(std::size_t index)
+{
+    simulated_instance &made = m_instances[index];
+    made.alive = true;
+    ++made.life;
+    std::vector<database_name> names;
+    for (const simulated_database &database : m_databases) {
+        names.push_back(database.name);
+    }
+    made.ownership = std::make_unique<group_ownership>(group_name("g"), nameOf(index, made.life), "", names, m_settings);
+    const duration phase(std::uniform_int_distribution<std::int64_t>(0, tickInterval.count())(m_random));
+    after(phase, [this, index, life = made.life] {
+        tick(index, life);
+    });
+    candidates_changed ranking;
+    for (std::size_t other = 0; other < instanceCount; ++other) {
+        if (m_instances[other].ownership) {
+            ranking.ranking.push_back({m_instances[other].ownership->self, "", {}, {}});
+        }
+    }
+    for (std::size_t other = 0; other < instanceCount; ++other) {
+        if (m_instances[other].ownership) {
+            give(other, ranking);
+        }
+    }
+}
+
+void group_simulation::tick(std::size_t index, std::uint64_t life)
+{
+    if (!m_instances[index].alive || m_instances[index].life != life) {
+        return;
+    }
+    give(index, clock_ticked{});
+    after(tickInterval, [this, index, life] {
+        tick(index, life);
+    });
+}
+
+void group_simulation::give(std::size_t index, const ownership_event &event)
+{
+    if (!m_instances[index].alive) {
+        return;
+    }
+    ownership_actions actions;
+    step(*m_instances[index].ownership, event, m_now, actions);
+    for (const ownership_action &action : actions) {
+        apply(index, action);
+    }
+    noteStages(index);
+    confirmWrites(index);
+}
+
+void group_simulation::apply(std::size_t index, const ownership_action &action)
+{
+    if (const auto *report = std::get_if<order_report>(&action)) {
+        order(index, report->database, {}, report->round);
+    } else if (const auto *fenced = std::get_if<order_fence>(&action)) {
+        order(
+            index,
+            fenced->database,
+            [this, term = fenced->term](simulated_database &at) {
+                fence(at, term);
+            },
+            0);
+    } else if (const auto *promoted = std::get_if<order_promote>(&action)) {
+        order(
+            index,
+            promoted->database,
+            [this, term = promoted->term](simulated_database &at) {
+                promote(at, term);
+            },
+            0);
+    } else if (const auto *followed = std::get_if<order_follow>(&action)) {
+        order(
+            index,
+            followed->database,
+            [this, what = *followed](simulated_database &at) {
+                follow(at, what.term, what.primary);
+            },
+            0);
+    } else if (const auto *renewed = std::get_if<renew_link>(&action)) {
+        simulated_database &database = m_databases[indexOf(renewed->database)];
+        ++database.link;
+        database.answersFrom = m_now;
+    } else if (const auto *beat = std::get_if<send_heartbeat>(&action)) {
+        for (std::size_t other = 0; other < instanceCount; ++other) {
+            if (m_instances[other].ownership->self != beat->to) {
+                continue;
+            }
+            after(jittered(m_delays.betweenDataCentres), [this, other, what = *beat, from = m_instances[index].ownership->self] {
+                if (m_instances[other].ownership->self == what.to) {
+                    give(other, heartbeat_received{from, what.term, what.recordVersion, what.resigning});
+                }
+            });
+        }
+    } else if (const auto *started = std::get_if<term_started>(&action)) {
+        m_serving = index;
+        m_writes.clear();
+        // The caller's write waits at the owner; a connection to the new primary is opened first.
+        const duration opening = m_delays.connectionCost + 2 * jittered(m_delays.betweenDataCentres);
+        after(opening, [this, index, term = started->term] {
+            writeNext(index, term);
+        });
+    } else if (std::holds_alternative<term_ended>(action)) {
+        ++m_endedTerms;
+        m_writes.clear();
+        if (m_serving == index) {
+            m_serving.reset();
+        }
+    } else if (std::holds_alternative<read_record>(action) || std::holds_alternative<write_record>(action)) {
+        answerPlatform(index, action);
+    }
+}
+
+void group_simulation::order(std::size_t from,
+                             const database_name &to,
+                             std::function<void(simulated_database &)> effect,
+                             std::uint64_t round)
+{
+    const std::size_t index = indexOf(to);
+    after(jittered(m_delays.betweenDataCentres), [this, from, index, effect = std::move(effect), round] {
+        simulated_database &database = m_databases[index];
+        if (database.state == fault::silent) {
+            return;
+        }
+        if (database.state == fault::killed) {
+            after(jittered(m_delays.betweenDataCentres), [this, from, name = database.name] {
+                give(from, database_unreachable{name});
+            });
+            return;
+        }
+        if (effect) {
+            effect(database);
+        }
+        sendReport(from, index, round);
+    });
+}
+
+void group_simulation::sendReport(std::size_t to, std::size_t database, std::uint64_t round)
+{
+    simulated_database &from = m_databases[database];
+    if (from.state != fault::none) {
+        return;
+    }
+    time_point leaves = std::max(m_now, from.answersFrom);
+    if (m_delays.slowShare > 0 && std::bernoulli_distribution(m_delays.slowShare)(m_random)) {
+        const double mean = static_cast<double>(m_delays.slowMean.count());
+        leaves += duration(static_cast<std::int64_t>(std::exponential_distribution<>(1 / mean)(m_random)));
+    }
+    from.answersFrom = leaves;
+    database_report report;
+    report.term = from.term;
+    report.role = from.role;
+    report.received = from.last;
+    report.applied = from.last;
+    report.round = round;
+    report.inSync = from.inSync;
+    after(leaves - m_now + jittered(m_delays.betweenDataCentres), [this, to, name = from.name, report, link = from.link, database] {
+        if (m_databases[database].link == link) {
+            give(to, database_reported{name, report});
+        }
+    });
+}
+
+void group_simulation::pushReports(std::size_t database)
+{
+    if (m_serving) {
+        sendReport(*m_serving, database, 0);
+        return;
+    }
+    for (std::size_t index = 0; index < instanceCount; ++index) {
+        if (m_instances[index].ownership->role == ownership_role::owner) {
+            sendReport(index, database, 0);
+        }
+    }
+}
+
+void group_simulation::fence(simulated_database &database, term_number term)
+{
+    if (term <= database.term) {
+        return;
+    }
+    database.term = term;
+    database.role = database_role::fenced;
+    database.inSync = false;
+    database.primary.reset();
+}
+
+void group_simulation::promote(simulated_database &database, term_number term)
+{
+    if (term != database.term || database.role != database_role::fenced) {
+        return;
+    }
+    database.role = database_role::primary;
+    database.log.push_back({term, log_position(database.log.size() + 1)});
+    database.last = database.log.back();
+}
+
+void group_simulation::follow(simulated_database &database, term_number term, const database_name &primary)
+{
+    const bool already = term == database.term && database.role != database_role::fenced;
+    if (term < database.term || already) {
+        return;
+    }
+    database.term = term;
+    database.role = database_role::replica;
+    database.inSync = false;
+    database.primary = indexOf(primary);
+    // A connection to the primary, then its first batch.
+    const std::size_t replica = indexOf(database.name);
+    after(3 * jittered(m_delays.betweenDataCentres), [this, replica, from = *database.primary, term] {
+        if (m_databases[from].state == fault::none && m_databases[from].term == term) {
+            receive(replica, from, m_databases[from].log, term);
+        }
+    });
+}
+
+void group_simulation::replicate(std::size_t from)
+{
+    const term_number term = m_databases[from].term;
+    for (std::size_t index = 0; index < databaseCount; ++index) {
+        if (m_databases[index].primary != from || !m_databases[index].inSync) {
+            continue;
+        }
+        const log_entry added = m_databases[from].last;
+        after(m_delays.replication + jittered(m_delays.betweenDataCentres), [this, index, from, added, term] {
+            simulated_database &replica = m_databases[index];
+            const bool fits =
+                replica.term == term && replica.primary == from && replica.inSync && added.position.value() == replica.log.size() + 1;
+            if (!fits) {
+                return;
+            }
+            replica.log.push_back(added);
+            replica.last = added;
+            pushReports(index);
+        });
+    }
+}
+
+void group_simulation::receive(std::size_t replica, std::size_t from, const std::vector<log_entry> &log, term_number term)
+{
+    simulated_database &database = m_databases[replica];
+    if (database.term != term || database.primary != from) {
+        return;
+    }
+    database.log = log;
+    database.last = log.back();
+    database.inSync = true;
+    pushReports(replica);
+    // Entries appended while the batch travelled follow at once.
+    after(jittered(m_delays.betweenDataCentres), [this, replica, from, term] {
+        simulated_database &behind = m_databases[replica];
+        const simulated_database &primary = m_databases[from];
+        const bool lags = behind.term == term && behind.primary == from && primary.term == term && behind.log.size() < primary.log.size();
+        if (lags && primary.state == fault::none) {
+            receive(replica, from, primary.log, term);
+        }
+    });
+}
+
+void group_simulation::answerPlatform(std::size_t to, const ownership_action &action)
+{
+    constexpr duration platformTimeout = std::chrono::seconds(1);
+    after(m_delays.platformAnswer, [this, to, action, life = m_instances[to].life] {
+        const auto answer = [this, to, life](const ownership_event &event) {
+            if (m_instances[to].life == life) {
+                give(to, event);
+            }
+        };
+        if (m_platformDown) {
+            after(platformTimeout, [answer] {
+                answer(record_unanswered{});
+            });
+            return;
+        }
+        if (std::holds_alternative<read_record>(action)) {
+            answer(record_read{m_record});
+            return;
+        }
+        const ownership_record &wanted = std::get<write_record>(action).record;
+        if (wanted.version != m_record.version) {
+            answer(record_conflict{});
+            return;
+        }
+        m_record = wanted;
+        ++m_record.version;
+        answer(record_written{m_record});
+    });
+}
+
+void group_simulation::writeNext(std::size_t owner, term_number term)
+{
+    const group_ownership &ownership = *m_instances[owner].ownership;
+    if (m_serving != owner || ownership.term != term) {
+        return;
+    }
+    const std::size_t primary = indexOf(ownership.primary);
+    after(jittered(m_delays.betweenDataCentres) + m_delays.statement, [this, owner, primary, term] {
+        simulated_database &database = m_databases[primary];
+        if (database.state != fault::none || database.term != term || database.role != database_role::primary) {
+            return;
+        }
+        database.log.push_back({term, log_position(database.log.size() + 1)});
+        database.last = database.log.back();
+        replicate(primary);
+        pushReports(primary);
+        const log_position position = database.last.position;
+        after(jittered(m_delays.betweenDataCentres), [this, owner, term, position] {
+            if (m_serving == owner && m_instances[owner].ownership->term == term) {
+                m_writes.push_back({position, m_now});
+                confirmWrites(owner);
+            }
+        });
+    });
+    after(writeInterval, [this, owner, term] {
+        writeNext(owner, term);
+    });
+}
+
+void group_simulation::confirmWrites(std::size_t index)
+{
+    if (m_serving != index || m_writes.empty()) {
+        return;
+    }
+    const log_position confirmed = confirmedPosition(*m_instances[index].ownership);
+    std::erase_if(m_writes, [&](const running_write &write) {
+        if (confirmed < write.position) {
+            return false;
+        }
+        m_confirmations.push_back(m_now - write.answeredAt);
+        // Writes that were in flight when the fault came still count as work before it.
+        if (m_times.detected == time_point{}) {
+            m_times.lastDone = m_now + m_delays.toCallers;
+        } else if (m_times.firstDone == time_point{}) {
+            m_times.firstDone = m_now + m_delays.toCallers;
+        }
+        return true;
+    });
+}
+
+void group_simulation::noteStages(std::size_t index)
+{
+    const group_ownership &ownership = *m_instances[index].ownership;
+    if (m_times.failed == time_point{} || ownership.role != ownership_role::owner) {
+        return;
+    }
+    if (ownership.phase == promotion_phase::fencing && m_times.detected == time_point{}) {
+        m_times.detected = m_now;
+    }
+    if (m_times.detected != time_point{} && m_times.fenced == time_point{} && ownership.phase != promotion_phase::fencing) {
+        m_times.fenced = m_now;
+    }
+    if (m_times.fenced != time_point{} && m_times.promoted == time_point{} && isServing(ownership)) {
+        m_times.promoted = m_now;
+    }
+}
+
+std::size_t group_simulation::indexOf(const database_name &name) const
+{
+    const auto found = std::ranges::find(m_databases, name, &simulated_database::name);
+    return static_cast<std::size_t>(found - m_databases.begin());
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/bench/failover/loopback.cpp
@@ -0,0 +1,234 @@
+#include "loopback.h"
+
+#include "figures.h"
+#include "mustardrouter/Load/caller_client.h"
+#include "mustardrouter/Load/testbed.h"
+#include "mustardrouter/Load/workload.h"
+#include "mustardrouter/Runtime/error.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+constexpr auto writeInterval = std::chrono::milliseconds(5);
+constexpr auto recoveryPatience = std::chrono::seconds(20);
+constexpr auto settleTime = std::chrono::milliseconds(2500);
+constexpr std::size_t instanceCount = 4;
+
+time_point currentTime()
+{
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Writes to one group every few milliseconds and keeps when writes were sent and done.
+class steady_writer
+{
+public:
+    steady_writer(std::string entry, std::string service, std::string partition)
+        : m_client(std::make_shared<caller_client>(m_context, std::move(entry)))
+        , m_service(std::move(service))
+        , m_partition(std::move(partition))
+        , m_timer(m_context)
+    {
+        m_client->connect();
+        asio::post(m_context, [this] {
+            next();
+        });
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
+    }
+
+    ~steady_writer()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    steady_writer(const steady_writer &) = delete;
+    steady_writer &operator=(const steady_writer &) = delete;
+
+    /// Largest time between two done writes that spans an instant after `since`; nothing done yet gives nothing.
+    std::optional<duration> gapAround(time_point since) const
+    {
+        const std::lock_guard lock(m_mutex);
+        duration largest{};
+        for (std::size_t index = 1; index < m_done.size(); ++index) {
+            if (m_done[index] >= since) {
+                largest = std::max(largest, m_done[index] - m_done[index - 1]);
+            }
+        }
+        if (m_done.empty() || currentTime() - m_done.back() > largest) {
+            return std::nullopt;
+        }
+        return largest;
+    }
+
+private:
+    void next()
+    {
+        wire::statement statement;
+        statement.set_kind(wire::STATEMENT_WRITE);
+        statement.set_service(m_service);
+        statement.set_partition(m_partition);
+        statement.set_sql("INSERT INTO items VALUES('x', 'bench', 'y')");
+        m_client->send(statement, [this](const wire::result &result) {
+            if (result.outcome() != wire::OUTCOME_DONE) {
+                return;
+            }
+            const std::lock_guard lock(m_mutex);
+            m_done.push_back(currentTime());
+        });
+        m_timer.expires_after(writeInterval);
+        m_timer.async_wait([this](const asio::error_code &code) {
+            if (!code) {
+                next();
+            }
+        });
+    }
+
+    asio::io_context m_context;
+    std::shared_ptr<caller_client> m_client;
+    std::string m_service;
+    std::string m_partition;
+    asio::steady_timer m_timer;
+    mutable std::mutex m_mutex;
+    std::vector<time_point> m_done;
+    std::thread m_thread;
+};
+
+struct loopback_failure {
+    const char *name;
+    std::function<void(testbed &, const std::string &group)> fail;
+    bool endsOwner = false;
+};
+
+const std::vector<loopback_failure> &loopbackFailures()
+{
+    static const std::vector<loopback_failure> all{
+        {"primary killed",
+         [](testbed &bed, const std::string &group) {
+             bed.primaryOf(group)->kill();
+         }},
+        {"primary silent",
+         [](testbed &bed, const std::string &group) {
+             bed.primaryOf(group)->setFrozen(true);
+         }},
+        {"owner killed",
+         [](testbed &bed, const std::string &group) {
+             bed.ownerOf(group)->kill();
+         },
+         true},
+    };
+    return all;
+}
+
+void repair(testbed &bed, const loopback_failure &what, database_standin *database, const instance *owner)
+{
+    if (!what.endsOwner) {
+        database->setFrozen(false);
+        if (std::string(what.name) == "primary killed") {
+            database->restart();
+        }
+        return;
+    }
+    std::erase_if(bed.instances(), [&](const auto &item) {
+        return item.get() == owner;
+    });
+    handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_CHECK(bed.addInstance());
+            return true;
+        },
+        [](const error &) {
+            return false;
+        });
+}
+
+/// An entry that survives the fault: any instance that does not own the group.
+std::optional<std::string> entryBesideOwner(testbed &bed, const std::string &group)
+{
+    const instance *owner = bed.ownerOf(group);
+    for (const auto &item : bed.instances()) {
+        if (item.get() != owner) {
+            return item->callerAddress();
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<duration> measureOnce(testbed &bed, const std::string &group, const std::string &partition, const loopback_failure &what)
+{
+    const auto entry = entryBesideOwner(bed, group);
+    if (!entry || !bed.waitUntilServing(recoveryPatience)) {
+        return std::nullopt;
+    }
+    database_standin *database = bed.primaryOf(group);
+    instance *owner = bed.ownerOf(group);
+    if (database == nullptr || owner == nullptr) {
+        return std::nullopt;
+    }
+    steady_writer writer(*entry, bed.sizes().service, partition);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const time_point failed = currentTime();
+    what.fail(bed, group);
+    std::this_thread::sleep_for(settleTime);
+    const std::optional<duration> gap = writer.gapAround(failed);
+    repair(bed, what, database, owner);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    return gap;
+}
+
+} // namespace
+
+bool measureOverLoopback(const deployment &of, std::size_t failovers)
+{
+    testbed bed(of, instanceCount);
+    const bool started = handled(
+        [&]() -> result_of<bool> {
+            BOOST_LEAF_CHECK(bed.start());
+            return true;
+        },
+        [](const error &) {
+            return false;
+        });
+    if (!started || !bed.waitUntilServing(recoveryPatience)) {
+        return false;
+    }
+    std::vector<std::string> groups;
+    for (std::size_t group = 0; group < of.groups; ++group) {
+        groups.push_back(groupNameOf(of, group));
+    }
+    const std::string partition = partitionsFor(groups).front();
+    std::printf("\n## %s: gaps over loopback, %zu instances, median / 99th percentile / worst in ms\n\n", of.name.c_str(), instanceCount);
+    bool fine = true;
+    for (const loopback_failure &what : loopbackFailures()) {
+        figures gaps{what.name, {}};
+        std::size_t unfinished = 0;
+        for (std::size_t index = 0; index < failovers; ++index) {
+            const std::optional<duration> gap = measureOnce(bed, groups.front(), partition, what);
+            if (gap) {
+                gaps.samples.push_back(*gap);
+            } else {
+                ++unfinished;
+            }
+        }
+        std::printf("%s: %s (%zu done, %zu unfinished)\n", what.name, describe(gaps).c_str(), gaps.samples.size(), unfinished);
+        std::fflush(stdout);
+        fine = fine && unfinished == 0;
+    }
+    return fine;
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -172,6 +172,7 @@
     void apply(const group_name &group, const read_record &action);
     void apply(const group_name &group, const write_record &action);
     void apply(const group_name &group, const order_report &action);
+    void apply(const group_name &group, const renew_link &action);
     void apply(const group_name &group, const order_fence &action);
     void apply(const group_name &group, const order_promote &action);
     void apply(const group_name &group, const order_follow &action);
--- a/mustardrouter/Instance/decision_engines.cpp
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -69,6 +69,17 @@
     sendOrder(group, action.database, std::move(order));
 }
 
+void decision_duty::apply(const group_name &, const renew_link &action)
+{
+    const auto link = m_controlLinks.find(action.database);
+    if (link == m_controlLinks.end()) {
+        return;
+    }
+    m_outputs.network.post(close_link{link->second});
+    m_links.erase(link->second);
+    m_controlLinks.erase(link);
+}
+
 void decision_duty::apply(const group_name &group, const order_fence &action)
 {
     wire::database_order order;
--- /dev/null
+++ b/mustardrouter/Ownership/claim.cpp
@@ -0,0 +1,422 @@
+#include "mustardrouter/Ownership/ownership_parts.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+term_number highestTermSeen(const group_ownership &state)
+{
+    term_number highest = state.term;
+    for (const database_view &view : state.databases) {
+        highest = std::max(highest, view.report.term);
+    }
+    return highest;
+}
+
+std::vector<term_range> holdersWithSelfFirst(const group_ownership &state)
+{
+    std::vector<term_range> holders{{state.self, state.address, {}, {}}};
+    for (const term_range &candidate : state.ranking) {
+        if (candidate.holder == state.self || holders.size() == holdersPerGroup) {
+            continue;
+        }
+        holders.push_back(candidate);
+    }
+    return holders;
+}
+
+void writeClaim(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    state.platformAsked = true;
+    state.recordAskedAt = now;
+    actions.emplace_back(write_record{nextRecord(state.record, highestTermSeen(state), holdersWithSelfFirst(state))});
+}
+
+void becomeOwner(group_ownership &state, const term_range &range, time_point now, ownership_actions &actions)
+{
+    state.role = ownership_role::owner;
+    state.ownRange = range;
+    state.term = range.first;
+    state.heartbeatAt = time_point{};
+    state.tickedAt = now;
+    state.quorumHeardAt = now;
+    state.isolated = false;
+    for (database_view &view : state.databases) {
+        // Silence is counted from the takeover on, never from before it.
+        view.heardAt = now;
+        view.reachable = true;
+        view.givenUp = false;
+    }
+    note(actions, "owns " + state.group.value() + " from term " + std::to_string(state.term.value()));
+    beginFencing(state, now, actions);
+}
+
+void claim(group_ownership &state, time_point now, ownership_actions &actions, const char *reason)
+{
+    if (state.resigning) {
+        return;
+    }
+    note(actions, "claims " + state.group.value() + ": " + reason);
+    state.role = ownership_role::claiming;
+    state.claimedAt = now;
+    writeClaim(state, now, actions);
+}
+
+/// Whether a deputy has gone while another instance could take its place.
+bool lacksDeputies(const group_ownership &state)
+{
+    const std::vector<term_range> wanted = holdersWithSelfFirst(state);
+    std::size_t living = 0;
+    for (const term_range &range : state.record.ranges) {
+        living += range.holder == state.self || isLive(state, range.holder) ? 1U : 0U;
+    }
+    return living < wanted.size();
+}
+
+bool isFirstCandidate(const group_ownership &state)
+{
+    return !state.ranking.empty() && state.ranking.front().holder == state.self;
+}
+
+/// The list of instances lags: holders count as gone only when they have been missing for a while.
+void claimIfAbandoned(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    for (const term_range &range : state.record.ranges) {
+        if (isLive(state, range.holder)) {
+            state.holdersGoneSince = time_point{};
+            return;
+        }
+    }
+    if (state.holdersGoneSince == time_point{}) {
+        state.holdersGoneSince = now;
+    }
+    if (isFirstCandidate(state) && now - state.holdersGoneSince >= state.settings.holdersGonePatience) {
+        claim(state, now, actions, "none of its holders lives");
+    }
+}
+
+void adoptRecord(group_ownership &state, const ownership_record &record, time_point now, ownership_actions &actions)
+{
+    state.record = record;
+    const std::optional<std::size_t> index = ownIndex(state);
+    if (record.ranges.empty()) {
+        if (isFirstCandidate(state)) {
+            claim(state, now, actions, "it has no owner");
+        }
+        return;
+    }
+    if (!index) {
+        state.role = ownership_role::bystander;
+        claimIfAbandoned(state, now, actions);
+        return;
+    }
+    if (*index == 0 && record.ranges.front().first > state.term) {
+        becomeOwner(state, record.ranges.front(), now, actions);
+        return;
+    }
+    // The recorded owner of a range that it has lost waits for the owner that fenced it, as the last deputy.
+    if (state.role != ownership_role::deputy) {
+        state.ownerHeardAt = now;
+    }
+    state.role = ownership_role::deputy;
+}
+
+/// Whether the range is used up so far that the platform should give a new one soon.
+bool needsTerms(const group_ownership &state)
+{
+    return state.ownRange.last.value() < state.term.value() + state.settings.reserveTerms;
+}
+
+/// A replaced owner that does not know it must not keep deputies from taking over.
+bool isStale(const group_ownership &state, const heartbeat_received &beat)
+{
+    if (beat.term < state.ownerTerm) {
+        return true;
+    }
+    if (state.record.ranges.empty()) {
+        return false;
+    }
+    // The recorded owner may still work in a term below the range that it has been given since.
+    const term_range &front = state.record.ranges.front();
+    return beat.from != front.holder && beat.term < front.first;
+}
+
+/// Place among the deputies, from one on. The recorded owner of a range that it has lost is the last.
+int deputyRank(const group_ownership &state)
+{
+    const std::size_t index = ownIndex(state).value_or(holdersPerGroup);
+    return static_cast<int>(index == 0 ? holdersPerGroup : index);
+}
+
+/// When a bystander reads the record next; the end of time when it is no candidate.
+time_point recordPollDue(const group_ownership &state)
+{
+    const auto rank = static_cast<std::size_t>(std::ranges::find(state.ranking, state.self, &term_range::holder) - state.ranking.begin());
+    if (rank >= std::min(holdersPerGroup, state.ranking.size())) {
+        return time_point::max();
+    }
+    if (state.recordAskedAt == time_point{}) {
+        return time_point::min();
+    }
+    const bool suspicious = state.record.ranges.empty() || state.holdersGoneSince != time_point{};
+    return state.recordAskedAt + (suspicious ? state.settings.platformPatience : state.settings.recordPollInterval);
+}
+
+/// When a deputy relieves an owner that resigns; the end of time when it does not.
+time_point reliefDue(const group_ownership &state)
+{
+    if (state.ownerResignsSince == time_point{}) {
+        return time_point::max();
+    }
+    // The first deputy answers a resignation at once; a later one only if those before it do not.
+    return state.ownerResignsSince + state.settings.orderRetry * (deputyRank(state) - 1);
+}
+
+/// When a deputy that hears nothing takes over.
+time_point takeoverDue(const group_ownership &state)
+{
+    return state.ownerHeardAt + state.settings.ownerSuspicion * deputyRank(state);
+}
+
+} // namespace
+
+time_point nextWakeup(const group_ownership &state)
+{
+    switch (state.role) {
+    case ownership_role::bystander:
+        return recordPollDue(state);
+    case ownership_role::deputy:
+        return std::min(takeoverDue(state), reliefDue(state));
+    case ownership_role::claiming:
+    case ownership_role::owner:
+        break;
+    }
+    return time_point::min();
+}
+
+std::optional<std::size_t> ownIndex(const group_ownership &state)
+{
+    for (std::size_t index = 0; index < state.record.ranges.size(); ++index) {
+        if (state.record.ranges[index].holder == state.self) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+bool isLive(const group_ownership &state, const instance_name &name)
+{
+    if (state.live) {
+        return state.live->contains(name);
+    }
+    return std::ranges::find(state.ranking, name, &term_range::holder) != state.ranking.end();
+}
+
+void askRecord(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (state.platformAsked) {
+        return;
+    }
+    state.platformAsked = true;
+    state.recordAskedAt = now;
+    actions.emplace_back(read_record{});
+}
+
+void loseOwnership(group_ownership &state, time_point now, ownership_actions &actions, const char *reason)
+{
+    if (state.role == ownership_role::owner) {
+        actions.emplace_back(term_ended{state.term, true});
+        note(actions, "gives up " + state.group.value() + ": " + reason);
+    }
+    state.handOvers += state.isolated ? 1U : 0U;
+    state.isolated = false;
+    state.role = ownership_role::bystander;
+    state.recordOutdated = false;
+    state.ownerHeardAt = now;
+    state.platformAsked = false;
+    askRecord(state, now, actions);
+}
+
+void claimNewRange(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    state.role = ownership_role::claiming;
+    state.claimedAt = now;
+    askRecord(state, now, actions);
+    note(actions, "needs a new range of terms for " + state.group.value());
+}
+
+void tickHolders(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (state.recordOutdated && !state.platformAsked && now - state.recordAskedAt >= state.settings.platformPatience) {
+        askRecord(state, now, actions);
+    }
+    const bool ours = !state.record.ranges.empty() && state.record.ranges.front().holder == state.self;
+    const bool due = now - state.recordAskedAt >= state.settings.deputyRefreshInterval;
+    if (ours && due && !state.platformAsked && !state.resigning && (lacksDeputies(state) || needsTerms(state))) {
+        writeClaim(state, now, actions);
+    }
+}
+
+void tickHeartbeats(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now - state.heartbeatAt < state.settings.heartbeatInterval) {
+        return;
+    }
+    state.heartbeatAt = now;
+    for (const term_range &range : state.record.ranges) {
+        if (range.holder == state.self) {
+            continue;
+        }
+        const bool givesAway = state.resigning || state.isolated;
+        actions.emplace_back(send_heartbeat{range.holder, state.term, state.primary, state.record.version, givesAway});
+    }
+}
+
+void tickBystander(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now >= recordPollDue(state)) {
+        askRecord(state, now, actions);
+    }
+}
+
+void tickDeputy(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    const duration late = now - takeoverDue(state);
+    if (late >= state.settings.pauseTolerance) {
+        // This process was paused: its owner may have sent heartbeats all the while.
+        state.ownerHeardAt = now;
+        return;
+    }
+    if (late >= duration{}) {
+        claim(state, now, actions, "its owner is silent");
+        return;
+    }
+    if (now >= reliefDue(state)) {
+        state.ownerResignsSince = time_point{};
+        claim(state, now, actions, "its owner resigns");
+    }
+}
+
+void tickClaiming(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now - state.claimedAt < state.settings.platformPatience) {
+        return;
+    }
+    const std::optional<std::size_t> index = ownIndex(state);
+    if (!index || state.record.ranges[*index].last <= state.term) {
+        if (now - state.recordAskedAt >= state.settings.orderRetry) {
+            askRecord(state, now, actions);
+        }
+        return;
+    }
+    term_range range = state.record.ranges[*index];
+    if (range.first <= state.term) {
+        range.first = term_number(state.term.value() + 1);
+    }
+    note(actions, "takes over " + state.group.value() + " without the platform");
+    state.recordOutdated = true;
+    becomeOwner(state, range, now, actions);
+}
+
+void onRecord(group_ownership &state, const ownership_record &record, time_point now, ownership_actions &actions)
+{
+    state.platformAsked = false;
+    if (state.role != ownership_role::owner && state.role != ownership_role::claiming) {
+        adoptRecord(state, record, now, actions);
+        return;
+    }
+    const bool ours = !record.ranges.empty() && record.ranges.front().holder == state.self;
+    if (ours) {
+        state.record = record;
+        state.recordOutdated = false;
+        if (state.role == ownership_role::claiming) {
+            if (record.ranges.front().last > state.term) {
+                term_range range = record.ranges.front();
+                range.first = std::max(range.first, term_number(state.term.value() + 1));
+                becomeOwner(state, range, now, actions);
+                return;
+            }
+            writeClaim(state, now, actions);
+        }
+        return;
+    }
+    const bool replaced = !record.ranges.empty() && record.version > state.record.version && record.ranges.front().first > state.term;
+    if (replaced) {
+        loseOwnership(state, now, actions, "the record names another owner");
+        state.platformAsked = false;
+        adoptRecord(state, record, now, actions);
+        return;
+    }
+    state.record = record;
+    writeClaim(state, now, actions);
+}
+
+void onRecordWritten(group_ownership &state, const ownership_record &record, time_point now, ownership_actions &actions)
+{
+    state.platformAsked = false;
+    state.record = record;
+    state.recordOutdated = false;
+    if (state.role == ownership_role::claiming) {
+        becomeOwner(state, record.ranges.front(), now, actions);
+    }
+    if (state.role != ownership_role::owner) {
+        adoptRecord(state, record, now, actions);
+    }
+    // An owner that had to start without the platform keeps its present, lower term: the new
+    // range serves its later terms.
+    if (state.role == ownership_role::owner && state.ownRange.last < record.ranges.front().first) {
+        state.ownRange = term_range{state.self, state.address, record.ranges.front().first, record.ranges.front().last};
+    }
+}
+
+void onUnanswered(group_ownership &state, time_point now)
+{
+    state.platformAsked = false;
+    // Reading back tells whether a write took effect; the poll interval paces it.
+    state.recordAskedAt = now;
+}
+
+void onHeartbeat(group_ownership &state, const heartbeat_received &beat, time_point now, ownership_actions &actions)
+{
+    if (state.role == ownership_role::owner) {
+        if (beat.term > state.term) {
+            loseOwnership(state, now, actions, "another owner has a higher term");
+        }
+        return;
+    }
+    if (isStale(state, beat) || (state.role == ownership_role::claiming && beat.term < state.term)) {
+        return;
+    }
+    state.ownerTerm = beat.term;
+    if (!beat.resigning) {
+        state.ownerHeardAt = now;
+        // The owner was slow, not dead. A claim that the platform has taken all the same is seen when it answers.
+        state.role = state.role == ownership_role::claiming ? ownership_role::deputy : state.role;
+    }
+    if (beat.recordVersion > state.record.version) {
+        askRecord(state, now, actions);
+    }
+    if (!beat.resigning) {
+        state.ownerResignsSince = time_point{};
+        return;
+    }
+    if (state.ownerResignsSince == time_point{}) {
+        state.ownerResignsSince = now;
+    }
+    if (state.role == ownership_role::deputy) {
+        tickDeputy(state, now, actions);
+    }
+}
+
+void onResignation(group_ownership &state, ownership_actions &actions)
+{
+    state.resigning = true;
+    state.heartbeatAt = time_point{};
+    note(actions, "resigns from " + state.group.value());
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Ownership/group_ownership.h
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Core/failure.h"
 #include "mustardrouter/Core/ids.h"
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Ownership/database_report.h"
@@ -40,8 +41,13 @@
     time_point heardAt{};
     time_point orderedAt{};
     time_point probedAt{};
+    /// When its control connection was last replaced because of its silence.
+    time_point renewedAt{};
+    std::uint32_t renewals = 0;
     bool answeredFence = false;
     bool reachable = true;
+    /// An operator promoted without it; it counts again once it follows the current term.
+    bool givenUp = false;
 };
 
 /// State of one group's ownership on one instance.
@@ -70,7 +76,15 @@
     log_entry barrier;
     /// Replacement that an operator asked for.
     std::optional<database_name> preferredPrimary;
+    /// Primary that was replaced because it failed; chosen again only when it must be.
+    std::optional<database_name> avoidedPrimary;
+    /// Since when the primary's control connection is broken; the epoch when it is not.
+    time_point primaryBrokenAt{};
     bool resigning = false;
+    /// Hears too few databases and asks its deputies to try.
+    bool isolated = false;
+    /// Times that this instance gave the group away since it last served it.
+    std::uint32_t handOvers = 0;
     /// The record on the platform does not name this instance as owner yet.
     bool recordOutdated = false;
     bool platformAsked = false;
@@ -78,7 +92,12 @@
     time_point holdersGoneSince{};
 
     std::uint64_t round = 0;
+    time_point tickedAt{};
+    /// When at least a fence quorum of databases was last heard from.
+    time_point quorumHeardAt{};
     time_point ownerHeardAt{};
+    /// Highest term of a heartbeat.
+    term_number ownerTerm;
     /// First heartbeat that said that the owner resigns; the epoch when it does not.
     time_point ownerResignsSince{};
     time_point claimedAt{};
@@ -103,8 +122,15 @@
 /// Number of databases that must answer a fence: any so many hold every acknowledged write.
 std::size_t fenceQuorum(const group_ownership &state);
 
-/// Replicas that have answered a report order of at least `round` in the current term.
-std::size_t replicasPastRound(const group_ownership &state, std::uint64_t round);
+/// Whether so many databases answered a report order of at least `round` in the current term that no
+/// higher term served when it was given. A primary counts like a replica: one database alone proves nothing.
+bool isRoundConfirmed(const group_ownership &state, std::uint64_t round);
+
+/// Databases heard from within the suspicion time.
+std::size_t heardDatabases(const group_ownership &state, time_point now);
+
+/// What keeps an owner from serving, or writes from being acknowledged; failure::none when nothing does.
+failure problemOf(const group_ownership &state, time_point now);
 
 /// Starts a round of reports at once and returns its number.
 std::uint64_t startRound(group_ownership &state, time_point now, ownership_actions &actions);
--- a/mustardrouter/Ownership/ownership_action.h
+++ b/mustardrouter/Ownership/ownership_action.h
@@ -25,6 +25,11 @@
     std::uint64_t round;
 };
 
+/// Replaces the control connection to a database that has fallen silent.
+struct renew_link {
+    database_name database;
+};
+
 /// Orders a database to refuse lower terms.
 struct order_fence {
     database_name database;
@@ -75,6 +80,7 @@
 using ownership_action = std::variant<read_record,
                                       write_record,
                                       order_report,
+                                      renew_link,
                                       order_fence,
                                       order_promote,
                                       order_follow,
--- a/mustardrouter/Ownership/ownership_event.h
+++ b/mustardrouter/Ownership/ownership_event.h
@@ -72,6 +72,12 @@
     std::optional<database_name> to;
 };
 
+/// An operator accepts the loss of whatever only the named databases hold; they must be all that
+/// do not answer a fence.
+struct promotion_forced {
+    std::vector<database_name> givenUp;
+};
+
 /// The instance is shutting down and gives the group away.
 struct resignation_requested {
 };
@@ -88,6 +94,7 @@
                                      database_unreachable,
                                      term_refused,
                                      primary_change_requested,
+                                     promotion_forced,
                                      resignation_requested>;
 
 } // namespace mustardrouter
--- a/mustardrouter/Ownership/ownership_settings.h
+++ b/mustardrouter/Ownership/ownership_settings.h
@@ -17,6 +17,22 @@
     duration probeInterval = std::chrono::milliseconds(40);
     /// Silence after which a primary is replaced.
     duration primarySuspicion = std::chrono::milliseconds(300);
+    /// Silence after which a database's control connection is replaced.
+    duration linkSuspicion = std::chrono::milliseconds(150);
+    /// Replacements after which the time between two of them grows no longer.
+    std::uint32_t maxRenewalSteps = 9;
+    /// Longest wait for a primary's answer on a new connection after one broke.
+    duration reconnectPatience = std::chrono::milliseconds(60);
+    /// After which a primary is replaced whose barrier is not confirmed while others could do without it.
+    duration barrierPatience = std::chrono::milliseconds(1500);
+    /// Gap between two clock events that means that this process was paused.
+    duration pauseTolerance = std::chrono::milliseconds(100);
+    /// For which an owner may hear too few databases before it asks a deputy to try.
+    duration isolationPatience = std::chrono::milliseconds(300);
+    /// Doublings of that time over repeated hand-overs.
+    std::uint32_t maxHandOverDoublings = 6;
+    /// Terms left in a range at which a new one is asked for.
+    std::uint64_t reserveTerms = 4;
     /// Longest wait for the platform before a deputy uses its own range.
     duration platformPatience = std::chrono::milliseconds(400);
     /// Between two reads of the record by an instance that holds no range.
--- /dev/null
+++ b/mustardrouter/Ownership/promotion.cpp
@@ -0,0 +1,255 @@
+#include "mustardrouter/Ownership/ownership_parts.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+void orderFence(group_ownership &state, database_view &view, time_point now, ownership_actions &actions)
+{
+    view.orderedAt = now;
+    actions.emplace_back(order_fence{view.name, state.term});
+}
+
+/// Runs out of terms only after many promotions while the platform is down.
+void advanceTerm(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    // A renewed range lies above the terms that deputies hold in reserve: those are never entered.
+    const term_number next = std::max(term_number(state.term.value() + 1), state.ownRange.first);
+    if (state.ownRange.last < next) {
+        claimNewRange(state, now, actions);
+        return;
+    }
+    state.term = next;
+    beginFencing(state, now, actions);
+}
+
+std::size_t fenceAnswers(const group_ownership &state)
+{
+    return static_cast<std::size_t>(std::ranges::count(state.databases, true, &database_view::answeredFence));
+}
+
+std::size_t givenUpCount(const group_ownership &state)
+{
+    return static_cast<std::size_t>(std::ranges::count(state.databases, true, &database_view::givenUp));
+}
+
+/// Whether enough databases answered the fence, not counting one that is avoided as primary.
+bool canAvoid(const group_ownership &state)
+{
+    const database_view *avoided = state.avoidedPrimary ? findDatabase(state, *state.avoidedPrimary) : nullptr;
+    if (avoided == nullptr) {
+        return false;
+    }
+    const std::size_t others = fenceAnswers(state) - (avoided->answeredFence ? 1U : 0U);
+    return others + givenUpCount(state) >= fenceQuorum(state);
+}
+
+/// The answer with the highest entry, or the preferred one when it lacks nothing. Any fence quorum
+/// holds every acknowledged write, so an avoided database is left out when the others are enough.
+const database_view *choosePrimary(const group_ownership &state)
+{
+    const bool avoids = canAvoid(state);
+    const auto eligible = [&](const database_view &view) {
+        return view.answeredFence && !(avoids && state.avoidedPrimary == view.name);
+    };
+    const database_view *best = nullptr;
+    for (const database_view &view : state.databases) {
+        if (!eligible(view)) {
+            continue;
+        }
+        if (best == nullptr || best->report.received < view.report.received) {
+            best = &view;
+        }
+    }
+    if (best == nullptr) {
+        return nullptr;
+    }
+    const auto score = [&](const database_view &view) {
+        const bool preferred = state.preferredPrimary == view.name;
+        const bool present = view.name == state.primary;
+        return (preferred ? 4 : 0) + (view.report.leaving ? 0 : 2) + (present ? 1 : 0);
+    };
+    for (const database_view &view : state.databases) {
+        const bool equallyGood = eligible(view) && view.report.received == best->report.received;
+        if (equallyGood && score(view) > score(*best)) {
+            best = &view;
+        }
+    }
+    return best;
+}
+
+void beginPromoting(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    const database_view *best = choosePrimary(state);
+    assert(best != nullptr);
+    state.primary = best->name;
+    state.preferredPrimary.reset();
+    state.avoidedPrimary.reset();
+    state.phase = promotion_phase::promoting;
+    state.phaseStartedAt = now;
+    actions.emplace_back(order_promote{state.primary, state.term});
+}
+
+void orderFollow(group_ownership &state, database_view &view, time_point now, ownership_actions &actions)
+{
+    view.orderedAt = now;
+    actions.emplace_back(order_follow{view.name, state.term, state.primary});
+}
+
+void beginConfirming(group_ownership &state, log_entry barrier, time_point now, ownership_actions &actions)
+{
+    state.phase = promotion_phase::confirming;
+    state.phaseStartedAt = now;
+    state.barrier = barrier;
+    for (database_view &view : state.databases) {
+        if (view.name == state.primary) {
+            continue;
+        }
+        orderFollow(state, view, now, actions);
+    }
+}
+
+void serveIfConfirmed(group_ownership &state, ownership_actions &actions)
+{
+    if (state.phase != promotion_phase::confirming) {
+        return;
+    }
+    if (confirmedPosition(state) < state.barrier.position) {
+        return;
+    }
+    state.phase = promotion_phase::serving;
+    state.handOvers = 0;
+    actions.emplace_back(term_started{state.term, state.primary, state.barrier});
+    note(actions,
+         "serves " + state.group.value() + " in term " + std::to_string(state.term.value()) + " with primary " + state.primary.value());
+}
+
+/// Whether every database has answered that is worth waiting for.
+bool allAnswered(const group_ownership &state)
+{
+    return std::ranges::all_of(state.databases, [&](const database_view &view) {
+        return view.answeredFence || view.givenUp || !view.reachable || state.avoidedPrimary == view.name;
+    });
+}
+
+} // namespace
+
+void beginFencing(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    state.phase = promotion_phase::fencing;
+    state.phaseStartedAt = now;
+    state.quorumAt = time_point{};
+    state.barrier = log_entry{};
+    state.primaryBrokenAt = time_point{};
+    for (database_view &view : state.databases) {
+        view.answeredFence = false;
+        view.report.inSync = false;
+        orderFence(state, view, now, actions);
+    }
+}
+
+void replacePrimary(group_ownership &state, time_point now, ownership_actions &actions, const std::string &reason)
+{
+    note(actions, "replaces the primary " + state.primary.value() + ": " + reason);
+    if (state.phase == promotion_phase::serving) {
+        actions.emplace_back(term_ended{state.term, false});
+    }
+    state.avoidedPrimary = state.primary;
+    advanceTerm(state, now, actions);
+}
+
+void onOwnerReport(group_ownership &state, database_view &view, time_point now, ownership_actions &actions)
+{
+    if (view.report.term > state.term) {
+        loseOwnership(state, now, actions, "a database knows a higher term");
+        return;
+    }
+    if (view.report.term < state.term) {
+        return;
+    }
+    if (state.phase == promotion_phase::fencing) {
+        view.answeredFence = true;
+        view.givenUp = false;
+        tickFencing(state, now, actions);
+        return;
+    }
+    view.givenUp = view.givenUp && !view.report.inSync;
+    const bool promoted = view.name == state.primary && view.report.role == database_role::primary;
+    if (state.phase == promotion_phase::promoting && promoted) {
+        beginConfirming(state, view.report.received, now, actions);
+    }
+    serveIfConfirmed(state, actions);
+}
+
+void tickFencing(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    const std::size_t answers = fenceAnswers(state);
+    if (answers > 0 && answers + givenUpCount(state) >= fenceQuorum(state)) {
+        if (state.quorumAt == time_point{}) {
+            state.quorumAt = now;
+        }
+        if (allAnswered(state) || now - state.quorumAt >= state.settings.fenceGrace) {
+            beginPromoting(state, now, actions);
+            return;
+        }
+    }
+    for (database_view &view : state.databases) {
+        if (view.answeredFence || now - view.orderedAt < state.settings.orderRetry) {
+            continue;
+        }
+        orderFence(state, view, now, actions);
+    }
+}
+
+void tickConfirming(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    if (now - state.phaseStartedAt < state.settings.barrierPatience) {
+        return;
+    }
+    // Only worth it when the others could do without this primary; otherwise it would be chosen again.
+    std::size_t others = 0;
+    for (const database_view &view : state.databases) {
+        const bool heard = now - view.heardAt < state.settings.primarySuspicion;
+        others += heard && view.name != state.primary ? 1U : 0U;
+    }
+    if (others >= fenceQuorum(state)) {
+        replacePrimary(state, now, actions, "its barrier is not confirmed");
+    }
+}
+
+void onPromotionForced(group_ownership &state, const promotion_forced &event, time_point now, ownership_actions &actions)
+{
+    const bool waits = state.role == ownership_role::owner && state.phase == promotion_phase::fencing && fenceAnswers(state) > 0;
+    const bool namesAll = std::ranges::all_of(state.databases, [&](const database_view &view) {
+        return view.answeredFence || std::ranges::find(event.givenUp, view.name) != event.givenUp.end();
+    });
+    if (!waits || !namesAll) {
+        note(actions, "refuses to force a promotion: the request must name every database that does not answer a fence");
+        return;
+    }
+    for (database_view &view : state.databases) {
+        view.givenUp = !view.answeredFence;
+    }
+    note(actions, "forces a promotion: acknowledged writes that only the databases given up hold are lost");
+    beginPromoting(state, now, actions);
+}
+
+void orderFollowers(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    for (database_view &view : state.databases) {
+        if (view.name == state.primary || now - view.orderedAt < state.settings.orderRetry) {
+            continue;
+        }
+        const bool follows = view.report.term == state.term && view.report.role == database_role::replica;
+        if (!follows) {
+            orderFollow(state, view, now, actions);
+        }
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Ownership/supervision.cpp
@@ -0,0 +1,200 @@
+#include "mustardrouter/Ownership/ownership_parts.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Another in-sync database that may become primary; the one with the longest log.
+std::optional<database_name> successorOf(const group_ownership &state)
+{
+    const database_view *best = nullptr;
+    for (const database_view &view : state.databases) {
+        const bool able = view.name != state.primary && view.report.term == state.term && view.report.inSync && !view.report.leaving;
+        if (able && (best == nullptr || best->report.received < view.report.received)) {
+            best = &view;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->name);
+}
+
+/// Whether a replica says that it has lost the primary too.
+bool replicaLostPrimary(const group_ownership &state)
+{
+    return std::ranges::any_of(state.databases, [&](const database_view &view) {
+        const bool replica = view.report.term == state.term && view.report.role == database_role::replica;
+        return replica && !view.report.inSync && view.heardAt >= state.primaryBrokenAt && view.name != state.primary;
+    });
+}
+
+void tickPrimary(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    const database_view *primary = findDatabase(state, state.primary);
+    assert(primary != nullptr);
+    if (now - primary->heardAt >= state.settings.primarySuspicion) {
+        replacePrimary(state, now, actions, "silent");
+        return;
+    }
+    const bool broken = state.primaryBrokenAt != time_point{};
+    if (broken && (replicaLostPrimary(state) || now - state.primaryBrokenAt >= state.settings.reconnectPatience)) {
+        replacePrimary(state, now, actions, "its connection broke and no new one answers");
+    }
+}
+
+void tickPlannedChange(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    const database_view *primary = findDatabase(state, state.primary);
+    if (!isServing(state) || !primary->report.leaving || !successorOf(state)) {
+        return;
+    }
+    onPrimaryChange(state, primary_change_requested{}, now, actions);
+}
+
+/// Something between the two ends may have forgotten a connection: a new one may work.
+void renewSilentLinks(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    for (database_view &view : state.databases) {
+        const duration silence = now - std::max(view.heardAt, view.renewedAt);
+        if (silence < state.settings.linkSuspicion * static_cast<int>(view.renewals + 1)) {
+            continue;
+        }
+        view.renewedAt = now;
+        view.renewals = std::min(view.renewals + 1, state.settings.maxRenewalSteps);
+        actions.emplace_back(renew_link{view.name});
+        actions.emplace_back(order_report{view.name, state.round});
+        if (state.phase == promotion_phase::fencing && !view.answeredFence) {
+            actions.emplace_back(order_fence{view.name, state.term});
+        }
+    }
+}
+
+void tickProbes(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    bool due = false;
+    for (const database_view &view : state.databases) {
+        due = due || now - view.probedAt >= state.settings.probeInterval;
+    }
+    if (due) {
+        startRound(state, now, actions);
+    }
+}
+
+/// An owner that hears too few databases lets a deputy try, each time after a longer wait.
+void tickIsolation(group_ownership &state, time_point now)
+{
+    if (heardDatabases(state, now) >= fenceQuorum(state)) {
+        state.quorumHeardAt = now;
+    }
+    const duration patience =
+        state.settings.isolationPatience * (1 << std::min<std::uint32_t>(state.handOvers, state.settings.maxHandOverDoublings));
+    state.isolated = !isServing(state) && now - state.quorumHeardAt >= patience;
+}
+
+} // namespace
+
+void tickOwner(group_ownership &state, time_point now, ownership_actions &actions)
+{
+    tickIsolation(state, now);
+    tickHeartbeats(state, now, actions);
+    tickHolders(state, now, actions);
+    renewSilentLinks(state, now, actions);
+    switch (state.phase) {
+    case promotion_phase::fencing:
+        tickFencing(state, now, actions);
+        break;
+    case promotion_phase::promoting:
+        if (now - state.phaseStartedAt >= state.settings.promotionPatience) {
+            replacePrimary(state, now, actions, "did not take the promotion");
+        }
+        break;
+    case promotion_phase::confirming:
+        orderFollowers(state, now, actions);
+        tickConfirming(state, now, actions);
+        if (state.role == ownership_role::owner && state.phase == promotion_phase::confirming) {
+            tickPrimary(state, now, actions);
+        }
+        break;
+    case promotion_phase::serving:
+        orderFollowers(state, now, actions);
+        tickPrimary(state, now, actions);
+        tickPlannedChange(state, now, actions);
+        break;
+    }
+    tickProbes(state, now, actions);
+}
+
+void onReport(group_ownership &state, const database_reported &event, time_point now, ownership_actions &actions)
+{
+    database_view *view = findMutable(state, event.database);
+    // A database's term never falls: a lower one was reported before what is known already.
+    if (view == nullptr || event.report.term < view->report.term) {
+        return;
+    }
+    const std::uint64_t round = std::max(view->report.round, event.report.round);
+    view->report = event.report;
+    view->report.round = round;
+    view->heardAt = now;
+    view->renewals = 0;
+    view->reachable = true;
+    if (event.database == state.primary) {
+        state.primaryBrokenAt = time_point{};
+    }
+    if (state.role == ownership_role::owner) {
+        onOwnerReport(state, *view, now, actions);
+    }
+}
+
+void onUnreachable(group_ownership &state, const database_unreachable &event, time_point now, ownership_actions &actions)
+{
+    database_view *view = findMutable(state, event.database);
+    if (view == nullptr) {
+        return;
+    }
+    view->reachable = false;
+    view->report.inSync = false;
+    if (state.role != ownership_role::owner || event.database != state.primary || state.phase == promotion_phase::fencing) {
+        return;
+    }
+    // One broken connection says little: a second one that breaks too, or stays silent, says enough.
+    const bool again = state.primaryBrokenAt != time_point{};
+    if (again || state.phase == promotion_phase::promoting) {
+        replacePrimary(state, now, actions, "its connection broke");
+        return;
+    }
+    state.primaryBrokenAt = now;
+    actions.emplace_back(order_report{view->name, state.round});
+}
+
+void onPrimaryChange(group_ownership &state, const primary_change_requested &event, time_point now, ownership_actions &actions)
+{
+    if (!isServing(state)) {
+        return;
+    }
+    const std::optional<database_name> to = event.to ? event.to : successorOf(state);
+    if (!to || findDatabase(state, *to) == nullptr) {
+        note(actions, "keeps the primary " + state.primary.value() + ": no other database can take its place");
+        return;
+    }
+    replacePrimary(state, now, actions, "a planned change");
+    state.avoidedPrimary.reset();
+    state.preferredPrimary = to;
+}
+
+void forgivePause(group_ownership &state, time_point now)
+{
+    const duration pause = now - state.tickedAt;
+    state.tickedAt = now;
+    if (pause < state.settings.pauseTolerance) {
+        return;
+    }
+    for (database_view &view : state.databases) {
+        view.heardAt = std::min(now, view.heardAt + pause);
+    }
+    state.quorumHeardAt = std::min(now, state.quorumHeardAt + pause);
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Routing/engine_confirmation.cpp
+++ b/mustardrouter/Routing/engine_confirmation.cpp
@@ -16,7 +16,7 @@
     if (waiting.position > confirmedPosition(engine.ownership)) {
         return false;
     }
-    return waiting.round == 0 || replicasPastRound(engine.ownership, waiting.round) >= engine.ownership.settings.confirmReplicas;
+    return waiting.round == 0 || isRoundConfirmed(engine.ownership, waiting.round);
 }
 
 void finish(engine_step &step, unconfirmed_result &waiting)
@@ -39,13 +39,12 @@
     endTransaction(step, what.transaction);
 }
 
-/// When the latest round was asked for that enough replicas have answered in this term. No other
+/// When the latest round was asked for that enough databases have answered in this term. No other
 /// term had confirmed a write until then.
 time_point termConfirmedAt(const group_engine &engine)
 {
-    const std::size_t needed = engine.ownership.settings.confirmReplicas;
     for (std::size_t back = engine.roundAskedAt.size(); back > 0; --back) {
-        if (replicasPastRound(engine.ownership, engine.firstRound + back - 1) >= needed) {
+        if (isRoundConfirmed(engine.ownership, engine.firstRound + back - 1)) {
             return engine.roundAskedAt[back - 1];
         }
     }
