--- a/UnitTests/Ownership/promotion_test.cpp
+++ b/UnitTests/Ownership/promotion_test.cpp
@@ -273,3 +273,16 @@
     CHECK(isServing(owner.state));
     CHECK(problemOf(owner.state, owner.now) == failure::noQuorum);
 }
+
+TEST(promotion, aPrimaryThatAnswersStatementsIsNotSilent)
+{
+    ownership_fixture owner;
+    owner.serve();
+    for (int answer = 0; answer < 4; ++answer) {
+        owner.passWith(200ms, {"b", "c"});
+        owner.give(database_answered{database_name("a")});
+    }
+    CHECK(isServing(owner.state));
+    owner.passWith(owner.state.settings.primarySuspicion + 20ms, {"b", "c"});
+    CHECK(!isServing(owner.state));
+}
--- a/bench/failover/group_simulation.h
+++ b/bench/failover/group_simulation.h
@@ -22,6 +22,8 @@
     duration statement{1000};
     duration replication{2000};
     duration platformAnswer{3000};
+    /// Between two writes of the caller.
+    duration writeInterval{2000};
     /// Share of database answers that are slow, and the mean of their exponential extra delay.
     double slowShare = 0;
     duration slowMean{100000};
@@ -67,6 +69,9 @@
     const std::vector<duration> &confirmationTimes() const;
 
 private:
+    static constexpr std::size_t instanceCount = 3;
+    static constexpr std::size_t databaseCount = 3;
+
     enum class fault : std::uint8_t { none, killed, silent };
 
     struct simulated_database {
@@ -105,6 +110,8 @@
 
     void after(duration delay, std::function<void()> work);
     duration jittered(duration base);
+    /// Extra delay of an answer; mostly none.
+    duration slowness();
     void startInstance(std::size_t index);
     void tick(std::size_t index, std::uint64_t life);
     void give(std::size_t index, const ownership_event &event);
--- a/mustardrouter/Ownership/group_ownership.cpp
+++ b/mustardrouter/Ownership/group_ownership.cpp
@@ -67,6 +67,8 @@
                 onHeartbeat(state, what, now, actions);
             } else if constexpr (std::is_same_v<event_type, database_reported>) {
                 onReport(state, what, now, actions);
+            } else if constexpr (std::is_same_v<event_type, database_answered>) {
+                onAnswered(state, what, now);
             } else if constexpr (std::is_same_v<event_type, database_unreachable>) {
                 onUnreachable(state, what, now, actions);
             } else if constexpr (std::is_same_v<event_type, term_refused>) {
--- a/mustardrouter/Ownership/group_ownership.h
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -39,6 +39,8 @@
     database_report report;
     /// When the last report came; the epoch when none has come yet.
     time_point heardAt{};
+    /// When it last answered a statement.
+    time_point answeredAt{};
     time_point orderedAt{};
     time_point probedAt{};
     /// When its control connection was last replaced because of its silence.
--- a/mustardrouter/Ownership/ownership_event.h
+++ b/mustardrouter/Ownership/ownership_event.h
@@ -57,6 +57,11 @@
     database_report report;
 };
 
+/// A database answered a statement in the current term.
+struct database_answered {
+    database_name database;
+};
+
 /// The control connection to a database broke or could not be opened.
 struct database_unreachable {
     database_name database;
@@ -91,6 +96,7 @@
                                      record_unanswered,
                                      heartbeat_received,
                                      database_reported,
+                                     database_answered,
                                      database_unreachable,
                                      term_refused,
                                      primary_change_requested,
--- a/mustardrouter/Ownership/ownership_parts.h
+++ b/mustardrouter/Ownership/ownership_parts.h
@@ -42,6 +42,7 @@
 void orderFollowers(group_ownership &state, time_point now, ownership_actions &actions);
 void tickOwner(group_ownership &state, time_point now, ownership_actions &actions);
 void onReport(group_ownership &state, const database_reported &event, time_point now, ownership_actions &actions);
+void onAnswered(group_ownership &state, const database_answered &event, time_point now);
 void onUnreachable(group_ownership &state, const database_unreachable &event, time_point now, ownership_actions &actions);
 void onPrimaryChange(group_ownership &state, const primary_change_requested &event, time_point now, ownership_actions &actions);
 /// A pause of this process must not look like the silence of the databases.
--- a/mustardrouter/Ownership/supervision.cpp
+++ b/mustardrouter/Ownership/supervision.cpp
@@ -35,7 +35,8 @@
 {
     const database_view *primary = findDatabase(state, state.primary);
     assert(primary != nullptr);
-    if (now - primary->heardAt >= state.settings.primarySuspicion) {
+    const time_point heardAt = std::max(primary->heardAt, primary->answeredAt);
+    if (now - heardAt >= state.settings.primarySuspicion) {
         replacePrimary(state, now, actions, "silent");
         return;
     }
@@ -148,6 +149,14 @@
     }
 }
 
+void onAnswered(group_ownership &state, const database_answered &event, time_point now)
+{
+    // Its control connection may be silent all the same, so that goes on being renewed.
+    if (database_view *view = findMutable(state, event.database)) {
+        view->answeredAt = now;
+    }
+}
+
 void onUnreachable(group_ownership &state, const database_unreachable &event, time_point now, ownership_actions &actions)
 {
     database_view *view = findMutable(state, event.database);
