Ownership on top of the split engine: tests and signs of life

Two tests of the engine ended a term by one broken control connection; a term now ends with the second one (the first is probed on a new connection), so they break it twice. What they check is unchanged. A leaving primary is moved by the engine, which waits for its work; ownership only picks another database when no target is named.

--- a/UnitTests/Routing/engine_transactions_test.cpp
+++ b/UnitTests/Routing/engine_transactions_test.cpp
@@ -89,6 +89,8 @@
 TEST(engine_transactions, theEndOfATermEndsTransactions)
 {
     const transaction_id transaction = bed.begin();
+    // One broken connection is probed first; the second ends the term.
+    bed.handle(ownership_event(database_unreachable{database_name("db0")}));
     bed.handle(ownership_event(database_unreachable{database_name("db0")}));
     const request_id late = bed.inTransaction(transaction, statement_kind::write);
     CHECK(resultOf(late).why == failure::transactionLost);
--- a/UnitTests/Routing/group_engine_test.cpp
+++ b/UnitTests/Routing/group_engine_test.cpp
@@ -94,6 +94,8 @@
 {
     const request_id id = bed.request(statement_kind::write);
     bed.reply(id, outcome::done, 2);
+    // One broken connection is probed first; the second ends the term.
+    bed.handle(ownership_event(database_unreachable{database_name("db0")}));
     bed.handle(ownership_event(database_unreachable{database_name("db0")}));
     CHECK(outcomeOf(id) == outcome::unknown);
     CHECK(failureOf(id) == failure::staleTerm);
--- a/mustardrouter/Ownership/supervision.cpp
+++ b/mustardrouter/Ownership/supervision.cpp
@@ -46,15 +46,6 @@
     }
 }
 
-void tickPlannedChange(group_ownership &state, time_point now, ownership_actions &actions)
-{
-    const database_view *primary = findDatabase(state, state.primary);
-    if (!isServing(state) || !primary->report.leaving || !successorOf(state)) {
-        return;
-    }
-    onPrimaryChange(state, primary_change_requested{}, now, actions);
-}
-
 /// Something between the two ends may have forgotten a connection: a new one may work.
 void renewSilentLinks(group_ownership &state, time_point now, ownership_actions &actions)
 {
@@ -122,7 +113,6 @@
     case promotion_phase::serving:
         orderFollowers(state, now, actions);
         tickPrimary(state, now, actions);
-        tickPlannedChange(state, now, actions);
         break;
     }
     tickProbes(state, now, actions);
--- a/mustardrouter/Routing/engine_confirmation.cpp
+++ b/mustardrouter/Routing/engine_confirmation.cpp
@@ -171,6 +171,7 @@
         onStaleTerm(step, std::move(done));
         return;
     }
+    stepOwnership(step, database_answered{done.database});
     if (isRepeated(done, result)) {
         if (event.entry.position.value() == 0) {
             answerRun(step, done, unknownOutcome(failure::duplicateKey, "the key has run; the database does not say where"));
