--- a/bench/failover/loopback.cpp
+++ b/bench/failover/loopback.cpp
@@ -110,7 +110,7 @@
 
 struct loopback_failure {
     const char *name;
-    std::function<void(testbed &, const std::string &group)> fail;
+    std::function<void(database_standin &primary, instance &owner)> fail;
     bool endsOwner = false;
 };
 
@@ -118,16 +118,16 @@
 {
     static const std::vector<loopback_failure> all{
         {"primary killed",
-         [](testbed &bed, const std::string &group) {
-             bed.primaryOf(group)->kill();
+         [](database_standin &primary, instance &) {
+             primary.kill();
          }},
         {"primary silent",
-         [](testbed &bed, const std::string &group) {
-             bed.primaryOf(group)->setFrozen(true);
+         [](database_standin &primary, instance &) {
+             primary.setFrozen(true);
          }},
         {"owner killed",
-         [](testbed &bed, const std::string &group) {
-             bed.ownerOf(group)->kill();
+         [](database_standin &, instance &owner) {
+             owner.kill();
          },
          true},
     };
@@ -182,7 +182,7 @@
     steady_writer writer(*entry, bed.sizes().service, partition);
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     const time_point failed = currentTime();
-    what.fail(bed, group);
+    what.fail(*database, *owner);
     std::this_thread::sleep_for(settleTime);
     const std::optional<duration> gap = writer.gapAround(failed);
     repair(bed, what, database, owner);
