Path: bench/path; one wakeup, one write and one look at confirmations for many statements

bench/path showed 5.8 ms for a read without a token (its round of reports waited for the next 5 ms tick), and 128 us of processor time a write: each event asked for the confirmed position once for each unconfirmed answer and moved all of them; each push into a ring was a system call, and so was each frame.

Threads have names.

--- /dev/null
+++ b/bench/path/thread_times.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace mustardrouter::bench
+{
+
+/// Processor time of this process's threads so far, in microseconds, summed by thread name.
+std::map<std::string, double> threadTimes();
+
+} // namespace mustardrouter::bench
--- a/mustardrouter/Instance/discovery_duty.cpp
+++ b/mustardrouter/Instance/discovery_duty.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Instance/discovery_duty.h"
 
+#include "mustardrouter/Runtime/thread_name.h"
+
 #include <algorithm>
 
 namespace mustardrouter
@@ -39,6 +41,7 @@
 void discovery_duty::start()
 {
     m_thread = std::thread([this] {
+        nameThread("discovery");
         run();
     });
 }
--- a/mustardrouter/Instance/network_duty.cpp
+++ b/mustardrouter/Instance/network_duty.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Instance/network_duty.h"
 
+#include "mustardrouter/Runtime/thread_name.h"
+
 #include "mustardrouter/Network/endpoint.h"
 #include "mustardrouter/Runtime/log.h"
 
@@ -33,6 +35,7 @@
     BOOST_LEAF_CHECK(m_callers.listen(callerAddress));
     BOOST_LEAF_CHECK(m_peers.listen(peerAddress));
     m_thread = std::thread([this] {
+        nameThread("network");
         m_context.run();
     });
     return {};
--- a/mustardrouter/Instance/platform_duty.cpp
+++ b/mustardrouter/Instance/platform_duty.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Instance/platform_duty.h"
 
+#include "mustardrouter/Runtime/thread_name.h"
+
 #include "mustardrouter/Platform/object_codec.h"
 #include "mustardrouter/Runtime/json_settings.h"
 #include "mustardrouter/Runtime/log.h"
@@ -37,6 +39,7 @@
 void platform_duty::start()
 {
     m_thread = std::thread([this] {
+        nameThread("platform");
         run();
     });
 }
--- a/mustardrouter/Instance/telemetry_duty.cpp
+++ b/mustardrouter/Instance/telemetry_duty.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Instance/telemetry_duty.h"
 
+#include "mustardrouter/Runtime/thread_name.h"
+
 #include "mustardrouter/Runtime/log.h"
 
 #include <fstream>
@@ -25,6 +27,7 @@
         return;
     }
     m_thread = std::thread([this] {
+        nameThread("telemetry");
         run();
     });
 }
--- a/mustardrouter/Network/frame_connection.cpp
+++ b/mustardrouter/Network/frame_connection.cpp
@@ -74,7 +74,20 @@
         close(failure::overloaded);
         return;
     }
-    writeMore();
+    writeSoon();
+}
+
+/// Frames that are queued within one handler leave in one system call.
+void frame_connection::writeSoon()
+{
+    if (m_writePosted) {
+        return;
+    }
+    m_writePosted = true;
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_writePosted = false;
+        self->writeMore();
+    });
 }
 
 void frame_connection::close(failure why)
--- a/mustardrouter/Network/frame_connection.h
+++ b/mustardrouter/Network/frame_connection.h
@@ -60,6 +60,7 @@
     void readMore();
     void onBytes(std::size_t count);
     bool takeFrames();
+    void writeSoon();
     void writeMore();
 
     asio::ip::tcp::socket m_socket;
@@ -72,6 +73,7 @@
     bool m_closed = false;
     bool m_paused = false;
     bool m_reading = false;
+    bool m_writePosted = false;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Routing/engine_confirmation.cpp
+++ b/mustardrouter/Routing/engine_confirmation.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-bool isConfirmed(const group_engine &engine, const unconfirmed_result &waiting)
+bool isConfirmed(const group_engine &engine, log_position confirmed, const unconfirmed_result &waiting)
 {
-    if (waiting.position > confirmedPosition(engine.ownership)) {
+    if (waiting.position > confirmed) {
         return false;
     }
     return waiting.round == 0 || isRoundConfirmed(engine.ownership, waiting.round);
@@ -194,20 +194,19 @@
     if (step.engine.unconfirmed.empty()) {
         return;
     }
-    std::vector<unconfirmed_result> still;
+    const log_position confirmed = confirmedPosition(step.engine.ownership);
     std::vector<unconfirmed_result> late;
-    for (unconfirmed_result &waiting : step.engine.unconfirmed) {
-        if (isConfirmed(step.engine, waiting)) {
+    std::erase_if(step.engine.unconfirmed, [&](unconfirmed_result &waiting) {
+        if (isConfirmed(step.engine, confirmed, waiting)) {
             finish(step, waiting);
-            continue;
+            return true;
         }
         if (step.now >= waiting.done.request.what.deadline) {
             late.push_back(std::move(waiting));
-            continue;
+            return true;
         }
-        still.push_back(std::move(waiting));
-    }
-    step.engine.unconfirmed = std::move(still);
+        return false;
+    });
     for (const unconfirmed_result &waiting : late) {
         giveUpWaiting(step, waiting);
     }
--- a/mustardrouter/Routing/group_engine.cpp
+++ b/mustardrouter/Routing/group_engine.cpp
@@ -314,6 +314,14 @@
     }
 }
 
+std::optional<time_point> nextRoundDue(const group_engine &engine)
+{
+    if (!engine.roundWanted || !isServing(engine.ownership)) {
+        return std::nullopt;
+    }
+    return engine.roundAskedAt.empty() ? time_point::min() : engine.roundAskedAt.back() + engine.settings.roundInterval;
+}
+
 bool isQuiet(const group_engine &engine)
 {
     return waitingCount(engine.queue) == 0 && engine.running.empty() && engine.unconfirmed.empty() && engine.transactions.empty();
--- a/mustardrouter/Routing/group_engine.h
+++ b/mustardrouter/Routing/group_engine.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -111,6 +112,9 @@
 /// Advances the engine by one event and appends what is to be done.
 void step(group_engine &engine, const engine_event &event, time_point now, engine_actions &actions);
 
+/// When answers that wait for a round of reports can start one; nothing when none wait.
+std::optional<time_point> nextRoundDue(const group_engine &engine);
+
 /// Whether nothing is waiting, running, unconfirmed or held by a transaction.
 bool isQuiet(const group_engine &engine);
 
--- a/mustardrouter/Runtime/ring.h
+++ b/mustardrouter/Runtime/ring.h
@@ -4,6 +4,7 @@
 
 #include <boost/lockfree/spsc_queue.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <optional>
@@ -20,19 +21,23 @@
     /// Wakes the consumer, now or at its next wait.
     void notify()
     {
-        m_wakeups.release();
+        // One wakeup serves all that was pushed before the consumer looks: no system call for each item.
+        if (!m_pending.exchange(true)) {
+            m_wakeups.release();
+        }
     }
 
     /// Sleeps until notified, at most for `patience`.
     void wait(std::chrono::microseconds patience)
     {
-        if (!m_wakeups.try_acquire_for(patience)) {
-            return;
+        if (m_wakeups.try_acquire_for(patience)) {
+            // Cleared before the rings are read: a push from here on wakes the next wait.
+            m_pending.store(false);
         }
-        while (m_wakeups.try_acquire()) { }
     }
 
 private:
+    std::atomic<bool> m_pending{false};
     std::counting_semaphore<> m_wakeups{0};
 };
 
