--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Instance/decision_duty.h"
 
 #include "mustardrouter/Runtime/log.h"
+#include "mustardrouter/Runtime/thread_name.h"
 
 #include <algorithm>
 #include <chrono>
@@ -46,6 +47,7 @@
 void decision_duty::start()
 {
     m_thread = std::thread([this] {
+        nameThread("decisions");
         run();
     });
 }
@@ -100,7 +102,7 @@
     time_point membershipAt = tickAt;
     chooseSources();
     while (!m_stopping.load()) {
-        m_inputs.signal.wait(tickInterval);
+        m_inputs.signal.wait(timeToWait());
         while (std::optional<link_event> event = m_inputs.links.pop()) {
             onLink(*event);
         }
@@ -113,6 +115,7 @@
         while (const std::optional<operator_command> command = m_inputs.commands.pop()) {
             onCommand(*command);
         }
+        startDueRounds();
         if (now() >= tickAt) {
             tickAt = now() + tickInterval;
             for (const group_name &group : m_wakeups.due(now())) {
@@ -135,6 +138,26 @@
     }
 }
 
+/// Until the next tick, or until the next round of reports that answers wait for.
+std::chrono::microseconds decision_duty::timeToWait() const
+{
+    std::chrono::microseconds wait = tickInterval;
+    for (const auto &[group, due] : m_roundsDue) {
+        wait = std::min(wait, std::max(due - now(), duration::zero()));
+    }
+    return wait;
+}
+
+void decision_duty::startDueRounds()
+{
+    const auto rounds = m_roundsDue;
+    for (const auto &[group, due] : rounds) {
+        if (now() >= due) {
+            stepEngine(group, ownership_event(clock_ticked{}));
+        }
+    }
+}
+
 void decision_duty::onPlatform(platform_event &event)
 {
     if (auto *listed = std::get_if<instances_listed>(&event)) {
@@ -208,33 +231,4 @@
         job);
 }
 
-std::string decision_duty::newId(std::size_t letters)
-{
-    constexpr char digits[] = "0123456789abcdef";
-    constexpr unsigned bitsPerDigit = 4;
-    std::string id;
-    std::uint64_t bits = 0;
-    for (std::size_t index = 0; index < letters; ++index) {
-        if (index % 16 == 0) {
-            bits = m_random();
-        }
-        id += digits[bits & 0xfU];
-        bits >>= bitsPerDigit;
-    }
-    return id;
-}
-
-trace_context decision_duty::newSpan(const trace_context &parent)
-{
-    constexpr std::size_t traceLetters = 32;
-    constexpr std::size_t spanLetters = 16;
-    trace_context context = parent;
-    if (context.traceId.empty()) {
-        context.traceId = newId(traceLetters);
-        context.sampled = std::uniform_real_distribution<>(0, 1)(m_random) < m_identity.traceSample;
-    }
-    context.spanId = newId(spanLetters);
-    return context;
-}
-
 } // namespace mustardrouter
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -6,12 +6,15 @@
 #include "mustardrouter/Instance/network_duty.h"
 #include "mustardrouter/Instance/operator_command.h"
 #include "mustardrouter/Instance/platform_duty.h"
+#include "mustardrouter/Instance/request_hops.h"
 #include "mustardrouter/Instance/telemetry_duty.h"
+#include "mustardrouter/Instance/trace_budget.h"
 #include "mustardrouter/Instance/wakeup_list.h"
 #include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Routing/entry_router.h"
 #include "mustardrouter/Routing/group_engine.h"
 #include "mustardrouter/Runtime/metrics.h"
+#include "mustardrouter/Runtime/recent_traces.h"
 #include "mustardrouter/Runtime/ring.h"
 
 #include <json/value.h>
@@ -32,6 +35,9 @@
 namespace mustardrouter
 {
 
+/// Bounds what traces may cost.
+constexpr std::uint32_t maxTracesPerSecond = 500;
+
 /// Rings through which the decision thread is told things.
 struct decision_inputs {
     explicit decision_inputs(std::size_t capacity);
@@ -49,6 +55,7 @@
     platform_duty &platform;
     telemetry_duty &telemetry;
     metrics &figures;
+    recent_traces &recent;
     discovery_duty &discovery;
 };
 
@@ -88,9 +95,9 @@
         std::uint64_t entryRequest = 0;
         /// The peer's link; nothing for this instance's own entry.
         std::optional<link_id> from;
-        trace_context trace;
         statement_kind kind = statement_kind::read;
-        std::uint64_t startNanos = 0;
+        /// Why the database was chosen; a literal.
+        const char *reason = "";
     };
 
     struct caller_link {
@@ -109,14 +116,10 @@
     };
     using link_use = std::variant<caller_link, peer_link, control_link, statement_link>;
 
-    struct entry_trace {
-        trace_context context;
-        std::string parentId;
-        std::uint64_t startNanos = 0;
-    };
-
     void run();
     time_point now() const;
+    std::chrono::microseconds timeToWait() const;
+    void startDueRounds();
     static std::uint64_t unixNanos();
 
     // Links.
@@ -193,6 +196,7 @@
 
     // Entry.
     void stepEntry(const entry_event &event);
+    void answerEntry(const owner_answered &event, request_hops hops);
     void apply(forward_statement &action);
     void apply(const find_owner &action);
     void apply(answer_caller &action);
@@ -200,11 +204,14 @@
 
     // Telemetry.
     void publishFigures();
+    void publishGroupFigures(const group_name &group, const group_engine &engine);
     void answerStatus();
     Json::Value makeStatus() const;
     Json::Value makeGroupStatus(const group_engine &engine) const;
     trace_context newSpan(const trace_context &parent);
-    void recordOwnerSpan(const owner_request &origin, const answer_request &action);
+    bool wantsTrace(const answer_caller &action, bool sampled);
+    request_trace makeTrace(const answer_caller &action, const trace_context &parent);
+    void traceAnswer(const answer_caller &action);
     std::string newId(std::size_t letters);
 
     decision_identity m_identity;
@@ -214,6 +221,8 @@
     entry_router m_entry;
     std::map<group_name, group_engine> m_engines;
     wakeup_list m_wakeups;
+    /// Groups in which answers wait for the next round of reports.
+    std::map<group_name, time_point> m_roundsDue;
     instance_directory m_directory;
     /// What the directory held when it was last acted upon.
     std::vector<instance_view> m_allInstances;
@@ -242,8 +251,14 @@
     std::unordered_map<request_id, owner_request> m_ownerRequests;
     std::map<link_id, std::set<std::pair<group_name, transaction_id>>> m_peerTransactions;
     std::uint64_t m_nextOwnerRequest = 1;
-    /// By the caller's link and its number of the request; sampled requests only.
-    std::map<std::pair<std::uint64_t, std::uint64_t>, entry_trace> m_entryTraces;
+    /// Contexts that callers sent, by the caller's link and its number of the request.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, trace_context> m_entryTraces;
+    /// What the owner said of the request whose answer is being applied.
+    std::optional<request_hops> m_answeringHops;
+    trace_budget m_traceBudget{maxTracesPerSecond};
+    std::uint64_t m_spansDropped = 0;
+    /// Groups whose figures this instance publishes.
+    std::set<group_name> m_served;
 
     std::mt19937_64 m_random;
     /// Whether a settled list has named this instance.
--- a/mustardrouter/Instance/decision_engines.cpp
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -7,21 +7,6 @@
 namespace mustardrouter
 {
 
-namespace
-{
-
-std::uint64_t toNanos(duration span)
-{
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::nanoseconds>(span).count());
-}
-
-std::string toMillisText(duration span)
-{
-    return std::to_string(std::chrono::duration<double, std::milli>(span).count());
-}
-
-} // namespace
-
 void decision_duty::stepEngine(const group_name &group, const engine_event &event)
 {
     const auto engine = m_engines.find(group);
@@ -30,6 +15,12 @@
     }
     engine_actions actions;
     step(engine->second, event, now(), actions);
+    const std::optional<time_point> round = nextRoundDue(engine->second);
+    if (round) {
+        m_roundsDue[group] = *round;
+    } else if (!m_roundsDue.empty()) {
+        m_roundsDue.erase(group);
+    }
     // What waits or runs has deadlines; only ownership knows when it needs the clock next.
     const bool idle = isQuiet(engine->second) && !engine->second.draining;
     m_wakeups.set(group, idle ? nextWakeup(engine->second.ownership) : time_point::min());
@@ -212,6 +203,10 @@
     if (link == m_statementLinks.end()) {
         return;
     }
+    const auto origin = m_ownerRequests.find(action.request);
+    if (origin != m_ownerRequests.end()) {
+        origin->second.reason = action.reason;
+    }
     wire::database_message message;
     wire::database_statement &statement = *message.mutable_statement();
     statement.set_id(action.request.value());
@@ -240,10 +235,6 @@
 {
     const request_id id(m_nextOwnerRequest++);
     origin.kind = what.kind;
-    if (!what.traceParent.empty()) {
-        origin.trace = parseTraceParent(what.traceParent);
-        origin.startNanos = unixNanos();
-    }
     m_ownerRequests.emplace(id, std::move(origin));
     if (!m_engines.contains(group)) {
         answer_request refused;
@@ -270,29 +261,6 @@
     stepEngine(origin.group, request_abandoned{*found});
 }
 
-void decision_duty::recordOwnerSpan(const owner_request &origin, const answer_request &action)
-{
-    if (!origin.trace.sampled || !m_outputs.telemetry.enabled()) {
-        return;
-    }
-    trace_span span;
-    span.traceId = origin.trace.traceId;
-    span.parentId = origin.trace.spanId;
-    span.spanId = newSpan(origin.trace).spanId;
-    span.name = "owner";
-    span.startNanos = origin.startNanos;
-    span.endNanos = origin.startNanos + toNanos(action.queued + action.ran + action.confirming);
-    span.failed = action.result.kind != outcome::done;
-    span.attributes = {{"group", origin.group.value()},
-                       {"database", action.result.database.value()},
-                       {"outcome", std::string(toString(action.result.kind))},
-                       {"failure", std::string(toString(action.result.why))},
-                       {"queued_ms", toMillisText(action.queued)},
-                       {"ran_ms", toMillisText(action.ran)},
-                       {"confirming_ms", toMillisText(action.confirming)}};
-    m_outputs.telemetry.record(std::move(span));
-}
-
 void decision_duty::apply(const group_name &group, answer_request &action)
 {
     const auto found = m_ownerRequests.find(action.request);
@@ -301,7 +269,7 @@
     }
     const owner_request origin = std::move(found->second);
     m_ownerRequests.erase(found);
-    recordOwnerSpan(origin, action);
+    request_hops hops{action.queued, action.ran, action.confirming, origin.reason};
     if (origin.kind == statement_kind::read && action.result.kind == outcome::done) {
         m_outputs.figures.countRead(group.value(), action.result.fromReplica);
     }
@@ -310,7 +278,7 @@
         owner = believedOwner(group);
     }
     if (!origin.from) {
-        stepEntry(owner_answered{request_id(origin.entryRequest), std::move(action.result), owner});
+        answerEntry(owner_answered{request_id(origin.entryRequest), std::move(action.result), owner}, std::move(hops));
         return;
     }
     if (origin.kind == statement_kind::begin && action.result.transaction.value() != 0) {
@@ -320,6 +288,7 @@
     wire::forward_answer &answer = *message.mutable_forward_answer();
     answer.set_id(origin.entryRequest);
     *answer.mutable_result() = toWire(action.result);
+    *answer.mutable_hops() = toWire(hops);
     if (action.result.floor) {
         *answer.mutable_floor() = toWire(*action.result.floor);
     }
--- a/mustardrouter/Instance/decision_entry.cpp
+++ b/mustardrouter/Instance/decision_entry.cpp
@@ -17,6 +17,13 @@
     }
 }
 
+void decision_duty::answerEntry(const owner_answered &event, request_hops hops)
+{
+    m_answeringHops = std::move(hops);
+    stepEntry(event);
+    m_answeringHops.reset();
+}
+
 void decision_duty::apply(forward_statement &action)
 {
     if (action.to == m_identity.self.name) {
@@ -48,26 +55,10 @@
 void decision_duty::apply(answer_caller &action)
 {
     const double seconds = std::chrono::duration<double>(action.took).count();
-    m_outputs.figures.countStatement(action.service.value(), action.result.kind, seconds);
-    const auto traced = m_entryTraces.find({action.caller.value(), action.callerRequest});
-    if (traced != m_entryTraces.end()) {
-        trace_span span;
-        span.traceId = traced->second.context.traceId;
-        span.spanId = traced->second.context.spanId;
-        span.parentId = traced->second.parentId;
-        span.name = "entry";
-        span.startNanos = traced->second.startNanos;
-        span.endNanos = unixNanos();
-        span.failed = action.result.kind != outcome::done;
-        span.attributes = {{"service", action.service.value()},
-                           {"group", action.group.value()},
-                           {"owner", action.owner.value()},
-                           {"outcome", std::string(toString(action.result.kind))},
-                           {"failure", std::string(toString(action.result.why))},
-                           {"attempts", std::to_string(action.attempts)}};
-        m_outputs.telemetry.record(std::move(span));
-        m_entryTraces.erase(traced);
-    }
+    // Callers may name any service; only those of the configuration become labels.
+    const bool known = m_configuration && m_configuration->services.contains(action.service.value());
+    m_outputs.figures.countStatement(known ? action.service.value() : "unknown", action.result.kind, seconds);
+    traceAnswer(action);
     wire::caller_response response;
     response.set_id(action.callerRequest);
     *response.mutable_result() = toWire(action.result);
--- a/mustardrouter/Instance/decision_links.cpp
+++ b/mustardrouter/Instance/decision_links.cpp
@@ -44,11 +44,8 @@
     sent.hasReadRule = message.has_read_rule();
     sent.patience = std::chrono::milliseconds(message.deadline_ms());
     sent.what = fromWire(message, now());
-    const trace_context parent = parseTraceParent(message.trace_parent());
-    const trace_context context = newSpan(parent);
-    if (context.sampled) {
-        sent.what.traceParent = toTraceParent(context);
-        m_entryTraces[{link.value(), request.id()}] = {context, parent.spanId, unixNanos()};
+    if (!message.trace_parent().empty()) {
+        m_entryTraces[{link.value(), request.id()}] = parseTraceParent(message.trace_parent());
     }
     stepEntry(sent);
 }
--- a/mustardrouter/Instance/decision_peers.cpp
+++ b/mustardrouter/Instance/decision_peers.cpp
@@ -27,7 +27,7 @@
         if (!answer.owner().empty()) {
             event.owner = instance_name(answer.owner());
         }
-        stepEntry(event);
+        answerEntry(event, fromWire(answer.hops()));
         break;
     }
     case wire::peer_message::kHeartbeat:
--- a/mustardrouter/Instance/decision_status.cpp
+++ b/mustardrouter/Instance/decision_status.cpp
@@ -41,18 +41,24 @@
     return "invalid";
 }
 
-Json::Value makeDatabaseStatus(const group_engine &engine, const database_view &view)
+/// Entries that the primary has and the database has not applied.
+std::uint64_t lagOf(const group_engine &engine, const database_view &view)
 {
-    const connection_pool &pool = engine.pools.at(view.name);
     const database_view *primary = findDatabase(engine.ownership, engine.ownership.primary);
     const std::uint64_t head = primary == nullptr ? 0 : primary->report.received.position.value();
     const std::uint64_t applied = view.report.applied.position.value();
+    return head > applied ? head - applied : 0;
+}
+
+Json::Value makeDatabaseStatus(const group_engine &engine, const database_view &view)
+{
+    const connection_pool &pool = engine.pools.at(view.name);
     Json::Value item(Json::objectValue);
     item["name"] = view.name.value();
     item["term"] = Json::UInt64(view.report.term.value());
     item["received"] = Json::UInt64(view.report.received.position.value());
-    item["applied"] = Json::UInt64(applied);
-    item["lag"] = Json::UInt64(head > applied ? head - applied : 0);
+    item["applied"] = Json::UInt64(view.report.applied.position.value());
+    item["lag"] = Json::UInt64(lagOf(engine, view));
     item["inSync"] = view.report.inSync;
     item["reachable"] = view.reachable;
     item["leaving"] = view.report.leaving;
@@ -120,13 +126,37 @@
     for (const auto &[group, engine] : m_engines) {
         const bool owns = engine.ownership.role == ownership_role::owner;
         busy = busy || owns || !isQuiet(engine);
-        if (owns) {
-            m_outputs.figures.setWaiting(group.value(), static_cast<double>(waitingCount(engine.queue)));
-        }
+        publishGroupFigures(group, engine);
     }
+    const std::uint64_t dropped = m_outputs.telemetry.dropped();
+    m_outputs.figures.countSpansDropped(static_cast<double>(dropped - m_spansDropped));
+    m_spansDropped = dropped;
     m_drained.store(m_draining && !busy);
 }
 
+void decision_duty::publishGroupFigures(const group_name &group, const group_engine &engine)
+{
+    const bool serves = isServing(engine.ownership);
+    const bool served = m_served.contains(group);
+    if (serves != served) {
+        m_outputs.figures.setServing(group.value(), serves);
+    }
+    if (!serves) {
+        m_served.erase(group);
+        return;
+    }
+    m_served.insert(group);
+    m_outputs.figures.setWaiting(group.value(), static_cast<double>(waitingCount(engine.queue)));
+    for (const database_view &view : engine.ownership.databases) {
+        const connection_pool &pool = engine.pools.at(view.name);
+        database_figures figures;
+        figures.lagEntries = static_cast<double>(lagOf(engine, view));
+        figures.connections = static_cast<double>(pool.connections.size());
+        figures.connectionLimit = pool.limits.connections;
+        m_outputs.figures.setDatabase(group.value(), view.name.value(), figures);
+    }
+}
+
 void decision_duty::answerStatus()
 {
     std::uint64_t wanted = 0;
--- /dev/null
+++ b/mustardrouter/Instance/decision_traces.cpp
@@ -0,0 +1,137 @@
+#include "mustardrouter/Instance/decision_duty.h"
+
+#include <array>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// A request that takes longer is traced whatever the sampling says.
+constexpr duration slowRequest = std::chrono::milliseconds(250);
+
+std::uint64_t toNanos(duration span)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::nanoseconds>(span).count());
+}
+
+std::string toText(std::string_view text)
+{
+    return std::string(text);
+}
+
+struct hop {
+    const char *name;
+    duration took;
+};
+
+} // namespace
+
+std::string decision_duty::newId(std::size_t letters)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    constexpr unsigned bitsPerDigit = 4;
+    constexpr std::size_t digitsInBits = 16;
+    std::string id;
+    std::uint64_t bits = 0;
+    for (std::size_t index = 0; index < letters; ++index) {
+        if (index % digitsInBits == 0) {
+            bits = m_random();
+        }
+        id += digits[bits & 0xfU];
+        bits >>= bitsPerDigit;
+    }
+    return id;
+}
+
+trace_context decision_duty::newSpan(const trace_context &parent)
+{
+    constexpr std::size_t traceLetters = 32;
+    constexpr std::size_t spanLetters = 16;
+    trace_context context = parent;
+    if (context.traceId.empty()) {
+        context.traceId = newId(traceLetters);
+    }
+    context.spanId = newId(spanLetters);
+    return context;
+}
+
+/// Errors and slow requests are always traced, others when the caller or the sampling says so, or an
+/// operator follows. That is known at the end only, so the decision is made here.
+bool decision_duty::wantsTrace(const answer_caller &action, bool sampled)
+{
+    const bool remarkable = action.result.kind != outcome::done || action.took >= slowRequest;
+    const bool wanted = remarkable || sampled || m_outputs.recent.isFollowed();
+    return wanted && m_traceBudget.spend(now());
+}
+
+/// The root span of a request and one for each hop that it took, in the order in which they came.
+request_trace decision_duty::makeTrace(const answer_caller &action, const trace_context &parent)
+{
+    const std::uint64_t end = unixNanos();
+    const trace_context context = newSpan(parent);
+    trace_span root;
+    root.traceId = context.traceId;
+    root.spanId = context.spanId;
+    root.parentId = parent.spanId;
+    root.name = "entry";
+    root.startNanos = end - toNanos(action.took);
+    root.endNanos = end;
+    root.failed = action.result.kind != outcome::done;
+    root.attributes = {{"service", action.service.value()},
+                       {"group", action.group.value()},
+                       {"owner", action.owner.value()},
+                       {"outcome", toText(toString(action.result.kind))},
+                       {"failure", toText(toString(action.result.why))},
+                       {"detail", action.result.detail},
+                       {"attempts", std::to_string(action.attempts)}};
+    request_trace trace{root};
+    if (!m_answeringHops) {
+        return trace;
+    }
+    const request_hops &hops = *m_answeringHops;
+    const duration atOwner = hops.queued + hops.ran + hops.confirming;
+    const duration between = std::max(action.took - atOwner, duration::zero());
+    const std::array<hop, 4> parts{{{"way to the owner, rings and retries", between},
+                                    {"owner's queue", hops.queued},
+                                    {"database", hops.ran},
+                                    {"confirmation", hops.confirming}}};
+    std::uint64_t at = root.startNanos;
+    for (const hop &part : parts) {
+        trace_span span;
+        span.traceId = root.traceId;
+        span.spanId = newSpan(context).spanId;
+        span.parentId = root.spanId;
+        span.name = part.name;
+        span.startNanos = at;
+        at += toNanos(part.took);
+        span.endNanos = at;
+        trace.push_back(std::move(span));
+    }
+    constexpr std::size_t databaseHop = 3;
+    trace[databaseHop].attributes = {
+        {"database", action.result.database.value()}, {"replica", action.result.fromReplica ? "yes" : "no"}, {"reason", hops.reason}};
+    return trace;
+}
+
+void decision_duty::traceAnswer(const answer_caller &action)
+{
+    trace_context parent;
+    const auto known = m_entryTraces.find({action.caller.value(), action.callerRequest});
+    if (known != m_entryTraces.end()) {
+        parent = std::move(known->second);
+        m_entryTraces.erase(known);
+    }
+    const bool sampled = parent.sampled || std::uniform_real_distribution<>(0, 1)(m_random) < m_identity.traceSample;
+    if (!wantsTrace(action, sampled)) {
+        return;
+    }
+    request_trace trace = makeTrace(action, parent);
+    for (const trace_span &span : trace) {
+        m_outputs.telemetry.record(span);
+    }
+    m_outputs.recent.add(std::move(trace));
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Instance/instance.cpp
+++ b/mustardrouter/Instance/instance.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t ringCapacity = 16384;
 constexpr std::size_t spanCapacity = 4096;
+constexpr std::size_t recentTraces = 2000;
+constexpr std::size_t tracesPerCall = 200;
 constexpr int controlRefused = -32020;
 
 std::uint64_t unixMicroseconds()
@@ -34,6 +36,7 @@
     , m_network(m_inputs.links, ringCapacity)
     , m_platform(settings.platform_address(), m_inputs.records, ringCapacity)
     , m_telemetry(settings.trace_file(), settings.name(), spanCapacity)
+    , m_recent(recentTraces)
 {
 }
 
@@ -52,11 +55,11 @@
         self, m_settings.token_key(), m_settings.trace_sample(), {m_settings.seeds().begin(), m_settings.seeds().end()}};
     m_discovery = std::make_unique<discovery_duty>(m_settings.platform_address(), self, m_inputs.discoveries);
     m_decisions =
-        std::make_unique<decision_duty>(identity, m_inputs, decision_outputs{m_network, m_platform, m_telemetry, m_metrics, *m_discovery});
+        std::make_unique<decision_duty>(identity, m_inputs, decision_outputs{m_network, m_platform, m_telemetry, m_metrics, m_recent, *m_discovery});
     if (!m_settings.control_address().empty()) {
         m_control = std::make_unique<json_rpc_server>(m_settings.control_address(),
                                                       m_settings.operator_key(),
-                                                      std::vector<std::string>{"status", "failover", "drain"},
+                                                      std::vector<std::string>{"status", "failover", "drain", "traces"},
                                                       [this](const std::string &method, const Json::Value &parameters) {
                                                           return onControl(method, parameters);
                                                       });
@@ -148,11 +151,32 @@
     return m_inputs.commands.push(std::move(what));
 }
 
+Json::Value instance::traces(const Json::Value &parameters)
+{
+    const trace_filter filter{parameters["service"].asString(), parameters["outcome"].asString()};
+    const trace_page page = m_recent.read(parameters["from"].asUInt64(), tracesPerCall, filter);
+    Json::Value shown(Json::objectValue);
+    shown["next"] = Json::UInt64(page.next);
+    shown["missed"] = Json::UInt64(page.missed);
+    shown["traces"] = Json::Value(Json::arrayValue);
+    for (const request_trace &trace : page.traces) {
+        Json::Value spans(Json::arrayValue);
+        for (const trace_span &span : trace) {
+            spans.append(toJson(span));
+        }
+        shown["traces"].append(spans);
+    }
+    return shown;
+}
+
 Json::Value instance::onControl(const std::string &method, const Json::Value &parameters)
 {
     if (method == "status") {
         return status();
     }
+    if (method == "traces") {
+        return traces(parameters);
+    }
     operator_command what = drain_instance{};
     if (method == "failover") {
         move_primary move{group_name(parameters["group"].asString()), std::nullopt};
--- a/mustardrouter/Instance/instance.h
+++ b/mustardrouter/Instance/instance.h
@@ -44,6 +44,7 @@
 
 private:
     Json::Value onControl(const std::string &method, const Json::Value &parameters);
+    Json::Value traces(const Json::Value &parameters);
     failure command(operator_command what);
     void stopDuties();
 
@@ -54,6 +55,7 @@
     network_duty m_network;
     platform_duty m_platform;
     telemetry_duty m_telemetry;
+    recent_traces m_recent;
     std::unique_ptr<discovery_duty> m_discovery;
     std::unique_ptr<decision_duty> m_decisions;
     std::unique_ptr<json_rpc_server> m_control;
--- a/mustardrouter/Instance/wire_codec.cpp
+++ b/mustardrouter/Instance/wire_codec.cpp
@@ -141,4 +141,24 @@
     return message;
 }
 
+request_hops fromWire(const wire::request_hops &message)
+{
+    request_hops hops;
+    hops.queued = std::chrono::microseconds(message.queued_us());
+    hops.ran = std::chrono::microseconds(message.ran_us());
+    hops.confirming = std::chrono::microseconds(message.confirming_us());
+    hops.reason = message.reason();
+    return hops;
+}
+
+wire::request_hops toWire(const request_hops &hops)
+{
+    wire::request_hops message;
+    message.set_queued_us(static_cast<std::uint64_t>(hops.queued.count()));
+    message.set_ran_us(static_cast<std::uint64_t>(hops.ran.count()));
+    message.set_confirming_us(static_cast<std::uint64_t>(hops.confirming.count()));
+    message.set_reason(hops.reason);
+    return message;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Instance/wire_codec.h
+++ b/mustardrouter/Instance/wire_codec.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Core/statement.h"
 #include "mustardrouter/Core/statement_result.h"
 #include "mustardrouter/Membership/instance_directory.h"
+#include "mustardrouter/Instance/request_hops.h"
 #include "mustardrouter/Ownership/database_report.h"
 #include "mustardrouter/Schema/wire.pb.h"
 
@@ -24,6 +25,8 @@
 
 instance_view fromWire(const wire::instance_location &message);
 wire::instance_location toWire(const instance_view &view);
+request_hops fromWire(const wire::request_hops &message);
+wire::request_hops toWire(const request_hops &hops);
 
 /// Kind of a statement as it travels.
 wire::statement_kind toWire(statement_kind kind);
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -24,6 +24,8 @@
 exit_code runRollback(const arguments &given);
 /// Shows the state of an instance and its groups.
 exit_code runStatus(const arguments &given);
+/// Shows what became of live requests at each hop.
+exit_code runTrace(const arguments &given);
 /// Moves a group's primary.
 exit_code runFailover(const arguments &given);
 /// Hands over an instance's groups.
--- a/mustardrouter/Operators/control_commands.cpp
+++ b/mustardrouter/Operators/control_commands.cpp
@@ -1,11 +1,10 @@
 #include "mustardrouter/Operators/commands.h"
+#include "mustardrouter/Operators/control_call.h"
 #include "mustardrouter/Operators/status_table.h"
-#include "mustardrouter/Runtime/json_rpc_client.h"
 
 #include <json/writer.h>
 
 #include <chrono>
-#include <cstdlib>
 #include <iostream>
 #include <thread>
 
@@ -17,44 +16,12 @@
 namespace
 {
 
-constexpr long controlTimeoutMs = 3000;
-
 /// How far an operation has come.
 struct progress_state {
     std::string text;
     bool reached = false;
 };
 
-void addControlOptions(command_options &command)
-{
-    command.options.add_options()("control", po::value<std::string>()->required(), "control address of an instance");
-    command.options.add_options()("key", po::value<std::string>()->default_value(""), "operator's key; default: $MUSTARDROUTER_KEY");
-}
-
-std::string keyOf(const po::variables_map &values)
-{
-    const std::string given = values["key"].as<std::string>();
-    const char *fallback = std::getenv("MUSTARDROUTER_KEY");
-    return given.empty() && fallback != nullptr ? std::string(fallback) : given;
-}
-
-json_rpc_answer callControl(const po::variables_map &values, const std::string &method, Json::Value parameters)
-{
-    const char *user = std::getenv("USER");
-    parameters["operator"] = user == nullptr ? "operator" : user;
-    json_rpc_client client(values["control"].as<std::string>(), keyOf(values));
-    return client.call(method, parameters, controlTimeoutMs);
-}
-
-exit_code report(const json_rpc_answer &answer, const char *command)
-{
-    if (answer.status == json_rpc_status::answered) {
-        return exit_code::done;
-    }
-    std::cerr << "mustardrouter " << command << ": " << answer.message << '\n';
-    return exit_code::failed;
-}
-
 constexpr auto progressInterval = std::chrono::milliseconds(200);
 constexpr auto progressPatience = std::chrono::seconds(30);
 
--- a/mustardrouter/Runtime/metrics.cpp
+++ b/mustardrouter/Runtime/metrics.cpp
@@ -1,12 +1,17 @@
 #include "mustardrouter/Runtime/metrics.h"
 
+#include "mustardrouter/Runtime/metric_description.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <exception>
+#include <map>
+#include <unordered_map>
 
 namespace mustardrouter
 {
@@ -14,27 +19,80 @@
 namespace
 {
 
+constexpr std::size_t outcomes = 3;
+
 const prometheus::Histogram::BucketBoundaries latencySeconds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
 
+/// Figures of one service, found once and kept: a look-up by labels for each statement costs more
+/// than the statement's own decisions.
+struct service_figures {
+    std::array<prometheus::Counter *, outcomes> byOutcome{};
+    prometheus::Histogram *latency = nullptr;
+};
+
+struct read_figures {
+    prometheus::Counter *primary = nullptr;
+    prometheus::Counter *replica = nullptr;
+};
+
 } // namespace
 
 struct metrics::parts {
     std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
     std::unique_ptr<prometheus::Exposer> exposer;
-    prometheus::Family<prometheus::Counter> &statements =
-        prometheus::BuildCounter().Name("mustardrouter_statements_total").Help("Statements answered to callers").Register(*registry);
-    prometheus::Family<prometheus::Histogram> &latency = prometheus::BuildHistogram()
-                                                             .Name("mustardrouter_statement_seconds")
-                                                             .Help("Time from a statement's arrival to its answer")
-                                                             .Register(*registry);
-    prometheus::Family<prometheus::Counter> &reads =
-        prometheus::BuildCounter().Name("mustardrouter_reads_total").Help("Reads by kind of database").Register(*registry);
-    prometheus::Family<prometheus::Counter> &terms =
-        prometheus::BuildCounter().Name("mustardrouter_terms_started_total").Help("Terms begun as owner").Register(*registry);
-    prometheus::Family<prometheus::Gauge> &waiting =
-        prometheus::BuildGauge().Name("mustardrouter_waiting_statements").Help("Statements in a group's queue").Register(*registry);
-    prometheus::Family<prometheus::Gauge> &revision =
-        prometheus::BuildGauge().Name("mustardrouter_configuration_revision").Help("Configuration in force").Register(*registry);
+
+    prometheus::Family<prometheus::Counter> &counter(const metric_description &what) const
+    {
+        return prometheus::BuildCounter().Name(what.name).Help(what.help).Register(*registry);
+    }
+    prometheus::Family<prometheus::Gauge> &gauge(const metric_description &what) const
+    {
+        return prometheus::BuildGauge().Name(what.name).Help(what.help).Register(*registry);
+    }
+    prometheus::Family<prometheus::Histogram> &histogram(const metric_description &what) const
+    {
+        return prometheus::BuildHistogram().Name(what.name).Help(what.help).Register(*registry);
+    }
+
+    prometheus::Family<prometheus::Counter> &statements = counter(metric::statements);
+    prometheus::Family<prometheus::Histogram> &latency = histogram(metric::latency);
+    prometheus::Family<prometheus::Counter> &reads = counter(metric::reads);
+    prometheus::Family<prometheus::Counter> &terms = counter(metric::terms);
+    prometheus::Family<prometheus::Gauge> &waiting = gauge(metric::waiting);
+    prometheus::Family<prometheus::Gauge> &serving = gauge(metric::serving);
+    prometheus::Family<prometheus::Gauge> &lag = gauge(metric::lag);
+    prometheus::Family<prometheus::Gauge> &connections = gauge(metric::connections);
+    prometheus::Family<prometheus::Gauge> &connectionLimit = gauge(metric::connectionLimit);
+    prometheus::Gauge &revision = gauge(metric::revision).Add({});
+    prometheus::Counter &spansDropped = counter(metric::spansDropped).Add({});
+
+    std::unordered_map<std::string, service_figures> services;
+    std::unordered_map<std::string, read_figures> groups;
+
+    service_figures &figuresOf(const std::string &service)
+    {
+        const auto [found, added] = services.try_emplace(service);
+        service_figures &figures = found->second;
+        if (!added) {
+            return figures;
+        }
+        for (std::size_t index = 0; index < outcomes; ++index) {
+            const std::string name(toString(static_cast<outcome>(index)));
+            figures.byOutcome[index] = &statements.Add({{"service", service}, {"outcome", name}});
+        }
+        figures.latency = &latency.Add({{"service", service}}, latencySeconds);
+        return figures;
+    }
+
+    read_figures &readsOf(const std::string &group)
+    {
+        const auto [found, added] = groups.try_emplace(group);
+        if (added) {
+            found->second.primary = &reads.Add({{"group", group}, {"database", "primary"}});
+            found->second.replica = &reads.Add({{"group", group}, {"database", "replica"}});
+        }
+        return found->second;
+    }
 };
 
 metrics::metrics()
@@ -57,13 +115,15 @@
 
 void metrics::countStatement(const std::string &service, outcome kind, double seconds)
 {
-    m_parts->statements.Add({{"service", service}, {"outcome", std::string(toString(kind))}}).Increment();
-    m_parts->latency.Add({{"service", service}}, latencySeconds).Observe(seconds);
+    service_figures &figures = m_parts->figuresOf(service);
+    figures.byOutcome.at(static_cast<std::size_t>(kind))->Increment();
+    figures.latency->Observe(seconds);
 }
 
 void metrics::countRead(const std::string &group, bool fromReplica)
 {
-    m_parts->reads.Add({{"group", group}, {"database", fromReplica ? "replica" : "primary"}}).Increment();
+    const read_figures &figures = m_parts->readsOf(group);
+    (fromReplica ? figures.replica : figures.primary)->Increment();
 }
 
 void metrics::countTermStarted(const std::string &group)
@@ -76,9 +136,36 @@
     m_parts->waiting.Add({{"group", group}}).Set(count);
 }
 
+void metrics::setServing(const std::string &group, bool serving)
+{
+    m_parts->serving.Add({{"group", group}}).Set(serving ? 1 : 0);
+}
+
+void metrics::setDatabase(const std::string &group, const std::string &database, const database_figures &figures)
+{
+    const std::map<std::string, std::string> labels{{"group", group}, {"database", database}};
+    m_parts->lag.Add(labels).Set(figures.lagEntries);
+    m_parts->connections.Add(labels).Set(figures.connections);
+    m_parts->connectionLimit.Add(labels).Set(figures.connectionLimit);
+}
+
 void metrics::setRevision(double revision)
 {
-    m_parts->revision.Add({}).Set(revision);
+    m_parts->revision.Set(revision);
+}
+
+void metrics::countSpansDropped(double count)
+{
+    m_parts->spansDropped.Increment(count);
+}
+
+std::vector<std::string> metrics::names() const
+{
+    std::vector<std::string> names;
+    for (const prometheus::MetricFamily &family : m_parts->registry->Collect()) {
+        names.push_back(family.name);
+    }
+    return names;
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Runtime/metrics.h
+++ b/mustardrouter/Runtime/metrics.h
@@ -4,10 +4,18 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mustardrouter
 {
 
+/// What an owner knows of one database.
+struct database_figures {
+    double lagEntries = 0;
+    double connections = 0;
+    double connectionLimit = 0;
+};
+
 /// Figures of one instance in Prometheus form. Labels are bounded: services and groups come from
 /// the configuration, outcomes from the enumeration.
 class metrics
@@ -29,8 +37,16 @@
     void countTermStarted(const std::string &group);
     /// Sets how many statements wait in a group's queue.
     void setWaiting(const std::string &group, double count);
+    /// Sets whether this instance serves a group.
+    void setServing(const std::string &group, bool serving);
+    /// Sets what an owner knows of one database.
+    void setDatabase(const std::string &group, const std::string &database, const database_figures &figures);
     /// Sets the configuration revision in force.
     void setRevision(double revision);
+    /// Counts spans that had no room.
+    void countSpansDropped(double count);
+    /// Names of the families that have a figure.
+    std::vector<std::string> names() const;
 
 private:
     struct parts;
--- a/mustardrouter/Runtime/trace_span.cpp
+++ b/mustardrouter/Runtime/trace_span.cpp
@@ -53,6 +53,21 @@
     return "00-" + context.traceId + "-" + context.spanId + (context.sampled ? "-01" : "-00");
 }
 
+Json::Value toJson(const trace_span &span)
+{
+    Json::Value item(Json::objectValue);
+    item["traceId"] = span.traceId;
+    item["name"] = span.name;
+    item["startNanos"] = Json::UInt64(span.startNanos);
+    item["endNanos"] = Json::UInt64(span.endNanos);
+    item["failed"] = span.failed;
+    item["attributes"] = Json::Value(Json::objectValue);
+    for (const auto &[key, value] : span.attributes) {
+        item["attributes"][key] = value;
+    }
+    return item;
+}
+
 std::string toOtlpJson(const trace_span &span, const std::string &instance)
 {
     constexpr int statusError = 2;
--- a/mustardrouter/Runtime/trace_span.h
+++ b/mustardrouter/Runtime/trace_span.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -33,6 +35,9 @@
 /// Writes a "traceparent" header.
 std::string toTraceParent(const trace_context &context);
 
+/// One span for a reader of the control interface.
+Json::Value toJson(const trace_span &span);
+
 /// One span as a line of OTLP JSON (ResourceSpans).
 std::string toOtlpJson(const trace_span &span, const std::string &instance);
 
--- a/mustardrouter/main.cpp
+++ b/mustardrouter/main.cpp
@@ -48,6 +48,7 @@
         {"diff", {runDiff, "show what changed between two revisions"}},
         {"rollback", {runRollback, "publish an earlier revision again, as a new one"}},
         {"status", {runStatus, "show the state of an instance"}},
+        {"trace", {runTrace, "show live requests hop by hop"}},
         {"failover", {runFailover, "move a group's primary"}},
         {"drain", {runDrain, "hand over an instance's groups"}},
         {"standin", {runStandIn, "run a stand-in of the platform or a database"}},
--- a/tests.d/separate-processes.sh
+++ b/tests.d/separate-processes.sh
@@ -101,6 +101,16 @@
 expect 'duplicate_key|done' "$(call 1 --non-idempotent --key k1 "INSERT INTO lines VALUES(1, 'first')" || true)"
 expect '^1$' "$(call 2 --read latest 'SELECT count(*) FROM lines')"
 
+# Refused requests are always traced; others once somebody looks.
+expect 'duplicate_key' "$("$program" trace --control "${controls[1]}" --key secret --service scripts --outcome not_run)"
+"$program" trace --control "${controls[2]}" --key secret >/dev/null
+call 2 'SELECT 1' >/dev/null
+traced=$("$program" trace --control "${controls[2]}" --key secret --outcome done)
+expect 'scripts done' "$traced"
+expect "owner's queue" "$traced"
+expect 'database db-[0-9]: ' "$traced"
+expect 'confirmation' "$traced"
+
 owner=""
 for n in 0 1 2; do
     if "$program" status --control "${controls[$n]}" --key secret | grep -q 'group scripts-1: owner'; then owner=$n; fi
