--- a/tests.d/separate-processes.sh
+++ b/tests.d/separate-processes.sh
@@ -102,7 +102,8 @@
 expect '^1$' "$(call 2 --read latest 'SELECT count(*) FROM lines')"
 
 # Refused requests are always traced; others once somebody looks.
-expect 'duplicate_key' "$("$program" trace --control "${controls[1]}" --key secret --service scripts --outcome not_run)"
+timeout 20 "$program" call --entry "${entries[1]}" --service nosuch 'SELECT 1' >/dev/null || true
+expect 'unknown_service' "$("$program" trace --control "${controls[1]}" --key secret --service nosuch --outcome not_run)"
 "$program" trace --control "${controls[2]}" --key secret >/dev/null
 call 2 'SELECT 1' >/dev/null
 traced=$("$program" trace --control "${controls[2]}" --key secret --outcome done)
