--- a/mustardrouter/Instance/instance.cpp
+++ b/mustardrouter/Instance/instance.cpp
@@ -54,8 +54,8 @@
     const decision_identity identity{
         self, m_settings.token_key(), m_settings.trace_sample(), {m_settings.seeds().begin(), m_settings.seeds().end()}};
     m_discovery = std::make_unique<discovery_duty>(m_settings.platform_address(), self, m_inputs.discoveries);
-    m_decisions =
-        std::make_unique<decision_duty>(identity, m_inputs, decision_outputs{m_network, m_platform, m_telemetry, m_metrics, m_recent, *m_discovery});
+    m_decisions = std::make_unique<decision_duty>(
+        identity, m_inputs, decision_outputs{m_network, m_platform, m_telemetry, m_metrics, m_recent, *m_discovery});
     if (!m_settings.control_address().empty()) {
         m_control = std::make_unique<json_rpc_server>(m_settings.control_address(),
                                                       m_settings.operator_key(),
--- a/mustardrouter/Instance/wire_codec.h
+++ b/mustardrouter/Instance/wire_codec.h
@@ -3,8 +3,8 @@
 #include "mustardrouter/Core/log_entry.h"
 #include "mustardrouter/Core/statement.h"
 #include "mustardrouter/Core/statement_result.h"
-#include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Instance/request_hops.h"
+#include "mustardrouter/Membership/instance_directory.h"
 #include "mustardrouter/Ownership/database_report.h"
 #include "mustardrouter/Schema/wire.pb.h"
 
--- a/tests.d/separate-processes.sh
+++ b/tests.d/separate-processes.sh
@@ -114,14 +114,14 @@
 
 owner=""
 for n in 0 1 2; do
-    if "$program" status --control "${controls[$n]}" --key secret | grep -q 'group scripts-1: owner'; then owner=$n; fi
+    if "$program" status --json --control "${controls[$n]}" --key secret | grep -q '"role" : "owner"'; then owner=$n; fi
 done
 [ -n "$owner" ]
 if "$program" status --control "${controls[0]}" --key wrong >/dev/null 2>&1; then
     echo "the control interface took a wrong key"
     exit 1
 fi
-primary=$("$program" status --control "${controls[$owner]}" --key secret | sed -nE 's/.*primary db-([0-9]).*/\1/p' | head -n 1)
+primary=$("$program" status --json --control "${controls[$owner]}" --key secret | sed -nE 's/.*"primary" : "db-([0-9])".*/\1/p' | head -n 1)
 echo "owner is instance $((owner + 1)), primary is db-$primary; killing the primary"
 eval "kill -9 \$pid_database$primary"
 expect 'outcome: done' "$(call 0 --session "$session" "INSERT INTO lines VALUES(2, 'second')")"
@@ -136,7 +136,7 @@
 
 echo "shutting the new owner down"
 for n in $other $third; do
-    if "$program" status --control "${controls[$n]}" --key secret | grep -q 'group scripts-1: owner'; then leaving=$n; fi
+    if "$program" status --json --control "${controls[$n]}" --key secret | grep -q '"role" : "owner"'; then leaving=$n; fi
 done
 stays=$((other + third - leaving))
 eval "leaving_pid=\$pid_instance$((leaving + 1))"
