--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -209,9 +209,12 @@
     m_identity.self.leaving = true;
     refreshInstances();
     m_outputs.network.stopAccepting();
-    for (const auto &[link, use] : m_links) {
+    for (auto &[link, use] : m_links) {
         if (std::holds_alternative<caller_link>(use)) {
             askToLeave(link);
+        } else if (auto *peer = std::get_if<peer_link>(&use)) {
+            // The next message tells that this instance leaves.
+            peer->introduced = false;
         }
     }
     for (auto &[group, engine] : m_engines) {
--- a/mustardrouter/Instance/decision_duty.h
+++ b/mustardrouter/Instance/decision_duty.h
@@ -105,6 +105,11 @@
     struct peer_link {
         /// Set on links that this instance opened.
         instance_name peer;
+        /// Whether the other end has been told who this instance is.
+        bool introduced = false;
+        /// Who sends on a link that this instance accepted, as it said itself.
+        std::optional<instance_view> sender;
+        time_point heardAt{};
     };
     struct control_link {
         group_name group;
@@ -130,6 +135,7 @@
     void onMessage(link_id link, wire::caller_response &response);
     void onClosed(const link_closed &event);
     void dropPeerWork(link_id link);
+    instance_name hear(link_id link, const wire::peer_message &message);
     void send(link_id link, link_message message);
     link_id openLink(link_kind kind, const std::string &address, link_use use);
 
--- a/mustardrouter/Instance/decision_engines.cpp
+++ b/mustardrouter/Instance/decision_engines.cpp
@@ -104,7 +104,6 @@
     wire::heartbeat &heartbeat = *message.mutable_heartbeat();
     heartbeat.set_group(group.value());
     heartbeat.set_term(action.term.value());
-    heartbeat.set_primary(action.primary.value());
     heartbeat.set_record_version(action.recordVersion);
     heartbeat.set_resigning(action.resigning);
     sendToPeer(action.to, std::move(message));
--- a/mustardrouter/Instance/decision_peers.cpp
+++ b/mustardrouter/Instance/decision_peers.cpp
@@ -6,14 +6,7 @@
 
 void decision_duty::onMessage(link_id link, wire::peer_message &message)
 {
-    m_links.try_emplace(link, peer_link{});
-    if (message.has_from()) {
-        const wire::instance_location &from = message.from();
-        m_addresses[instance_name(from.name())] = from.address();
-        if (mergeHeard(m_directory, fromWire(from), now())) {
-            refreshInstances();
-        }
-    }
+    const instance_name sender = hear(link, message);
     switch (message.body_case()) {
     case wire::peer_message::kForward:
         onForward(link, message.forward());
@@ -31,16 +24,16 @@
         break;
     }
     case wire::peer_message::kHeartbeat:
-        onHeartbeat(instance_name(message.from().name()), message.heartbeat());
+        onHeartbeat(sender, message.heartbeat());
         break;
     case wire::peer_message::kAbandon:
         onAbandon(link, message.abandon());
         break;
     case wire::peer_message::kConfigurationRequest:
-        onChangesRequest(instance_name(message.from().name()), message.configuration_request());
+        onChangesRequest(sender, message.configuration_request());
         break;
     case wire::peer_message::kConfigurationDelta:
-        onDelta(instance_name(message.from().name()), message.configuration_delta());
+        onDelta(sender, message.configuration_delta());
         break;
     case wire::peer_message::kInstanceList:
         onInstanceList(message.instance_list());
@@ -50,6 +43,31 @@
     }
 }
 
+/// Who sent a message. A link introduces its sender once; that it still sends counts as a sign of
+/// life from time to time.
+instance_name decision_duty::hear(link_id link, const wire::peer_message &message)
+{
+    constexpr duration signOfLifeInterval = std::chrono::seconds(1);
+    auto &use = std::get<peer_link>(m_links.try_emplace(link, peer_link{}).first->second);
+    if (message.has_from()) {
+        use.sender = fromWire(message.from());
+        use.heardAt = time_point{};
+        m_addresses[use.sender->name] = use.sender->address;
+    }
+    if (!use.sender) {
+        return instance_name{};
+    }
+    instance_name sender = use.sender->name;
+    if (now() - use.heardAt < signOfLifeInterval) {
+        return sender;
+    }
+    use.heardAt = now();
+    if (mergeHeard(m_directory, *use.sender, now())) {
+        refreshInstances();
+    }
+    return sender;
+}
+
 void decision_duty::dropPeerWork(link_id link)
 {
     std::vector<owner_request> lost;
@@ -114,14 +132,18 @@
     if (address == m_addresses.end()) {
         return false;
     }
-    *message.mutable_from() = toWire(m_identity.self);
-    const bool isConfiguration = message.has_configuration_request() || message.has_configuration_delta() || message.has_instance_list();
-    m_configurationBytes += isConfiguration ? message.ByteSizeLong() : 0;
-    m_heartbeatBytes += message.has_heartbeat() ? message.ByteSizeLong() : 0;
     auto link = m_peerLinks.find(peer);
     if (link == m_peerLinks.end()) {
-        link = m_peerLinks.emplace(peer, openLink(link_kind::peer, address->second, peer_link{peer})).first;
+        link = m_peerLinks.emplace(peer, openLink(link_kind::peer, address->second, peer_link{peer, false, std::nullopt, {}})).first;
     }
+    auto &use = std::get<peer_link>(m_links.at(link->second));
+    if (!use.introduced) {
+        use.introduced = true;
+        *message.mutable_from() = toWire(m_identity.self);
+    }
+    const bool isConfiguration = message.has_configuration_request() || message.has_configuration_delta() || message.has_instance_list();
+    m_configurationBytes += isConfiguration ? message.ByteSizeLong() : 0;
+    m_heartbeatBytes += message.has_heartbeat() ? message.ByteSizeLong() : 0;
     send(link->second, std::move(message));
     return true;
 }
--- a/mustardrouter/Ownership/claim.cpp
+++ b/mustardrouter/Ownership/claim.cpp
@@ -272,7 +272,7 @@
             continue;
         }
         const bool givesAway = state.resigning || state.isolated;
-        actions.emplace_back(send_heartbeat{range.holder, state.term, state.primary, state.record.version, givesAway});
+        actions.emplace_back(send_heartbeat{range.holder, state.term, state.record.version, givesAway});
     }
 }
 
--- a/mustardrouter/Ownership/confirmation.cpp
+++ b/mustardrouter/Ownership/confirmation.cpp
@@ -94,6 +94,7 @@
 std::uint64_t startRound(group_ownership &state, time_point now, ownership_actions &actions)
 {
     ++state.round;
+    state.roundStartedAt = now;
     for (database_view &view : state.databases) {
         view.probedAt = now;
         actions.emplace_back(order_report{view.name, state.round});
--- a/mustardrouter/Ownership/group_ownership.h
+++ b/mustardrouter/Ownership/group_ownership.h
@@ -94,6 +94,7 @@
     time_point holdersGoneSince{};
 
     std::uint64_t round = 0;
+    time_point roundStartedAt{};
     time_point tickedAt{};
     /// When at least a fence quorum of databases was last heard from.
     time_point quorumHeardAt{};
--- a/mustardrouter/Ownership/ownership_action.h
+++ b/mustardrouter/Ownership/ownership_action.h
@@ -53,7 +53,6 @@
 struct send_heartbeat {
     instance_name to;
     term_number term;
-    database_name primary;
     std::uint64_t recordVersion;
     bool resigning;
 };
--- a/mustardrouter/Ownership/ownership_settings.h
+++ b/mustardrouter/Ownership/ownership_settings.h
@@ -13,8 +13,10 @@
     duration heartbeatInterval = std::chrono::milliseconds(100);
     /// Silence after which the first deputy takes over; each further one waits once more as long.
     duration ownerSuspicion = std::chrono::milliseconds(600);
-    /// Between two reports that an owner asks of each database.
+    /// Silence of a primary after which it is asked for a report; of any database while the group is not served.
     duration probeInterval = std::chrono::milliseconds(40);
+    /// Between two rounds of reports from all databases of a served group. Replicas also report changes by themselves.
+    duration reportInterval = std::chrono::milliseconds(150);
     /// Silence after which a primary is replaced.
     duration primarySuspicion = std::chrono::milliseconds(300);
     /// Silence after which a database's control connection is replaced.
--- a/mustardrouter/Ownership/supervision.cpp
+++ b/mustardrouter/Ownership/supervision.cpp
@@ -51,7 +51,9 @@
 {
     for (database_view &view : state.databases) {
         const duration silence = now - std::max(view.heardAt, view.renewedAt);
-        if (silence < state.settings.linkSuspicion * static_cast<int>(view.renewals + 1)) {
+        const bool asksSeldom = isServing(state) && view.name != state.primary;
+        const duration extra = asksSeldom ? state.settings.reportInterval - state.settings.probeInterval : duration::zero();
+        if (silence < extra + state.settings.linkSuspicion * static_cast<int>(view.renewals + 1)) {
             continue;
         }
         view.renewedAt = now;
@@ -66,12 +68,19 @@
 
 void tickProbes(group_ownership &state, time_point now, ownership_actions &actions)
 {
-    bool due = false;
-    for (const database_view &view : state.databases) {
-        due = due || now - view.probedAt >= state.settings.probeInterval;
-    }
-    if (due) {
+    const duration interval = isServing(state) ? state.settings.reportInterval : state.settings.probeInterval;
+    if (now - state.roundStartedAt >= interval) {
         startRound(state, now, actions);
+        return;
+    }
+    database_view *primary = findMutable(state, state.primary);
+    if (primary == nullptr) {
+        return;
+    }
+    // A primary that writes reports by itself and need not be asked.
+    if (now - std::max(primary->heardAt, primary->probedAt) >= state.settings.probeInterval) {
+        primary->probedAt = now;
+        actions.emplace_back(order_report{primary->name, state.round});
     }
 }
 
