--- a/bench/capacity/plan.cpp
+++ b/bench/capacity/plan.cpp
@@ -1,5 +1,7 @@
 #include "bench/capacity/plan.h"
 
+#include "mustardrouter/Membership/relays.h"
+
 #include <cstdio>
 #include <functional>
 #include <vector>
@@ -283,6 +285,12 @@
     return table;
 }
 
+double relaysOf(const fleet &of)
+{
+    const auto nodesOfPlace = static_cast<std::size_t>(of.nodes / of.dataCentres);
+    return static_cast<double>(relayCount(nodesOfPlace)) * of.dataCentres;
+}
+
 std::string platformTable()
 {
     struct platform_line {
@@ -292,24 +300,24 @@
     };
     constexpr double discoverySeconds = 0.3;
     constexpr double candidatePollSeconds = 2;
-    constexpr double followerPollSeconds = 5;
-    constexpr double watchSeconds = 10;
+    constexpr double watchSeconds = 0.5;
+    constexpr double listSeconds = 1;
     constexpr double secondsPerDay = 86400;
     const std::vector<platform_line> lines{
-        {"reads/s: instances and head, polled by each node",
-         "2 a 0.3 s, Instance/discovery_duty.cpp as it runs now",
+        {"reads/s: instances and head, were each node to poll",
+         "2 a 0.3 s, as it was before relays",
          [=](const fleet &of) {
              return 2 * of.nodes / discoverySeconds;
          }},
-        {"reads/s: the same with relays",
-         "estimate: 3 relays a data centre wait on a watch of 10 s, list read each 5 s",
+        {"reads/s: instances and head, by relays",
+         "a watch of 0.5 s and the list each second for each relay, Instance/discovery_duty.cpp; 18 seen by bench/configuration",
          [=](const fleet &of) {
-             return holdersOfGroup * of.dataCentres * (2 / watchSeconds + 1 / followerPollSeconds);
+             return relaysOf(of) * (1 / watchSeconds + 1 / listSeconds);
          }},
-        {"waiting watches with relays",
-         "estimate: 3 relays a data centre, 2 prefixes",
+        {"waiting watches",
+         "one a relay; relays grow with the square root of a data centre's nodes, Membership/relays.cpp",
          [](const fleet &of) {
-             return 2 * holdersOfGroup * of.dataCentres;
+             return relaysOf(of);
          }},
         {"reads/s: records, steady",
          "holders poll nothing, Ownership/group_ownership.cpp; series bystander, deputy, owner",
