A group without quorum: named in the status, and served again by an operator who names the loss

Cause: the decision core knew the state and the forced promotion, but no operator could see or give them; a first test with two of three databases killed then showed that reads of rule latest, and those without a token, never end after a forced promotion: their round still needed a replica that was given up. Ruled out: lowering the round's quorum in general; only databases given up by name are left out, and each counts again once it follows.

--- a/UnitTests/Ownership/promotion_test.cpp
+++ b/UnitTests/Ownership/promotion_test.cpp
@@ -225,6 +225,34 @@
     CHECK(confirmedPosition(owner.state) == log_position(1));
 }
 
+TEST(promotion, aRoundAfterAForcedPromotionNeedsOnlyWhatIsLeft)
+{
+    constexpr std::uint64_t round = 7;
+    const auto answered = [](database_role role, bool inSync) {
+        database_report report;
+        report.term = term_number(1);
+        report.role = role;
+        report.received = entry(1, 1);
+        report.applied = report.received;
+        report.inSync = inSync;
+        report.round = round;
+        return report;
+    };
+    ownership_fixture owner;
+    owner.give(record_read{ownership_fixture::recordOf({"one"})});
+    owner.fenced("a");
+    owner.give(promotion_forced{{database_name("b"), database_name("c")}});
+    owner.report("a", 1, database_role::primary, entry(1, 1), false);
+    CHECK(!isRoundConfirmed(owner.state, round));
+    owner.give(database_reported{database_name("a"), answered(database_role::primary, false)});
+    CHECK(isRoundConfirmed(owner.state, round));
+    // Once a database that was given up follows again, the round needs it too.
+    owner.report("b", 1, database_role::replica, entry(1, 1));
+    CHECK(!isRoundConfirmed(owner.state, round));
+    owner.give(database_reported{database_name("b"), answered(database_role::replica, true)});
+    CHECK(isRoundConfirmed(owner.state, round));
+}
+
 TEST(promotion, confirmationsNeeded)
 {
     for (const std::uint32_t needed : {0U, 1U, 2U}) {
--- a/mustardrouter/Instance/decision_duty.cpp
+++ b/mustardrouter/Instance/decision_duty.cpp
@@ -196,6 +196,11 @@
         stepEngine(move->group, ownership_event(primary_change_requested{move->to}));
         return;
     }
+    if (const auto *force = std::get_if<force_promotion>(&command)) {
+        writeLog(log_level::warning, "decisions", "an operator forces a promotion", {{"group", force->group.value()}});
+        stepEngine(force->group, ownership_event(promotion_forced{force->givenUp}));
+        return;
+    }
     beginDraining();
 }
 
--- a/mustardrouter/Instance/decision_status.cpp
+++ b/mustardrouter/Instance/decision_status.cpp
@@ -94,13 +94,16 @@
 }
 
 /// What keeps a group from its full service, with what an operator may do.
-Json::Value degradedOf(const group_engine &engine)
+Json::Value degradedOf(const group_engine &engine, time_point now)
 {
     Json::Value notes(Json::arrayValue);
     const group_ownership &ownership = engine.ownership;
     if (ownership.role != ownership_role::owner) {
         return notes;
     }
+    if (problemOf(ownership, now) == failure::noQuorum) {
+        note(notes, std::string(toString(failure::noQuorum)), "start the missing databases; see the page \"a group has no quorum\"");
+    }
     if (!isServing(ownership)) {
         note(notes, std::string("the group is not served: ") + nameOf(ownership.phase), "check that a quorum of its databases runs");
     }
@@ -202,7 +205,7 @@
     item["reads"]["onReplica"] = Json::UInt64(engine.reads.onReplica);
     item["reads"]["caughtUp"] = Json::UInt64(engine.reads.caughtUp);
     item["reads"]["onPrimary"] = Json::UInt64(engine.reads.onPrimary);
-    item["degraded"] = degradedOf(engine);
+    item["degraded"] = degradedOf(engine, now());
     return item;
 }
 
--- a/mustardrouter/Instance/instance.cpp
+++ b/mustardrouter/Instance/instance.cpp
@@ -178,7 +178,13 @@
         return traces(parameters);
     }
     operator_command what = drain_instance{};
-    if (method == "failover") {
+    if (method == "failover" && parameters["giveUp"].isArray() && !parameters["giveUp"].empty()) {
+        force_promotion force{group_name(parameters["group"].asString()), {}};
+        for (const Json::Value &name : parameters["giveUp"]) {
+            force.givenUp.emplace_back(name.asString());
+        }
+        what = force;
+    } else if (method == "failover") {
         move_primary move{group_name(parameters["group"].asString()), std::nullopt};
         if (parameters.isMember("to") && !parameters["to"].asString().empty()) {
             move.to = database_name(parameters["to"].asString());
--- a/mustardrouter/Instance/operator_command.h
+++ b/mustardrouter/Instance/operator_command.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace mustardrouter
 {
@@ -14,11 +15,17 @@
     std::optional<database_name> to;
 };
 
+/// Promotes without a quorum: acknowledged writes that only the named databases hold are lost.
+struct force_promotion {
+    group_name group;
+    std::vector<database_name> givenUp;
+};
+
 /// Hands everything over and stops taking work.
 struct drain_instance {
 };
 
 /// What an operator asks of the decision thread.
-using operator_command = std::variant<move_primary, drain_instance>;
+using operator_command = std::variant<move_primary, force_promotion, drain_instance>;
 
 } // namespace mustardrouter
--- a/mustardrouter/Operators/control_commands.cpp
+++ b/mustardrouter/Operators/control_commands.cpp
@@ -94,11 +94,15 @@
 
 exit_code runFailover(const arguments &given)
 {
-    command_options command("failover", "GROUP --control IP:PORT [--to DATABASE]");
+    command_options command("failover", "GROUP --control IP:PORT [--to DATABASE | --give-up DATABASE...]");
     command.examples = {"failover scripts-1 --control 127.0.0.1:6002 --to scripts-1-kosice"};
     addControlOptions(command);
     command.options.add_options()("group", po::value<std::string>()->required(), "group whose primary moves");
     command.options.add_options()("to", po::value<std::string>()->default_value(""), "database that becomes primary");
+    command.options.add_options()(
+        "give-up",
+        po::value<std::vector<std::string>>()->composing(),
+        "promote without a quorum; name every database that is gone: acknowledged writes that only those hold are lost");
     command.positional.add("group", 1);
     po::variables_map values;
     const parse_status status = parse(command, given, values);
@@ -120,11 +124,18 @@
     Json::Value parameters(Json::objectValue);
     parameters["group"] = group;
     parameters["to"] = to;
+    const bool forced = values.count("give-up") > 0;
+    if (forced) {
+        for (const std::string &name : values["give-up"].as<std::vector<std::string>>()) {
+            parameters["giveUp"].append(name);
+        }
+    }
     const json_rpc_answer accepted = callControl(values, "failover", parameters);
     if (accepted.status != json_rpc_status::answered) {
         return report(accepted, "failover");
     }
-    const Json::UInt64 term = item["term"].asUInt64();
+    // A forced promotion ends the attempt of the present term; another change needs a higher one.
+    const Json::UInt64 term = item["term"].asUInt64() - (forced ? 1 : 0);
     return followProgress(values, "failover", [&](const Json::Value &state) {
         return failoverState(state, group, to, term);
     });
--- a/mustardrouter/Ownership/confirmation.cpp
+++ b/mustardrouter/Ownership/confirmation.cpp
@@ -62,7 +62,7 @@
     for (const database_view &view : state.databases) {
         count += view.report.term == state.term && view.report.round >= round ? 1U : 0U;
     }
-    return count > state.settings.confirmReplicas;
+    return count > confirmationsNeeded(state);
 }
 
 std::size_t heardDatabases(const group_ownership &state, time_point now)
