Pump: one loop takes work for the primary, for writes and for reads

Cause: pumpPrimary and pumpPrimaryReads held the same thirteen lines of taking, refusing, connecting and putting back. Change: takeForPrimary serves both lanes; what each does with a start stays its own. Behaviour is unchanged. Conclusion: the logic stands once.

--- a/mustardrouter/Routing/group_pump.cpp
+++ b/mustardrouter/Routing/group_pump.cpp
@@ -155,27 +155,43 @@
     return engine.transactions.empty() ? 0 : 1;
 }
 
-void pumpPrimary(engine_step &step)
+/// A request for the primary, and the connection on which it may start.
+struct primary_start {
+    waiting_request request;
+    connection_id connection;
+};
+
+/// Takes the next request of a lane that the primary can start now while `kept` slots stay free.
+std::optional<primary_start> takeForPrimary(engine_step &step, queue_lane lane, std::uint32_t kept)
 {
     group_engine &engine = step.engine;
     connection_pool &pool = engine.pools.at(engine.ownership.primary);
-    const std::uint32_t kept = slotsKeptForTransactions(engine);
     while (pool.running + kept < pool.limits.slots) {
-        std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::primary);
+        std::optional<waiting_request> request = takeNext(engine.queue, lane);
         if (!request) {
-            return;
+            return std::nullopt;
         }
         if (refuseIfLate(step, *request, pool)) {
             continue;
         }
         const std::optional<connection_id> connection = takeConnection(pool, step.now);
         if (!connection) {
-            putBack(engine.queue, queue_lane::primary, std::move(*request));
-            openFor(step, engine.ownership.primary, waitingIn(engine.queue, queue_lane::primary));
-            return;
+            putBack(engine.queue, lane, std::move(*request));
+            openFor(step, engine.ownership.primary, waitingIn(engine.queue, lane));
+            return std::nullopt;
         }
-        noteStarted(engine.queue.primary, request->what, step.now);
-        startOn(step, engine.ownership.primary, *connection, std::move(*request), "only the primary may serve it");
+        return primary_start{std::move(*request), *connection};
+    }
+    return std::nullopt;
+}
+
+void pumpPrimary(engine_step &step)
+{
+    group_engine &engine = step.engine;
+    const std::uint32_t kept = slotsKeptForTransactions(engine);
+    while (std::optional<primary_start> next = takeForPrimary(step, queue_lane::primary, kept)) {
+        noteStarted(engine.queue.primary, next->request.what, step.now);
+        startOn(step, engine.ownership.primary, next->connection, std::move(next->request), "only the primary may serve it");
     }
 }
 
@@ -328,24 +344,11 @@
 void pumpPrimaryReads(engine_step &step)
 {
     group_engine &engine = step.engine;
-    connection_pool &pool = engine.pools.at(engine.ownership.primary);
-    const std::uint32_t kept = std::max(slotsKeptForTransactions(engine), slotsKeptFromReads(pool.limits.slots));
-    while (pool.running + kept < pool.limits.slots) {
-        std::optional<waiting_request> request = takeNext(engine.queue, queue_lane::primaryRead);
-        if (!request) {
-            return;
-        }
-        if (refuseIfLate(step, *request, pool)) {
-            continue;
-        }
-        const std::optional<connection_id> connection = takeConnection(pool, step.now);
-        if (!connection) {
-            putBack(engine.queue, queue_lane::primaryRead, std::move(*request));
-            openFor(step, engine.ownership.primary, waitingIn(engine.queue, queue_lane::primaryRead));
-            return;
-        }
+    const std::uint32_t slots = engine.pools.at(engine.ownership.primary).limits.slots;
+    const std::uint32_t kept = std::max(slotsKeptForTransactions(engine), slotsKeptFromReads(slots));
+    while (std::optional<primary_start> next = takeForPrimary(step, queue_lane::primaryRead, kept)) {
         ++engine.reads.onPrimary;
-        startOn(step, engine.ownership.primary, *connection, std::move(*request), "no replica is fresh enough soon enough");
+        startOn(step, engine.ownership.primary, next->connection, std::move(next->request), "no replica is fresh enough soon enough");
     }
 }
 
