--- /dev/null
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -0,0 +1,604 @@
+#include "mustardrouter/Edge/edge_instance.h"
+
+#include "mustardrouter/Network/socket_liveness.h"
+#include "platform/store_client.h"
+
+#include <asio/post.hpp>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <functional>
+#include <utility>
+#include <variant>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Answers of a database are as long as the wire allows.
+constexpr std::size_t longestLine = platform::longestLine;
+/// Pause before accepting again, when no descriptor was free.
+constexpr auto acceptPause = std::chrono::milliseconds(50);
+/// Between two looks at the settings file, which may change without a signal.
+constexpr auto fileInterval = std::chrono::seconds(2);
+/// Between two looks whether all sessions have ended.
+constexpr auto stopInterval = std::chrono::milliseconds(50);
+/// Share of the time to stop after which the instance ends, whatever is open, in tenths.
+constexpr std::int64_t stopTenths = 9;
+/// New clients may come for so long after the request to stop, until the platform has noticed.
+constexpr duration stopAccepting = std::chrono::milliseconds(2600);
+
+proxy_settings toSettings(const platform::instance_environment &environment)
+{
+    proxy_settings settings;
+    settings.instance = environment.instance;
+    settings.dataCentre = environment.dataCentre;
+    settings.regions = environment.regions;
+    settings.seed = std::hash<std::string>{}(environment.instance + environment.clientAddress);
+    return settings;
+}
+
+/// Identity of a file's present content, as far as the file system tells; empty when it can't be read.
+std::string stampOf(const std::string &path)
+{
+    struct stat status {};
+    if (::stat(path.c_str(), &status) != 0) {
+        return {};
+    }
+    return std::to_string(status.st_mtim.tv_sec) + "." + std::to_string(status.st_mtim.tv_nsec) + "." + std::to_string(status.st_size) + "."
+        + std::to_string(status.st_ino);
+}
+
+} // namespace
+
+edge_instance::edge_instance(std::string settingsPath, platform::instance_environment environment, event_log &log)
+    : m_settingsPath(std::move(settingsPath))
+    , m_environment(std::move(environment))
+    , m_log(log)
+    , m_engine(toSettings(m_environment))
+    , m_acceptor(m_context)
+    , m_acceptTimer(m_context)
+    , m_probes(m_context,
+               [this](const std::string &path) {
+                   return answerProbe(path);
+               })
+    , m_metrics(m_context,
+                [this](const std::string &path) {
+                    return answerProbe(path);
+                })
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_timer(m_context)
+    , m_stopTimer(m_context)
+    , m_fileTimer(m_context)
+{
+}
+
+time_point edge_instance::now() const
+{
+    // CLOCK_BOOTTIME goes on while the machine is suspended: ages must count that time.
+    timespec value{};
+    ::clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+bool edge_instance::run()
+{
+    m_log.write("start",
+                {{"data_centre", m_environment.dataCentre}, {"clients", m_environment.clientAddress}, {"store", m_environment.storeAddress}});
+    if (!listenForClients()) {
+        m_log.write("start_failed", {{"why", "client address not available"}, {"address", m_environment.clientAddress}});
+        return false;
+    }
+    if (!m_probes.listen(m_environment.readinessAddress)) {
+        m_log.write("start_failed", {{"why", "readiness address not available"}, {"address", m_environment.readinessAddress}});
+        return false;
+    }
+    if (!m_environment.metricsAddress.empty() && !m_metrics.listen(m_environment.metricsAddress)) {
+        m_log.write("metrics_unavailable", {{"address", m_environment.metricsAddress}});
+    }
+    m_settingsStamp = stampOf(m_settingsPath);
+    awaitSignals();
+    startWatches();
+    checkSettingsFile();
+    m_context.run();
+    m_log.write("stop", {{"sessions_left", std::to_string(m_clients.size())}, {"lines_dropped", std::to_string(m_log.dropped())}});
+    return true;
+}
+
+bool edge_instance::listenForClients()
+{
+    const asio::ip::tcp::endpoint endpoint = toEndpoint(m_environment.clientAddress);
+    asio::error_code problem;
+    m_acceptor.open(endpoint.protocol(), problem);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    m_acceptor.bind(endpoint, problem);
+    if (!problem) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
+    }
+    if (problem) {
+        return false;
+    }
+    acceptClient();
+    return true;
+}
+
+void edge_instance::acceptClient()
+{
+    m_acceptor.async_accept([this](const asio::error_code &problem, asio::ip::tcp::socket socket) {
+        if (problem == asio::error::operation_aborted) {
+            return;
+        }
+        if (!problem) {
+            addClient(std::move(socket));
+            acceptClient();
+            return;
+        }
+        m_acceptTimer.expires_after(acceptPause);
+        m_acceptTimer.async_wait([this](const asio::error_code &cancelled) {
+            if (!cancelled) {
+                acceptClient();
+            }
+        });
+    });
+}
+
+void edge_instance::addClient(asio::ip::tcp::socket socket)
+{
+    const session_id id(m_nextSession++);
+    line_stream::handlers callbacks;
+    callbacks.onLine = [this, id](std::string_view line) {
+        clientLine(id, line);
+    };
+    callbacks.onEnd = [this, id](stream_end why) {
+        clientEnded(id, why);
+    };
+    auto stream = std::make_shared<line_stream>(std::move(socket), longestLine, std::move(callbacks));
+    m_clients[id] = {stream, false};
+    stream->start();
+}
+
+void edge_instance::clientLine(session_id id, std::string_view line)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end()) {
+        return;
+    }
+    platform::client_message message = platform::decodeClientLine(line);
+    const bool isStart = std::holds_alternative<platform::client_start>(message);
+    if (std::holds_alternative<platform::client_end>(message)) {
+        const std::shared_ptr<line_stream> stream = found->second.stream;
+        m_clients.erase(found);
+        stream->closeGently();
+        onSessionClosed(m_engine, id, now());
+    } else if (isStart && !found->second.started) {
+        found->second.started = true;
+        onSessionStarted(m_engine, id, std::get<platform::client_start>(message).database, now());
+    } else if (std::holds_alternative<client_statement>(message) && found->second.started) {
+        onStatement(m_engine, id, std::move(std::get<client_statement>(message)), now());
+    } else {
+        platform::encodeSessionRefused(found->second.stream->out(), reply_code::malformed, "not a message that is expected here");
+        const std::shared_ptr<line_stream> stream = found->second.stream;
+        m_clients.erase(found);
+        stream->closeGently();
+        onSessionClosed(m_engine, id, now());
+    }
+    apply();
+}
+
+void edge_instance::clientEnded(session_id id, stream_end why)
+{
+    const auto found = m_clients.find(id);
+    if (found == m_clients.end()) {
+        return;
+    }
+    const std::shared_ptr<line_stream> stream = found->second.stream;
+    m_clients.erase(found);
+    if (why == stream_end::lineTooLong) {
+        platform::encodeSessionRefused(stream->out(), reply_code::tooLarge, "a message has at most 1 MiB");
+        stream->closeGently();
+    }
+    onSessionClosed(m_engine, id, now());
+    apply();
+}
+
+void edge_instance::databaseLine(link_id id, std::string_view line)
+{
+    const auto found = m_databases.find(id);
+    if (found == m_databases.end()) {
+        return;
+    }
+    database_stream &database = found->second;
+    std::optional<database_reply> reply = platform::assemble(database.assembler, line);
+    if (database.assembler.broken) {
+        databaseEnded(id);
+        return;
+    }
+    const bool refused = !database.opened && database.assembler.reply.code != reply_code::done;
+    if (refused) {
+        const reply_code code = database.assembler.reply.code;
+        database.stream->close();
+        m_databases.erase(found);
+        onLinkRefused(m_engine, id, code, now());
+    } else if (reply && !database.opened) {
+        database.opened = true;
+        onLinkOpened(m_engine, id, now());
+    } else if (reply) {
+        onDatabaseReply(m_engine, id, std::move(*reply), now());
+    }
+    apply();
+}
+
+void edge_instance::databaseEnded(link_id id)
+{
+    const auto found = m_databases.find(id);
+    if (found == m_databases.end()) {
+        return;
+    }
+    found->second.stream->close();
+    m_databases.erase(found);
+    onLinkClosed(m_engine, id, now());
+    apply();
+}
+
+void edge_instance::apply()
+{
+    if (m_applying) {
+        return;
+    }
+    m_applying = true;
+    while (!m_engine.actions.empty()) {
+        std::vector<proxy_action> actions = std::exchange(m_engine.actions, {});
+        for (proxy_action &action : actions) {
+            std::visit(
+                [this](auto &what) {
+                    carryOut(what);
+                },
+                action);
+        }
+    }
+    flushStreams();
+    m_applying = false;
+    armTimer();
+}
+
+void edge_instance::flushStreams()
+{
+    for (const std::shared_ptr<line_stream> &stream : std::exchange(m_toFlush, {})) {
+        stream->flush();
+    }
+}
+
+void edge_instance::armTimer()
+{
+    const std::optional<time_point> due = nextTimer(m_engine);
+    if (!due || (m_timerDue != time_point{} && m_timerDue <= *due)) {
+        return;
+    }
+    m_timerDue = *due;
+    m_timer.expires_after(std::max(duration{}, *due - now()));
+    m_timer.async_wait([this](const asio::error_code &problem) {
+        if (problem) {
+            return;
+        }
+        m_timerDue = time_point{};
+        onTimer(m_engine, now());
+        apply();
+    });
+}
+
+void edge_instance::carryOut(accept_session &action)
+{
+    const auto found = m_clients.find(action.session);
+    if (found != m_clients.end()) {
+        platform::encodeSessionAccepted(found->second.stream->out());
+        m_toFlush.push_back(found->second.stream);
+    }
+}
+
+void edge_instance::carryOut(close_session &action)
+{
+    const auto found = m_clients.find(action.session);
+    if (found == m_clients.end()) {
+        return;
+    }
+    const std::shared_ptr<line_stream> stream = found->second.stream;
+    m_clients.erase(found);
+    if (action.code != reply_code::done) {
+        platform::encodeSessionRefused(stream->out(), action.code, action.detail);
+    }
+    stream->closeGently();
+}
+
+void edge_instance::carryOut(answer_client &action)
+{
+    const auto found = m_clients.find(action.session);
+    if (found != m_clients.end()) {
+        platform::encodeClientReply(found->second.stream->out(), action.reply);
+        m_toFlush.push_back(found->second.stream);
+    }
+}
+
+void edge_instance::carryOut(open_link &action)
+{
+    const link_id id = action.link;
+    line_stream::handlers callbacks;
+    callbacks.onLine = [this, id](std::string_view line) {
+        databaseLine(id, line);
+    };
+    callbacks.onEnd = [this, id](stream_end) {
+        databaseEnded(id);
+    };
+    auto stream = std::make_shared<line_stream>(asio::ip::tcp::socket(m_context), longestLine, std::move(callbacks));
+    m_databases[id] = {stream, {}, action.database, false};
+    std::string hello;
+    platform::encodeDatabaseStart(hello, action.group, m_environment.instance, action.database);
+    stream->connect(toEndpoint(action.address), std::move(hello));
+}
+
+void edge_instance::carryOut(send_commands &action)
+{
+    const auto found = m_databases.find(action.link);
+    if (found == m_databases.end()) {
+        return;
+    }
+    for (const database_command &command : action.commands) {
+        platform::encodeCommand(found->second.stream->out(), command);
+    }
+    m_toFlush.push_back(found->second.stream);
+}
+
+void edge_instance::carryOut(close_link &action)
+{
+    const auto found = m_databases.find(action.link);
+    if (found != m_databases.end()) {
+        found->second.stream->close();
+        m_databases.erase(found);
+    }
+}
+
+std::shared_ptr<platform::http_channel> edge_instance::orderChannel(const group_name &group, const std::string &address)
+{
+    std::shared_ptr<platform::http_channel> &channel = m_orderChannels[group.value() + "@" + address];
+    if (!channel) {
+        channel = std::make_shared<platform::http_channel>(m_context, address);
+    }
+    return channel;
+}
+
+void edge_instance::carryOut(read_claim &action)
+{
+    const group_name group = action.group;
+    orderChannel(group, m_environment.storeAddress)->call(platform::readClaimCall(group), [this, group](const platform::http_answer &answer) {
+        const platform::call_outcome outcome = platform::outcomeOf(answer.status);
+        if (outcome == platform::call_outcome::absent) {
+            onClaimRead(m_engine, group, 0, {}, now());
+        } else if (const auto object = outcome == platform::call_outcome::done ? platform::decodeObject(answer.body) : std::nullopt) {
+            const platform::promotion_claim claim = platform::decodeClaim(*object);
+            onClaimRead(m_engine, group, claim.revision, claim.term, now());
+        } else {
+            onClaimUnread(m_engine, group, now());
+        }
+        apply();
+    });
+}
+
+void edge_instance::carryOut(write_claim &action)
+{
+    const group_name group = action.group;
+    platform::http_call call = platform::writeClaimCall(group, action.expected, action.term, action.successor, m_environment.instance);
+    orderChannel(group, m_environment.storeAddress)->call(std::move(call), [this, group](const platform::http_answer &answer) {
+        const bool done = platform::outcomeOf(answer.status) == platform::call_outcome::done;
+        const auto object = done ? platform::decodeObject(answer.body) : std::nullopt;
+        if (object) {
+            onClaimWritten(m_engine, group, fence_number(object->revision), now());
+        } else {
+            onClaimLost(m_engine, group, now());
+        }
+        apply();
+    });
+}
+
+void edge_instance::carryOut(order_promotion &action)
+{
+    const group_name group = action.group;
+    platform::http_call call = platform::orderCall(group, action.successor, action.fence, m_environment.instance);
+    orderChannel(group, m_environment.orderAddress)->call(std::move(call), [this, group](const platform::http_answer &answer) {
+        onOrderAnswered(m_engine, group, platform::outcomeOf(answer.status) == platform::call_outcome::done, now());
+        apply();
+    });
+}
+
+void edge_instance::carryOut(report_event &action)
+{
+    m_log.write(action.event, action.fields);
+}
+
+void edge_instance::startWatches()
+{
+    const auto onReachable = [this](const char *kind) {
+        return [this, kind](bool reachable) {
+            m_log.write(reachable ? "store_regained" : "store_lost", {{"kind", kind}});
+        };
+    };
+    const std::uint64_t seed = m_engine.settings.seed;
+    m_databaseWatch = std::make_shared<object_watch>(m_context,
+                                                     m_environment.storeAddress,
+                                                     platform::databaseKind,
+                                                     seed,
+                                                     object_watch::handlers{[this](const object_watch::objects &objects) {
+                                                                                takeDatabases(objects);
+                                                                            },
+                                                                            onReachable("databases")});
+    m_configurationWatch = std::make_shared<object_watch>(m_context,
+                                                          m_environment.storeAddress,
+                                                          platform::configurationKind,
+                                                          seed + 1,
+                                                          object_watch::handlers{[this](const object_watch::objects &objects) {
+                                                                                     takeConfiguration(objects);
+                                                                                 },
+                                                                                 onReachable("configuration")});
+    m_databaseWatch->start();
+    m_configurationWatch->start();
+}
+
+void edge_instance::takeDatabases(const object_watch::objects &objects)
+{
+    database_listing listing;
+    for (const auto &[name, object] : objects) {
+        std::string problem;
+        std::optional<listed_database> database = platform::decodeDatabase(object, problem);
+        if (database) {
+            listing.push_back(std::move(*database));
+            continue;
+        }
+        std::uint64_t &told = m_refusedEntries[name];
+        if (told != object.revision) {
+            told = object.revision;
+            m_log.write("entry_ignored", {{"entry", name}, {"why", problem}});
+        }
+    }
+    onListing(m_engine, listing, now());
+    apply();
+}
+
+void edge_instance::takeConfiguration(const object_watch::objects &objects)
+{
+    const auto found = objects.find(platform::configurationName);
+    if (found == objects.end()) {
+        return;
+    }
+    std::string problem;
+    const std::optional<route_table> routes = platform::decodeConfiguration(found->second, problem);
+    if (!problem.empty()) {
+        m_log.write("configuration_damaged", {{"why", problem}, {"revision", std::to_string(found->second.revision)}});
+    }
+    if (routes) {
+        onConfiguration(m_engine, *routes, now());
+        apply();
+    }
+}
+
+void edge_instance::awaitSignals()
+{
+    m_signals.async_wait([this](const asio::error_code &problem, int signal) {
+        if (problem) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload("signal");
+        } else {
+            stop();
+        }
+        awaitSignals();
+    });
+}
+
+void edge_instance::reload(const char *why)
+{
+    m_settingsStamp = stampOf(m_settingsPath);
+    handled(
+        [&]() -> result_of<void> {
+            BOOST_LEAF_AUTO(fresh, platform::readSettingsFile(m_settingsPath));
+            const bool moved = fresh.storeAddress != m_environment.storeAddress;
+            if (fresh.clientAddress != m_environment.clientAddress || fresh.readinessAddress != m_environment.readinessAddress) {
+                m_log.write("reload_needs_restart", {{"field", "listening addresses"}});
+            }
+            m_environment = fresh;
+            m_engine.settings.regions = fresh.regions;
+            m_engine.settings.dataCentre = fresh.dataCentre;
+            if (moved) {
+                m_databaseWatch->moveTo(fresh.storeAddress);
+                m_configurationWatch->moveTo(fresh.storeAddress);
+            }
+            m_log.write("reload", {{"why", why}, {"store_moved", moved ? "yes" : "no"}});
+            return {};
+        },
+        [&](const error &what) {
+            m_log.write("reload_failed", {{"why", what.detail}, {"kept", "the settings before"}});
+        });
+}
+
+void edge_instance::checkSettingsFile()
+{
+    m_fileTimer.expires_after(fileInterval);
+    m_fileTimer.async_wait([this](const asio::error_code &problem) {
+        if (problem) {
+            return;
+        }
+        if (stampOf(m_settingsPath) != m_settingsStamp) {
+            reload("file changed");
+        }
+        checkSettingsFile();
+    });
+}
+
+void edge_instance::stop()
+{
+    if (m_stopping) {
+        return;
+    }
+    m_stopping = true;
+    m_stopSince = now();
+    m_log.write("stopping", {{"sessions", std::to_string(m_clients.size())}});
+    onStop(m_engine, m_stopSince);
+    apply();
+    checkStopped();
+}
+
+void edge_instance::checkStopped()
+{
+    const duration passed = now() - m_stopSince;
+    const duration grace = std::chrono::milliseconds(m_environment.stopMillis);
+    const bool quiet = m_clients.empty() && passed >= stopAccepting;
+    if (quiet || passed >= grace * stopTenths / 10) {
+        m_context.stop();
+        return;
+    }
+    m_stopTimer.expires_after(stopInterval);
+    m_stopTimer.async_wait([this](const asio::error_code &problem) {
+        if (!problem) {
+            checkStopped();
+        }
+    });
+}
+
+platform::probe_answer edge_instance::answerProbe(const std::string &path) const
+{
+    if (path == platform::readinessPath) {
+        const bool ready = m_engine.configured && m_engine.listed && !m_stopping;
+        return {ready ? 200U : 503U, {}};
+    }
+    if (path == platform::metricsPath) {
+        return {200, metricsText()};
+    }
+    return {404, {}};
+}
+
+std::string edge_instance::metricsText() const
+{
+    const proxy_figures &figures = m_engine.figures;
+    std::string text;
+    const auto add = [&](const char *name, std::uint64_t value) {
+        text += std::string("mustardrouter_") + name + " " + std::to_string(value) + "\n";
+    };
+    add("statements_total", figures.statements);
+    add("replica_reads_total", figures.replicaReads);
+    add("primary_reads_total", figures.primaryReads);
+    add("refusals_total", figures.refusals);
+    add("in_doubt_total", figures.inDoubt);
+    add("retries_total", figures.retries);
+    add("connections_opened_total", figures.linksOpened);
+    add("connections_refused_total", figures.linksRefused);
+    add("lead_questions_total", figures.proofs);
+    add("promotion_orders_total", figures.orders);
+    add("lead_changes_total", figures.leadChanges);
+    add("log_lines_dropped_total", m_log.dropped());
+    add("sessions", m_clients.size());
+    return text;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Edge/edge_instance.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "mustardrouter/Edge/line_stream.h"
+#include "mustardrouter/Edge/object_watch.h"
+#include "mustardrouter/Proxy/proxy_engine.h"
+#include "mustardrouter/Runtime/event_log.h"
+#include "platform/line_codec.h"
+#include "platform/probe_server.h"
+#include "platform/settings_file.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace mustardrouter
+{
+
+/// An instance on the users' platform: carries events between sockets and the engine, and carries
+/// out what the engine decides. One thread; the log has its own.
+class edge_instance
+{
+public:
+    edge_instance(std::string settingsPath, platform::instance_environment environment, event_log &log);
+
+    /// Serves until the instance has been told to stop and has stopped; false when it can't start.
+    bool run();
+
+private:
+    struct database_stream {
+        std::shared_ptr<line_stream> stream;
+        platform::reply_assembler assembler;
+        database_name database;
+        bool opened = false;
+    };
+    struct client_stream {
+        std::shared_ptr<line_stream> stream;
+        bool started = false;
+    };
+
+    time_point now() const;
+    bool listenForClients();
+    void acceptClient();
+    void addClient(asio::ip::tcp::socket socket);
+    void clientLine(session_id id, std::string_view line);
+    void clientEnded(session_id id, stream_end why);
+    void databaseLine(link_id id, std::string_view line);
+    void databaseEnded(link_id id);
+
+    /// Carries out what the engine decided, and arms its next timer.
+    void apply();
+    void carryOut(accept_session &action);
+    void carryOut(close_session &action);
+    void carryOut(answer_client &action);
+    void carryOut(open_link &action);
+    void carryOut(send_commands &action);
+    void carryOut(close_link &action);
+    void carryOut(read_claim &action);
+    void carryOut(write_claim &action);
+    void carryOut(order_promotion &action);
+    void carryOut(report_event &action);
+    void flushStreams();
+    void armTimer();
+
+    void startWatches();
+    void takeDatabases(const object_watch::objects &objects);
+    void takeConfiguration(const object_watch::objects &objects);
+    std::shared_ptr<platform::http_channel> orderChannel(const group_name &group, const std::string &address);
+
+    void awaitSignals();
+    void reload(const char *why);
+    void checkSettingsFile();
+    void stop();
+    void checkStopped();
+    platform::probe_answer answerProbe(const std::string &path) const;
+    std::string metricsText() const;
+
+    std::string m_settingsPath;
+    platform::instance_environment m_environment;
+    event_log &m_log;
+    asio::io_context m_context;
+    proxy_engine m_engine;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
+    platform::probe_server m_probes;
+    platform::probe_server m_metrics;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_stopTimer;
+    asio::steady_timer m_fileTimer;
+    time_point m_timerDue{};
+    std::uint64_t m_nextSession = 1;
+    std::unordered_map<session_id, client_stream> m_clients;
+    std::unordered_map<link_id, database_stream> m_databases;
+    std::vector<std::shared_ptr<line_stream>> m_toFlush;
+    std::shared_ptr<object_watch> m_databaseWatch;
+    std::shared_ptr<object_watch> m_configurationWatch;
+    std::map<std::string, std::shared_ptr<platform::http_channel>> m_orderChannels;
+    std::map<std::string, std::uint64_t> m_refusedEntries;
+    std::string m_settingsStamp;
+    bool m_applying = false;
+    bool m_stopping = false;
+    time_point m_stopSince{};
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Edge/line_stream.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace mustardrouter
+{
+
+/// Why a stream ended.
+enum class stream_end { closed, lineTooLong };
+
+/// A TCP connection that carries lines. Calls back until it has ended, at most once with the end.
+class line_stream : public std::enable_shared_from_this<line_stream>
+{
+public:
+    struct handlers {
+        std::function<void(std::string_view line)> onLine;
+        std::function<void(stream_end why)> onEnd;
+    };
+
+    /// `longest` is the length of a line with its end, in bytes.
+    line_stream(asio::ip::tcp::socket socket, std::size_t longest, handlers callbacks);
+
+    /// Begins to read.
+    void start();
+    /// Connects, writes `hello`, and begins to read; a failure is an end.
+    void connect(const asio::ip::tcp::endpoint &to, std::string hello);
+    /// Appends to what is to be written; it goes out with the next flush.
+    std::string &out();
+    /// Writes what was appended.
+    void flush();
+    /// Ends the stream without calling back.
+    void close();
+    /// Ends the stream without calling back, once all is written and the other end has closed or a moment has passed.
+    void closeGently();
+
+private:
+    void read();
+    bool takeLines();
+    void written(std::size_t size);
+    void end(stream_end why);
+
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::size_t m_longest;
+    handlers m_handlers;
+    std::array<char, 4096> m_buffer;
+    std::string m_in;
+    std::string m_out;
+    std::string m_writing;
+    bool m_ended = false;
+    bool m_reading = false;
+    bool m_closing = false;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Edge/object_watch.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "platform/http_channel.h"
+#include "platform/stored_objects.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace mustardrouter
+{
+
+/// Keeps a copy of all objects of one kind: lists them once, then follows their changes. Between
+/// failures it pauses for a random time, so that instances do not come back together.
+class object_watch : public std::enable_shared_from_this<object_watch>
+{
+public:
+    using objects = std::map<std::string, platform::stored_object>;
+    struct handlers {
+        /// The whole copy, after each change of it.
+        std::function<void(const objects &)> onChange;
+        /// The store was lost or is back.
+        std::function<void(bool reachable)> onReachable;
+    };
+
+    object_watch(asio::io_context &context, std::string address, std::string kind, std::uint64_t seed, handlers callbacks);
+
+    void start();
+    void stop();
+    /// Goes on at another address.
+    void moveTo(const std::string &address);
+
+private:
+    void list(const std::string &after);
+    void takePage(const std::string &after, const platform::http_answer &answer);
+    void watch();
+    void takeChanges(const platform::http_answer &answer);
+    void pause();
+    void noteReachable(bool reachable);
+
+    asio::io_context &m_context;
+    std::shared_ptr<platform::http_channel> m_channel;
+    asio::steady_timer m_timer;
+    std::string m_kind;
+    std::mt19937_64 m_random;
+    handlers m_handlers;
+    objects m_objects;
+    objects m_arriving;
+    std::uint64_t m_revision = 0;
+    std::uint32_t m_failures = 0;
+    bool m_listed = false;
+    bool m_reachable = true;
+    bool m_stopped = false;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Network/socket_liveness.cpp
@@ -0,0 +1,57 @@
+#include "mustardrouter/Network/socket_liveness.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Unacknowledged bytes end the connection after this time, in milliseconds.
+constexpr int userTimeoutMillis = 2500;
+/// An idle connection is asked after this time, then at this interval, in seconds, so many times.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+void set(int handle, int level, int name, int value)
+{
+    // A system without the option leaves the connection to the timeouts of its user.
+    (void)::setsockopt(handle, level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void setLiveness(asio::ip::tcp::socket &socket)
+{
+    const int handle = socket.native_handle();
+    set(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    set(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    set(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    set(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMillis);
+}
+
+asio::ip::tcp::endpoint toEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return {};
+    }
+    std::uint16_t port = 0;
+    const auto [end, portProblem] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    asio::error_code problem;
+    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), problem);
+    if (problem || portProblem != std::errc() || end != address.data() + address.size()) {
+        return {};
+    }
+    return {ip, port};
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -8,6 +8,8 @@
 
 /// Runs the daemon until it is told to stop.
 exit_code runServe(const arguments &given);
+/// Runs an instance on the users' platform until it is told to stop.
+exit_code runEdge(const arguments &given);
 /// Runs one statement as a caller.
 exit_code runCall(const arguments &given);
 /// Publishes configuration files.
--- /dev/null
+++ b/mustardrouter/Proxy/client_reply.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "mustardrouter/Core/log_entry.h"
+#include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Proxy/reply_code.h"
+#include "mustardrouter/Proxy/transaction_state.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// The whole answer to one statement of a client.
+struct client_reply {
+    reply_code code = reply_code::done;
+    std::vector<std::string> rows;
+    /// The database's signature; empty when the instance answered by itself.
+    std::string signature;
+    /// Explanation for people.
+    std::string detail;
+    /// When another attempt is worth while; zero without advice.
+    duration retryAfter{};
+    transaction_state state = transaction_state::none;
+    /// Log position of the database that answered.
+    std::optional<log_entry> position;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/client_session.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "mustardrouter/Core/log_entry.h"
+#include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Proxy/client_statement.h"
+#include "mustardrouter/Proxy/database_reply.h"
+#include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Proxy/route_table.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// What a client prepared under a name.
+struct prepared_shape {
+    bool writes = false;
+    std::string shape;
+};
+
+/// A read, write or commit on its way.
+struct running_statement {
+    client_statement what;
+    bool writes = false;
+    time_point arrivedAt{};
+    time_point deadline{};
+    /// Link that runs it; zero while it waits.
+    link_id link;
+    time_point sentAt{};
+    /// Databases that refused or failed it.
+    std::vector<database_name> avoid;
+    /// Entry that the answering database must have; none when the lead is proved instead.
+    std::optional<log_entry> floor;
+    bool needsProof = false;
+    bool proved = false;
+    bool provedBefore = false;
+    std::optional<database_reply> answer;
+    std::uint32_t attempts = 0;
+};
+
+/// How far a transaction is.
+enum class transaction_phase : std::uint8_t { waitsForLink, beginning, ready };
+
+/// A client's open transaction.
+struct client_transaction {
+    route rules;
+    /// The client began it for reading only.
+    bool readOnly = false;
+    bool wrote = false;
+    time_point beganAt{};
+    transaction_phase phase = transaction_phase::waitsForLink;
+    link_id link;
+    std::vector<database_name> avoid;
+    std::optional<log_entry> floor;
+};
+
+/// One client's connection.
+struct client_session {
+    session_id id;
+    /// Name of the database that the client asked for.
+    std::string database;
+    bool accepted = false;
+    time_point startedAt{};
+    std::map<std::string, std::string> values;
+    std::map<std::string, prepared_shape> prepared;
+    transaction_state state = transaction_state::none;
+    std::optional<client_transaction> transaction;
+    std::optional<running_statement> current;
+    std::deque<client_statement> backlog;
+    /// Entry that holds all commits acknowledged to this session.
+    std::optional<log_entry> ownCommits;
+    time_point restsSince{};
+    /// Closed when it rests, from this instant on.
+    time_point leaveAt{};
+    /// In the group's waiting list.
+    bool waiting = false;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -0,0 +1,439 @@
+#include "mustardrouter/Proxy/engine_parts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace proxying;
+
+/// Between two questions for the primary's position, when the first has no answer yet.
+constexpr duration refreshInterval = std::chrono::milliseconds(200);
+/// Connections that a probe may open beyond the limit of statements.
+constexpr std::uint32_t probeLinks = 1;
+
+/// Waits that shared limits leave to one instance; the number of instances is not known here.
+constexpr std::uint32_t expectedInstances = 18;
+constexpr std::uint32_t fewestLinks = 2;
+constexpr std::uint32_t mostLinks = 8;
+
+void adoptLimits(proxy_engine &engine)
+{
+    std::uint32_t least = mostLinks;
+    for (auto &[name, group] : engine.groups) {
+        const auto limits = engine.routes.groups.find(name);
+        if (limits != engine.routes.groups.end()) {
+            group.limits = limits->second;
+            least = std::min(least, std::max(fewestLinks, group.limits.connections / expectedInstances));
+        }
+    }
+    engine.settings.linksPerDatabase = least;
+}
+
+/// Closes connections to a life of the database that has ended.
+void dropLinks(proxy_engine &engine, database_state &database, time_point now)
+{
+    const std::vector<link_id> links = database.links;
+    for (const link_id id : links) {
+        engine.actions.emplace_back(close_link{id});
+        onLinkClosed(engine, id, now);
+    }
+}
+
+void adoptDatabase(proxy_engine &engine, group_state &group, const listed_database &listed, time_point now)
+{
+    const auto [place, added] = group.databases.try_emplace(listed.name);
+    database_state &database = place->second;
+    if (added) {
+        tell(engine,
+             "database_listed",
+             {{"database", listed.name.value()}, {"group", group.name.value()}, {"role", listed.saysPrimary ? "primary" : "replica"}});
+    }
+    const bool reborn = !added && listed.life != database.listed.life;
+    const bool moved = !added && listed.address != database.listed.address;
+    const bool startsLeaving = listed.leaving && !database.listed.leaving;
+    database.listed = listed;
+    database.missingSince = time_point{};
+    if (reborn || moved) {
+        tell(engine, "database_started_again", {{"database", listed.name.value()}});
+        dropLinks(engine, database, now);
+        database.status.reset();
+    }
+    if (startsLeaving) {
+        tell(engine, "database_leaves", {{"database", listed.name.value()}});
+        watchGroup(engine, group, now);
+    }
+    if (listed.saysPrimary && !group.lead) {
+        group.lead = listed.name;
+        tell(engine, "lead_assumed", {{"group", group.name.value()}, {"database", listed.name.value()}, {"source", "list"}});
+    }
+}
+
+void dropMissing(proxy_engine &engine, group_state &group, time_point now)
+{
+    for (auto at = group.databases.begin(); at != group.databases.end();) {
+        database_state &database = at->second;
+        if (database.missingSince == time_point{} || now - database.missingSince < engine.settings.missingPatience) {
+            ++at;
+            continue;
+        }
+        tell(engine, "database_gone", {{"database", database.listed.name.value()}, {"group", group.name.value()}});
+        if (group.lead == at->first) {
+            group.lead.reset();
+            watchGroup(engine, group, now);
+        }
+        // Statements on its connections end by themselves; idle ones are closed.
+        const std::vector<link_id> links = database.links;
+        for (const link_id id : links) {
+            if (engine.links.at(id).state == link_state::idle || engine.links.at(id).state == link_state::opening) {
+                discardLink(engine, id);
+            }
+        }
+        at = group.databases.erase(at);
+    }
+}
+
+failover_view viewOf(const group_state &group)
+{
+    return {&group.databases, group.lead, group.limits.syncReplicas};
+}
+
+/// An idle connection for a question of the instance's own; one is opened when none can be had.
+database_link *takeForQuestion(proxy_engine &engine, group_state &group, database_state &database, time_point now)
+{
+    if (database_link *idle = findIdle(engine, database, {})) {
+        return idle;
+    }
+    const bool opening = std::ranges::any_of(database.links, [&](link_id id) {
+        return engine.links.at(id).state == link_state::opening;
+    });
+    if (!opening && now >= database.openAfter && database.links.size() < engine.settings.linksPerDatabase + probeLinks) {
+        openLink(engine, group, database, now);
+    }
+    return nullptr;
+}
+
+void ask(proxy_engine &engine, database_link &link, bool proof, bool status, bool pause, term_number pauseTerm, time_point now)
+{
+    std::vector<database_command> commands;
+    std::vector<reply_part> parts;
+    const auto add = [&](command_kind kind, reply_part part) {
+        database_command command;
+        command.kind = kind;
+        command.term = pauseTerm;
+        commands.push_back(command);
+        parts.push_back(part);
+    };
+    if (proof) {
+        add(command_kind::begin, reply_part::proof);
+        add(command_kind::rollback, reply_part::proofEnd);
+    }
+    if (status) {
+        add(pause ? command_kind::pause : command_kind::status, reply_part::status);
+    }
+    engine.figures.proofs += 1;
+    link.state = link_state::busy;
+    link.session = session_id{};
+    sendOn(engine, link, std::move(commands), parts, now);
+    arm(engine, now + engine.settings.abandonedPatience, timer_kind::link, link.id.value());
+}
+
+void probe(proxy_engine &engine, group_state &group, database_state &database, bool witness, time_point now)
+{
+    if (database.probedAt != time_point{} && now - database.probedAt < engine.settings.probeInterval) {
+        return;
+    }
+    database_link *link = takeForQuestion(engine, group, database, now);
+    if (link == nullptr) {
+        return;
+    }
+    database.probedAt = now;
+    const bool isLead = group.lead == database.listed.name;
+    ask(engine, *link, isLead || !group.lead, witness && !isLead, false, {}, now);
+}
+
+void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now)
+{
+    failover_watch &watch = group.failover;
+    if (watch.cause == failover_cause::none) {
+        watch.cause = cause;
+        watch.causeSince = now;
+        const auto spread = static_cast<std::uint64_t>(engine.settings.failoverSpread.count());
+        watch.notBefore = std::max(watch.notBefore, now + duration(static_cast<std::int64_t>(engine.random() % spread)));
+        tell(engine,
+             "promotion_wanted",
+             {{"group", group.name.value()},
+              {"cause", cause == failover_cause::leaving ? "primary leaves" : "primary silent"},
+              {"lead", group.lead ? group.lead->value() : std::string("none")}});
+    }
+    if (watch.phase != failover_phase::watching || now < watch.notBefore) {
+        return;
+    }
+    const std::optional<database_name> successor = chooseSuccessor(viewOf(group), engine.settings, now);
+    if (!successor) {
+        return;
+    }
+    watch.successor = *successor;
+    watch.phase = failover_phase::reading;
+    watch.phaseSince = now;
+    engine.actions.emplace_back(read_claim{group.name});
+}
+
+void endFailover(proxy_engine &engine, group_state &group, const char *why)
+{
+    failover_watch &watch = group.failover;
+    if (watch.cause == failover_cause::none) {
+        return;
+    }
+    tell(engine, "promotion_no_longer_wanted", {{"group", group.name.value()}, {"why", why}});
+    const std::uint64_t seen = watch.claimRevision;
+    watch = failover_watch{};
+    watch.claimRevision = seen;
+}
+
+void backToWatching(proxy_engine &engine, group_state &group, duration pause, time_point now)
+{
+    group.failover.phase = failover_phase::watching;
+    group.failover.notBefore = now + pause;
+    watchGroup(engine, group, now);
+}
+
+group_state *findGroup(proxy_engine &engine, const group_name &name)
+{
+    const auto found = engine.groups.find(name);
+    return found == engine.groups.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+void onConfiguration(proxy_engine &engine, const route_table &routes, time_point now)
+{
+    if (engine.configured && routes.version <= engine.routes.version) {
+        return;
+    }
+    tell(engine,
+         "configuration_adopted",
+         {{"version", std::to_string(routes.version.value())}, {"before", std::to_string(engine.routes.version.value())}});
+    engine.routes = routes;
+    const bool first = !std::exchange(engine.configured, true);
+    adoptLimits(engine);
+    if (first) {
+        for (auto &[id, session] : engine.sessions) {
+            arm(engine, now, timer_kind::session, id.value());
+        }
+    }
+    for (auto &[name, group] : engine.groups) {
+        engine.unsettled.insert(name);
+    }
+    settle(engine, now);
+}
+
+void onListing(proxy_engine &engine, const database_listing &listing, time_point now)
+{
+    engine.listed = true;
+    std::set<database_name> seen;
+    for (const listed_database &listed : listing) {
+        group_state &group = engine.groups[listed.group];
+        group.name = listed.group;
+        seen.insert(listed.name);
+        adoptDatabase(engine, group, listed, now);
+        engine.unsettled.insert(group.name);
+    }
+    for (auto &[name, group] : engine.groups) {
+        for (auto &[databaseName, database] : group.databases) {
+            if (!seen.contains(databaseName) && database.missingSince == time_point{}) {
+                database.missingSince = now;
+                watchGroup(engine, group, now + engine.settings.missingPatience);
+            }
+        }
+    }
+    adoptLimits(engine);
+    settle(engine, now);
+}
+
+void onClaimRead(proxy_engine &engine, const group_name &name, std::uint64_t revision, term_number term, time_point now)
+{
+    group_state *group = findGroup(engine, name);
+    if (group == nullptr || group->failover.phase != failover_phase::reading) {
+        return;
+    }
+    failover_watch &watch = group->failover;
+    const bool isNew = revision != watch.claimRevision;
+    watch.claimRevision = revision;
+    const term_number present = highestTerm(viewOf(*group));
+    if (isNew && revision != 0 && term >= present) {
+        tell(engine, "promotion_left_to_other", {{"group", name.value()}, {"claim", std::to_string(revision)}});
+        backToWatching(engine, *group, engine.settings.orderPatience, now);
+        return;
+    }
+    watch.phase = failover_phase::claiming;
+    watch.phaseSince = now;
+    engine.actions.emplace_back(write_claim{name, revision, present, watch.successor});
+}
+
+void onClaimUnread(proxy_engine &engine, const group_name &name, time_point now)
+{
+    if (group_state *group = findGroup(engine, name)) {
+        tell(engine, "claim_unread", {{"group", name.value()}});
+        backToWatching(engine, *group, engine.settings.orderRetry, now);
+    }
+}
+
+void onClaimWritten(proxy_engine &engine, const group_name &name, fence_number fence, time_point now)
+{
+    group_state *group = findGroup(engine, name);
+    if (group == nullptr) {
+        return;
+    }
+    group->failover.claimRevision = fence.value();
+    const failover_cause cause = causeOfFailover(viewOf(*group), engine.settings, now);
+    if (group->failover.phase != failover_phase::claiming || cause == failover_cause::none) {
+        backToWatching(engine, *group, engine.settings.orderRetry, now);
+        return;
+    }
+    group->failover.phase = failover_phase::ordering;
+    group->failover.phaseSince = now;
+    engine.figures.orders += 1;
+    tell(engine,
+         "promotion_ordered",
+         {{"group", name.value()},
+          {"successor", group->failover.successor.value()},
+          {"fence", std::to_string(fence.value())},
+          {"after_ms", inMillis(now - group->failover.causeSince)}});
+    engine.actions.emplace_back(order_promotion{name, group->failover.successor, fence});
+}
+
+void onClaimLost(proxy_engine &engine, const group_name &name, time_point now)
+{
+    if (group_state *group = findGroup(engine, name)) {
+        tell(engine, "claim_not_written", {{"group", name.value()}});
+        backToWatching(engine, *group, engine.settings.orderRetry, now);
+    }
+}
+
+void onOrderAnswered(proxy_engine &engine, const group_name &name, bool accepted, time_point now)
+{
+    if (group_state *group = findGroup(engine, name)) {
+        tell(engine, "promotion_answered", {{"group", name.value()}, {"accepted", accepted ? "yes" : "no"}});
+        backToWatching(engine, *group, accepted ? engine.settings.orderPatience : engine.settings.orderRetry, now);
+    }
+}
+
+namespace proxying
+{
+
+void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now)
+{
+    if (asked < group.leadProvedAt && group.lead != name) {
+        return;
+    }
+    if (group.lead != name) {
+        engine.figures.leadChanges += 1;
+        tell(engine,
+             "lead_changed",
+             {{"group", group.name.value()},
+              {"from", group.lead ? group.lead->value() : std::string("none")},
+              {"to", name.value()},
+              {"term", position ? std::to_string(position->term.value()) : std::string("-")},
+              {"without_lead_ms", inMillis(now - group.leadProvedAt)}});
+        group.lead = name;
+        endFailover(engine, group, "another database leads");
+    }
+    group.leadProvedAt = std::max(group.leadProvedAt, asked);
+    if (group.failover.cause == failover_cause::silent) {
+        endFailover(engine, group, "the primary answered");
+    }
+    if (position) {
+        group.leadTerm = std::max(group.leadTerm, position->term);
+        addSample(group.samples, asked, *position);
+    }
+    engine.unsettled.insert(group.name);
+}
+
+void noteNotLead(proxy_engine &engine, group_state &group, const database_name &name, time_point now)
+{
+    if (group.lead != name) {
+        return;
+    }
+    tell(engine, "lead_lost", {{"group", group.name.value()}, {"database", name.value()}, {"why", "refused as one that does not lead"}});
+    group.lead.reset();
+    watchGroup(engine, group, now);
+}
+
+void suspect(proxy_engine &engine, group_state &group, database_state &database, const char *why, time_point now)
+{
+    if (database.suspectedAt == time_point{}) {
+        database.suspectedAt = now;
+        tell(engine,
+             "database_suspected",
+             {{"database", database.listed.name.value()}, {"why", why}, {"last_answer_ms_ago", inMillis(now - database.answeredAt)}});
+    }
+    watchGroup(engine, group, now);
+}
+
+void refreshPosition(proxy_engine &engine, group_state &group, time_point now)
+{
+    if (!group.lead) {
+        watchGroup(engine, group, now);
+        return;
+    }
+    const auto found = group.databases.find(*group.lead);
+    if (found == group.databases.end()) {
+        return;
+    }
+    database_state &lead = found->second;
+    if (lead.probedAt != time_point{} && now - lead.probedAt < refreshInterval) {
+        return;
+    }
+    database_link *link = takeForQuestion(engine, group, lead, now);
+    if (link == nullptr) {
+        return;
+    }
+    lead.probedAt = now;
+    ask(engine, *link, true, false, false, {}, now);
+}
+
+void checkGroup(proxy_engine &engine, group_state &group, time_point now)
+{
+    dropMissing(engine, group, now);
+    const auto lead = group.lead ? group.databases.find(*group.lead) : group.databases.end();
+    const bool leadInDoubt = lead == group.databases.end() || lead->second.suspectedAt != time_point{} || lead->second.listed.leaving;
+    bool anyDoubt = leadInDoubt;
+    bool anyMissing = false;
+    for (auto &[name, database] : group.databases) {
+        anyMissing = anyMissing || database.missingSince != time_point{};
+        const bool suspected = database.suspectedAt != time_point{};
+        anyDoubt = anyDoubt || suspected;
+        if (leadInDoubt || suspected) {
+            probe(engine, group, database, leadInDoubt, now);
+        }
+    }
+    const failover_cause cause = causeOfFailover(viewOf(group), engine.settings, now);
+    if (cause != failover_cause::none) {
+        startFailover(engine, group, cause, now);
+    } else if (group.failover.phase == failover_phase::watching) {
+        endFailover(engine, group, "no cause any more");
+    }
+    if (anyDoubt && !group.databases.empty()) {
+        watchGroup(engine, group, now + engine.settings.probeInterval);
+    } else if (anyMissing) {
+        watchGroup(engine, group, now + engine.settings.missingPatience);
+    }
+}
+
+void watchGroup(proxy_engine &engine, group_state &group, time_point due)
+{
+    if (group.checkAt != time_point{} && group.checkAt <= due) {
+        return;
+    }
+    group.checkAt = due;
+    arm(engine, due, timer_kind::group, 0, group.name);
+}
+
+} // namespace proxying
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -0,0 +1,584 @@
+#include "mustardrouter/Proxy/engine_parts.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace proxying;
+
+/// More prepared statements than this on one connection are dropped at its next change of session.
+constexpr std::size_t preparedPerLink = 200;
+/// A statement is tried at most so often.
+constexpr std::uint32_t maxAttempts = 8;
+/// Weight of a new reading in the smoothed time of a read.
+constexpr double readWeight = 0.1;
+
+database_state *databaseOf(proxy_engine &engine, const database_link &link)
+{
+    const auto group = engine.groups.find(link.group);
+    if (group == engine.groups.end()) {
+        return nullptr;
+    }
+    const auto found = group->second.databases.find(link.database);
+    return found == group->second.databases.end() ? nullptr : &found->second;
+}
+
+client_session *sessionOf(proxy_engine &engine, const database_link &link)
+{
+    const auto found = engine.sessions.find(link.session);
+    return found == engine.sessions.end() ? nullptr : &found->second;
+}
+
+client_reply toClient(const database_reply &reply)
+{
+    client_reply answer;
+    answer.code = reply.code;
+    answer.rows = reply.rows;
+    answer.signature = reply.signature;
+    answer.detail = reply.detail;
+    answer.position = reply.position;
+    return answer;
+}
+
+/// Tries the statement again on another connection, after `pause`.
+void retry(proxy_engine &engine, client_session &session, const char *why, duration pause, time_point now)
+{
+    running_statement &run = *session.current;
+    engine.figures.retries += 1;
+    tell(engine,
+         "statement_retried",
+         {{"request", run.what.id}, {"why", why}, {"attempts", std::to_string(run.attempts)}, {"after_ms", inMillis(now - run.arrivedAt)}});
+    if (run.attempts >= maxAttempts) {
+        refuseStatement(engine, session, reply_code::busy, why, now);
+        return;
+    }
+    seekLink(engine, session, now);
+    if (pause > duration{}) {
+        // The group is looked at again by the pump timer; others may go ahead meanwhile.
+        arm(engine, now + pause, timer_kind::pump, 0, groupOf(engine, session) == nullptr ? group_name{} : groupOf(engine, session)->name);
+    }
+}
+
+void inDoubt(proxy_engine &engine, client_session &session, const char *why, time_point now)
+{
+    engine.figures.inDoubt += 1;
+    tell(engine, "statement_in_doubt", {{"request", session.current->what.id}, {"database", session.database}, {"why", why}});
+    if (session.transaction) {
+        dropTransaction(engine, session, transaction_state::none, now);
+    }
+    client_reply reply;
+    reply.code = reply_code::inDoubt;
+    reply.detail = why;
+    answerStatement(engine, session, std::move(reply), now);
+}
+
+/// Whether the answer to a read is as fresh as its rule demands.
+bool isFreshEnough(const running_statement &run, const database_reply &reply)
+{
+    if (run.needsProof) {
+        return run.proved && run.provedBefore;
+    }
+    return !run.floor || (reply.position && *reply.position >= *run.floor);
+}
+
+void readSucceeded(proxy_engine &engine, group_state &group, database_link &link, client_session &session, database_reply reply, time_point now)
+{
+    running_statement &run = *session.current;
+    if (!isFreshEnough(run, reply)) {
+        run.avoid.push_back(link.database);
+        retry(engine, session, run.needsProof ? "lead not proved" : "log of another term", {}, now);
+        return;
+    }
+    if (database_state *database = databaseOf(engine, link)) {
+        const auto took = static_cast<double>((now - run.sentAt).count());
+        database->readMicros += readWeight * (took - database->readMicros);
+    }
+    if (run.needsProof && session.ownCommits && group.leadTerm > session.ownCommits->term && !group.samples.samples.empty()) {
+        // What the session had written beyond the new primary's log is gone: its floor would block for ever.
+        session.ownCommits = group.samples.samples.back().entry;
+    }
+    (group.lead == link.database ? engine.figures.primaryReads : engine.figures.replicaReads) += 1;
+    answerStatement(engine, session, toClient(reply), now);
+}
+
+void writeSucceeded(proxy_engine &engine, group_state &group, const database_name &by, client_session &session, database_reply reply, time_point now)
+{
+    noteLead(engine, group, by, reply.position, session.current->sentAt, now);
+    session.ownCommits = reply.position;
+    answerStatement(engine, session, toClient(reply), now);
+}
+
+void singleRefused(proxy_engine &engine, group_state &group, database_link &link, client_session &session, const database_reply &reply, time_point now)
+{
+    running_statement &run = *session.current;
+    database_state *database = databaseOf(engine, link);
+    switch (reply.code) {
+    case reply_code::busy:
+        if (database != nullptr) {
+            database->fullUntil = now + engine.settings.fullPause;
+        }
+        retry(engine, session, "database full", engine.settings.fullPause, now);
+        return;
+    case reply_code::lagging:
+        run.avoid.push_back(link.database);
+        retry(engine, session, "replica lags", {}, now);
+        return;
+    case reply_code::readOnly:
+        noteNotLead(engine, group, link.database, now);
+        retry(engine, session, "not the primary", {}, now);
+        return;
+    case reply_code::unknownStatement:
+        link.valuesUncertain = true;
+        retry(engine, session, "prepared statement lost", {}, now);
+        return;
+    case reply_code::failed:
+    case reply_code::timedOut:
+        if (!run.writes) {
+            run.avoid.push_back(link.database);
+            retry(engine, session, "database failed the read", {}, now);
+            return;
+        }
+        break;
+    default:
+        break;
+    }
+    answerStatement(engine, session, toClient(reply), now);
+}
+
+void finishSingle(proxy_engine &engine, database_link &link, client_session &session, time_point now)
+{
+    group_state &group = engine.groups.at(link.group);
+    running_statement &run = *session.current;
+    database_reply reply = std::move(*run.answer);
+    run.answer.reset();
+    run.link = link_id{};
+    link.session = session_id{};
+    link.state = link_state::idle;
+    engine.unsettled.insert(link.group);
+    if (reply.code != reply_code::done) {
+        singleRefused(engine, group, link, session, reply, now);
+    } else if (run.writes) {
+        writeSucceeded(engine, group, link.database, session, std::move(reply), now);
+    } else {
+        readSucceeded(engine, group, link, session, std::move(reply), now);
+    }
+}
+
+void transactionBegun(proxy_engine &engine, database_link &link, client_session &session, const database_reply &reply, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    group_state &group = engine.groups.at(link.group);
+    const bool behind = transaction.floor && (!reply.position || *reply.position < *transaction.floor);
+    if (reply.code == reply_code::done && reply.state == transaction_state::open && !behind) {
+        transaction.phase = transaction_phase::ready;
+        if (!transaction.floor) {
+            noteLead(engine, group, link.database, reply.position, link.since, now);
+        }
+        if (session.current) {
+            sendInTransaction(engine, session, now);
+        }
+        return;
+    }
+    if (reply.code == reply_code::readOnly) {
+        noteNotLead(engine, group, link.database, now);
+    } else {
+        transaction.avoid.push_back(link.database);
+    }
+    link.inTransaction = reply.state != transaction_state::none;
+    const link_id held = std::exchange(transaction.link, link_id{});
+    transaction.phase = transaction_phase::waitsForLink;
+    releaseLink(engine, held, now);
+    seekLink(engine, session, now);
+}
+
+void commitAnswered(proxy_engine &engine, database_link &link, client_session &session, const database_reply &reply, time_point now)
+{
+    group_state &group = engine.groups.at(link.group);
+    const bool wrote = session.transaction->wrote;
+    if (reply.code == reply_code::done) {
+        link.inTransaction = false;
+        if (wrote) {
+            noteLead(engine, group, link.database, reply.position, session.current->sentAt, now);
+            session.ownCommits = reply.position;
+        }
+        dropTransaction(engine, session, transaction_state::none, now);
+        answerStatement(engine, session, toClient(reply), now);
+        return;
+    }
+    if (reply.code == reply_code::readOnly) {
+        noteNotLead(engine, group, link.database, now);
+    }
+    if (wrote && !saysNotRun(reply.code)) {
+        inDoubt(engine, session, "the commit failed", now);
+        return;
+    }
+    refuseStatement(engine, session, reply.code == reply_code::readOnly ? reply.code : reply_code::aborted, "the commit was refused", now);
+}
+
+void transactionAnswered(proxy_engine &engine, database_link &link, client_session &session, const database_reply &reply, time_point now)
+{
+    group_state &group = engine.groups.at(link.group);
+    running_statement &run = *session.current;
+    if (reply.code == reply_code::busy && reply.state == transaction_state::open) {
+        engine.figures.retries += 1;
+        arm(engine, now + engine.settings.fullPause, timer_kind::link, link.id.value());
+        return;
+    }
+    if (run.what.verb == client_verb::commit) {
+        commitAnswered(engine, link, session, reply, now);
+        return;
+    }
+    if (reply.code == reply_code::done) {
+        session.transaction->wrote = session.transaction->wrote || run.writes;
+        if (!session.transaction->floor) {
+            noteLead(engine, group, link.database, reply.position, run.sentAt, now);
+        }
+        answerStatement(engine, session, toClient(reply), now);
+        return;
+    }
+    if (reply.code == reply_code::readOnly) {
+        noteNotLead(engine, group, link.database, now);
+    }
+    const bool clientsFault = reply.code == reply_code::malformed || reply.code == reply_code::tooLarge;
+    refuseStatement(engine, session, saysNotRun(reply.code) || clientsFault ? reply.code : reply_code::aborted, "refused inside a transaction", now);
+}
+
+/// Everything that the packet asked for is answered.
+void linkAnswered(proxy_engine &engine, database_link &link, time_point now)
+{
+    client_session *session = sessionOf(engine, link);
+    if (session == nullptr) {
+        if (link.inTransaction) {
+            releaseLink(engine, link.id, now);
+            return;
+        }
+        link.state = link_state::idle;
+        link.since = now;
+        link.session = session_id{};
+        engine.unsettled.insert(link.group);
+        return;
+    }
+    if (link.state == link_state::held) {
+        if (session->current && session->current->answer) {
+            const database_reply reply = std::move(*session->current->answer);
+            session->current->answer.reset();
+            transactionAnswered(engine, link, *session, reply, now);
+        }
+        return;
+    }
+    if (session->current && session->current->link == link.id && session->current->answer) {
+        finishSingle(engine, link, *session, now);
+    }
+}
+
+void proofAnswered(proxy_engine &engine, group_state &group, database_link &link, const database_reply &reply, time_point asked, time_point now)
+{
+    const bool leads = reply.code == reply_code::done && reply.state == transaction_state::open;
+    client_session *session = sessionOf(engine, link);
+    if (session != nullptr && session->current && session->current->link == link.id) {
+        bool &proved = session->current->answer ? session->current->proved : session->current->provedBefore;
+        proved = leads;
+    }
+    if (leads) {
+        link.provedAt = asked;
+        noteLead(engine, group, link.database, reply.position, asked, now);
+    } else if (reply.code == reply_code::readOnly) {
+        noteNotLead(engine, group, link.database, now);
+    }
+}
+
+void statusAnswered(database_state &database, const database_reply &reply, time_point asked)
+{
+    if (!reply.status) {
+        return;
+    }
+    const bool grew = !database.status || reply.status->received > database.status->received;
+    if (grew) {
+        database.grewAt = asked;
+    }
+    database.status = reply.status;
+    database.statusAt = asked;
+}
+
+bool isWhole(const expected_reply &expected, const database_reply &reply)
+{
+    if (reply.code != reply_code::done) {
+        return true;
+    }
+    const bool isSigned = !reply.signature.empty();
+    return isSigned == (expected.part == reply_part::statement);
+}
+
+/// What becomes of the statement or transaction of a link that is gone.
+void lostLink(proxy_engine &engine, client_session &session, link_id gone, time_point now)
+{
+    if (session.transaction && session.transaction->link == gone) {
+        session.transaction->link = link_id{};
+        if (session.transaction->phase == transaction_phase::beginning) {
+            // No statement of the client has run: the transaction begins elsewhere.
+            session.transaction->phase = transaction_phase::waitsForLink;
+            seekLink(engine, session, now);
+            return;
+        }
+        if (!session.current) {
+            dropTransaction(engine, session, transaction_state::failed, now);
+            return;
+        }
+        if (session.current->what.verb == client_verb::commit && session.transaction->wrote) {
+            inDoubt(engine, session, "connection lost at the commit", now);
+            return;
+        }
+        refuseStatement(engine, session, reply_code::aborted, "connection lost inside a transaction", now);
+        return;
+    }
+    if (!session.current || session.current->link != gone) {
+        return;
+    }
+    session.current->link = link_id{};
+    if (session.current->writes) {
+        inDoubt(engine, session, "connection lost after the write was sent", now);
+        return;
+    }
+    retry(engine, session, "connection lost", {}, now);
+}
+
+void forgetLink(proxy_engine &engine, link_id id)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    if (database_state *database = databaseOf(engine, found->second)) {
+        std::erase(database->links, id);
+    }
+    engine.links.erase(found);
+}
+
+} // namespace
+
+void onLinkOpened(proxy_engine &engine, link_id id, time_point now)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    found->second.state = link_state::idle;
+    found->second.since = now;
+    if (database_state *database = databaseOf(engine, found->second)) {
+        database->answeredAt = now;
+    }
+    engine.unsettled.insert(found->second.group);
+    settle(engine, now);
+}
+
+void onLinkRefused(proxy_engine &engine, link_id id, reply_code code, time_point now)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    engine.figures.linksRefused += 1;
+    tell(engine, "connection_refused", {{"to", found->second.database.value()}, {"code", std::string(toString(code))}});
+    const group_name group = found->second.group;
+    if (database_state *database = databaseOf(engine, found->second)) {
+        database->openAfter = now + engine.settings.openBackoff;
+        arm(engine, database->openAfter, timer_kind::pump, 0, group);
+    }
+    forgetLink(engine, id);
+    settle(engine, now);
+}
+
+void onLinkClosed(proxy_engine &engine, link_id id, time_point now)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    const database_link link = found->second;
+    if (database_state *database = databaseOf(engine, link)) {
+        group_state &group = engine.groups.at(link.group);
+        if (link.state == link_state::opening) {
+            database->openAfter = now + engine.settings.openBackoff;
+            arm(engine, database->openAfter, timer_kind::pump, 0, group.name);
+        }
+        suspect(engine, group, *database, "connection lost", now);
+    }
+    forgetLink(engine, id);
+    if (client_session *session = sessionOf(engine, link)) {
+        lostLink(engine, *session, id, now);
+    }
+    settle(engine, now);
+}
+
+void onDatabaseReply(proxy_engine &engine, link_id id, database_reply reply, time_point now)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    database_link &link = found->second;
+    const bool asked = !link.expected.empty();
+    if (!asked || !isWhole(link.expected.front(), reply)) {
+        // An answer to nothing, or to something else: none of this connection's answers can be told apart any more.
+        tell(engine, "answer_out_of_order", {{"database", link.database.value()}, {"expected", asked ? "another" : "none"}});
+        engine.actions.emplace_back(close_link{id});
+        onLinkClosed(engine, id, now);
+        return;
+    }
+    const expected_reply expected = link.expected.front();
+    link.expected.pop_front();
+    group_state &group = engine.groups.at(link.group);
+    if (database_state *database = databaseOf(engine, link)) {
+        database->answeredAt = now;
+        if (database->suspectedAt != time_point{}) {
+            tell(engine, "database_trusted", {{"database", link.database.value()}, {"silent_ms", inMillis(now - database->suspectedAt)}});
+            database->suspectedAt = time_point{};
+            engine.unsettled.insert(group.name);
+        }
+        if (expected.part == reply_part::status) {
+            statusAnswered(*database, reply, expected.sentAt);
+        }
+    }
+    client_session *session = sessionOf(engine, link);
+    switch (expected.part) {
+    case reply_part::setup:
+        if (reply.code != reply_code::done) {
+            tell(engine, "setup_refused", {{"database", link.database.value()}, {"code", std::string(toString(reply.code))}});
+            link.valuesUncertain = true;
+        }
+        break;
+    case reply_part::proof:
+        proofAnswered(engine, group, link, reply, expected.sentAt, now);
+        break;
+    case reply_part::statement:
+        if (session != nullptr && session->current) {
+            session->current->answer = std::move(reply);
+        }
+        break;
+    case reply_part::begin:
+        if (session != nullptr && session->transaction) {
+            link.since = expected.sentAt;
+            transactionBegun(engine, link, *session, reply, now);
+        }
+        break;
+    case reply_part::cleanup:
+        link.inTransaction = false;
+        break;
+    case reply_part::proofEnd:
+    case reply_part::status:
+        break;
+    }
+    const auto still = engine.links.find(id);
+    if (still != engine.links.end() && still->second.expected.empty() && expected.part != reply_part::begin) {
+        linkAnswered(engine, still->second, now);
+    }
+    settle(engine, now);
+}
+
+namespace proxying
+{
+
+database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now)
+{
+    const link_id id(engine.nextLink++);
+    database_link &link = engine.links[id];
+    link.id = id;
+    link.database = database.listed.name;
+    link.group = group.name;
+    link.since = now;
+    database.links.push_back(id);
+    engine.figures.linksOpened += 1;
+    engine.actions.emplace_back(open_link{id, link.database, group.name, database.listed.address});
+    arm(engine, now + engine.settings.openPatience, timer_kind::link, id.value());
+    return link;
+}
+
+void sendOn(proxy_engine &engine, database_link &link, std::vector<database_command> commands, const std::vector<reply_part> &parts, time_point now)
+{
+    assert(commands.size() == parts.size());
+    for (const reply_part part : parts) {
+        link.expected.push_back({part, now});
+    }
+    engine.actions.emplace_back(send_commands{link.id, std::move(commands)});
+}
+
+void releaseLink(proxy_engine &engine, link_id id, time_point now)
+{
+    const auto found = engine.links.find(id);
+    if (found == engine.links.end()) {
+        return;
+    }
+    database_link &link = found->second;
+    link.session = session_id{};
+    link.since = now;
+    if (link.prepared.size() > preparedPerLink) {
+        link.valuesUncertain = true;
+    }
+    if (link.inTransaction) {
+        // Values that were set inside may be rolled back with it.
+        link.valuesUncertain = link.valuesUncertain || !link.values.empty();
+        link.state = link_state::busy;
+        database_command rollback;
+        rollback.kind = command_kind::rollback;
+        link.inTransaction = false;
+        sendOn(engine, link, {rollback}, {reply_part::cleanup}, now);
+    }
+    if (!link.expected.empty()) {
+        link.state = link_state::busy;
+        arm(engine, now + engine.settings.abandonedPatience, timer_kind::link, id.value());
+        return;
+    }
+    link.state = link_state::idle;
+    engine.unsettled.insert(link.group);
+}
+
+void discardLink(proxy_engine &engine, link_id id)
+{
+    engine.actions.emplace_back(close_link{id});
+    forgetLink(engine, id);
+}
+
+void checkLink(proxy_engine &engine, database_link &link, time_point now)
+{
+    const bool opening = link.state == link_state::opening && now - link.since >= engine.settings.openPatience;
+    const bool abandoned = link.state == link_state::busy && link.session == session_id{} && !link.expected.empty()
+        && now - link.expected.front().sentAt >= engine.settings.abandonedPatience;
+    if (opening || abandoned) {
+        const link_id id = link.id;
+        engine.actions.emplace_back(close_link{id});
+        onLinkClosed(engine, id, now);
+        return;
+    }
+    client_session *session = sessionOf(engine, link);
+    const bool sendAgain = link.state == link_state::held && link.expected.empty() && session != nullptr && session->current
+        && session->transaction && session->transaction->link == link.id && session->transaction->phase == transaction_phase::ready;
+    if (sendAgain) {
+        sendInTransaction(engine, *session, now);
+    }
+}
+
+database_link *findIdle(proxy_engine &engine, const database_state &database, const std::map<std::string, std::string> &values)
+{
+    database_link *best = nullptr;
+    for (const link_id id : database.links) {
+        database_link &link = engine.links.at(id);
+        if (link.state != link_state::idle) {
+            continue;
+        }
+        if (!link.valuesUncertain && link.values == values) {
+            return &link;
+        }
+        best = &link;
+    }
+    return best;
+}
+
+} // namespace proxying
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "mustardrouter/Proxy/proxy_engine.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Steps that the files of the engine share; not for use outside of this module.
+namespace mustardrouter::proxying
+{
+
+/// Arms a timer.
+void arm(proxy_engine &engine, time_point due, timer_kind kind, std::uint64_t id, const group_name &group = {});
+/// Tells the log.
+void tell(proxy_engine &engine, const char *event, std::vector<std::pair<const char *, std::string>> fields);
+/// Milliseconds as text, for the log.
+std::string inMillis(duration span);
+
+// Sessions (engine_sessions.cpp)
+
+/// Answers the statement of a session that runs or waits, and takes the next one.
+void answerStatement(proxy_engine &engine, client_session &session, client_reply reply, time_point now);
+/// Refuses the statement truthfully: nothing of the attempt is kept.
+void refuseStatement(proxy_engine &engine, client_session &session, reply_code code, const char *why, time_point now);
+/// Ends the session's transaction; the database rolls back what is open. The session is left failed or without one.
+void dropTransaction(proxy_engine &engine, client_session &session, transaction_state left, time_point now);
+/// Looks at deadlines, rests and the wish to stop.
+void checkSession(proxy_engine &engine, client_session &session, time_point now);
+
+// Placement (engine_placement.cpp)
+
+/// Puts the session in line for a connection and tries at once.
+void seekLink(proxy_engine &engine, client_session &session, time_point now);
+/// Sends the transaction's statement on the connection that it holds.
+void sendInTransaction(proxy_engine &engine, client_session &session, time_point now);
+/// Places as many of the waiting as there are connections for.
+void pump(proxy_engine &engine, group_state &group, time_point now);
+/// Works off the groups that may place more.
+void settle(proxy_engine &engine, time_point now);
+/// The group that serves the session's present work, or nothing.
+group_state *groupOf(proxy_engine &engine, const client_session &session);
+
+// Links (engine_links.cpp)
+
+/// Opens a connection to the database.
+database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now);
+/// Sends commands and notes what answers they owe.
+void sendOn(proxy_engine &engine, database_link &link, std::vector<database_command> commands, const std::vector<reply_part> &parts, time_point now);
+/// Gives the connection back, ending what is open on it.
+void releaseLink(proxy_engine &engine, link_id id, time_point now);
+/// Closes the connection and forgets it.
+void discardLink(proxy_engine &engine, link_id id);
+/// Looks at an opening or abandoned connection.
+void checkLink(proxy_engine &engine, database_link &link, time_point now);
+/// An idle connection of the database; the one whose session values fit best.
+database_link *findIdle(proxy_engine &engine, const database_state &database, const std::map<std::string, std::string> &values);
+
+// Groups (engine_groups.cpp)
+
+/// The database leads: it said so to a question sent at `asked`.
+void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now);
+/// The database refused as one that does not lead.
+void noteNotLead(proxy_engine &engine, group_state &group, const database_name &name, time_point now);
+/// The database owes a sign of life.
+void suspect(proxy_engine &engine, group_state &group, database_state &database, const char *why, time_point now);
+/// Asks the primary for its position, if no such question is on its way.
+void refreshPosition(proxy_engine &engine, group_state &group, time_point now);
+/// Probes what is in doubt and orders a promotion when it is due.
+void checkGroup(proxy_engine &engine, group_state &group, time_point now);
+/// Calls checkGroup soon.
+void watchGroup(proxy_engine &engine, group_state &group, time_point due);
+
+} // namespace mustardrouter::proxying
--- /dev/null
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -0,0 +1,361 @@
+#include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/link_setup.h"
+#include "mustardrouter/Proxy/read_ranking.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace mustardrouter::proxying
+{
+
+namespace
+{
+
+/// A proof of the lead that is younger than this spares the one before a read: two promotions,
+/// which alone could hide a change of lead, take longer.
+constexpr duration proofValid = std::chrono::milliseconds(250);
+/// A question for the position is due this long before the newest sample is too old.
+constexpr duration refreshAhead = std::chrono::milliseconds(400);
+
+database_command ownCommand(command_kind kind)
+{
+    database_command command;
+    command.kind = kind;
+    return command;
+}
+
+database_command clientCommand(database_link &link, const client_session &session, std::vector<database_command> &commands)
+{
+    const client_statement &what = session.current->what;
+    database_command command;
+    command.id = what.id;
+    command.kind = command_kind::forward;
+    command.text = what.text;
+    if (what.verb == client_verb::execute) {
+        command.kind = command_kind::execute;
+        command.name = appendPrepared(link, session.prepared.at(what.name), commands);
+        command.value = what.value;
+    }
+    return command;
+}
+
+/// Commands that give the link the session's values and prepared statement, and the statement.
+std::vector<database_command> prepareStatement(database_link &link, const client_session &session, std::vector<reply_part> &parts)
+{
+    std::vector<database_command> commands;
+    appendValues(link, session, commands);
+    database_command statement = clientCommand(link, session, commands);
+    statement.floor = session.current->floor;
+    parts.assign(commands.size(), reply_part::setup);
+    commands.push_back(std::move(statement));
+    parts.push_back(reply_part::statement);
+    return commands;
+}
+
+void noteSent(proxy_engine &engine, client_session &session, database_link &link, time_point now)
+{
+    running_statement &run = *session.current;
+    run.link = link.id;
+    run.sentAt = now;
+    run.answer.reset();
+    run.attempts += 1;
+    link.session = session.id;
+    arm(engine, now + engine.settings.answerPatience, timer_kind::session, session.id.value());
+}
+
+/// Sends a statement outside of a transaction.
+void sendSingle(proxy_engine &engine, client_session &session, database_link &link, time_point now)
+{
+    running_statement &run = *session.current;
+    std::vector<reply_part> parts;
+    std::vector<database_command> commands = prepareStatement(link, session, parts);
+    run.proved = false;
+    run.provedBefore = now - link.provedAt <= proofValid;
+    if (run.needsProof) {
+        if (!run.provedBefore) {
+            commands.insert(commands.begin(), {ownCommand(command_kind::begin), ownCommand(command_kind::rollback)});
+            parts.insert(parts.begin(), {reply_part::proof, reply_part::proofEnd});
+        }
+        commands.push_back(ownCommand(command_kind::begin));
+        commands.push_back(ownCommand(command_kind::rollback));
+        parts.push_back(reply_part::proof);
+        parts.push_back(reply_part::proofEnd);
+    }
+    link.state = link_state::busy;
+    noteSent(engine, session, link, now);
+    sendOn(engine, link, std::move(commands), parts, now);
+}
+
+void sendBegin(proxy_engine &engine, client_session &session, database_link &link, bool forReading, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    transaction.phase = transaction_phase::beginning;
+    transaction.link = link.id;
+    link.session = session.id;
+    link.state = link_state::held;
+    link.inTransaction = true;
+    std::vector<database_command> commands;
+    appendValues(link, session, commands);
+    std::vector<reply_part> parts(commands.size(), reply_part::setup);
+    commands.push_back(ownCommand(forReading ? command_kind::beginRead : command_kind::begin));
+    commands.back().floor = forReading ? transaction.floor : std::nullopt;
+    parts.push_back(reply_part::begin);
+    sendOn(engine, link, std::move(commands), parts, now);
+}
+
+/// An idle link of the database, or nothing; then one more is opened where that is allowed.
+database_link *takeOrOpen(proxy_engine &engine, group_state &group, const database_name &name, const client_session &session, time_point now)
+{
+    const auto found = group.databases.find(name);
+    if (found == group.databases.end()) {
+        return nullptr;
+    }
+    database_state &database = found->second;
+    if (database_link *idle = findIdle(engine, database, session.values)) {
+        return idle;
+    }
+    const auto opening = std::ranges::count_if(database.links, [&](link_id id) {
+        return engine.links.at(id).state == link_state::opening;
+    });
+    const bool enough = static_cast<std::size_t>(opening) >= std::min<std::size_t>(2, group.waiting.size() + 1);
+    const bool mayOpen = now >= database.openAfter && database.links.size() < engine.settings.linksPerDatabase && !enough;
+    if (mayOpen) {
+        openLink(engine, group, database, now);
+    }
+    return nullptr;
+}
+
+/// What a read of this session must see.
+struct read_need {
+    std::optional<log_entry> floor;
+    /// Only a proof of the lead at or after the read will do.
+    bool lead = false;
+    /// No position is known that is young enough.
+    bool unknown = false;
+};
+
+read_need needOf(const proxy_engine &engine, const group_state &group, const client_session &session, const route &rules, time_point arrivedAt, time_point now)
+{
+    read_need need;
+    if (rules.rule == read_rule::latest) {
+        need.lead = true;
+        return need;
+    }
+    const bool ownRolledBack = session.ownCommits && group.leadTerm > session.ownCommits->term;
+    if (rules.rule == read_rule::session && ownRolledBack) {
+        need.lead = true;
+        return need;
+    }
+    need.floor = floorAt(group.samples, arrivedAt - rules.maxAge);
+    need.unknown = !need.floor.has_value();
+    if (rules.rule == read_rule::session && session.ownCommits) {
+        need.floor = need.floor ? std::max(*need.floor, *session.ownCommits) : need.floor;
+    }
+    (void)engine;
+    (void)now;
+    return need;
+}
+
+/// The first link of the ranked databases that is idle. Where the best has none, one is opened there.
+database_link *takeForRead(proxy_engine &engine, group_state &group, const client_session &session, const std::vector<database_name> &avoid, time_point now)
+{
+    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid}, engine.settings, now);
+    for (const ranked_database &candidate : ranked) {
+        if (database_link *link = takeOrOpen(engine, group, candidate.database->listed.name, session, now)) {
+            return link;
+        }
+    }
+    return nullptr;
+}
+
+bool placeRead(proxy_engine &engine, group_state &group, client_session &session, const route &rules, time_point now)
+{
+    running_statement &run = *session.current;
+    const read_need need = needOf(engine, group, session, rules, run.arrivedAt, now);
+    if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
+        refreshPosition(engine, group, now);
+    }
+    const bool triedAll = !run.avoid.empty() && rankForRead({&group.databases, group.lead, &run.avoid}, engine.settings, now).empty();
+    if (need.lead || need.unknown || triedAll) {
+        // The primary needs no floor when it proves its lead.
+        if (!group.lead || (need.unknown && !need.lead && !triedAll)) {
+            return false;
+        }
+        database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
+        if (link == nullptr) {
+            return false;
+        }
+        run.floor.reset();
+        run.needsProof = true;
+        sendSingle(engine, session, *link, now);
+        return true;
+    }
+    database_link *link = takeForRead(engine, group, session, run.avoid, now);
+    if (link == nullptr) {
+        return false;
+    }
+    run.floor = need.floor;
+    run.needsProof = false;
+    sendSingle(engine, session, *link, now);
+    return true;
+}
+
+bool placeTransaction(proxy_engine &engine, group_state &group, client_session &session, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    const route &rules = transaction.rules;
+    if (transaction.readOnly && rules.rule != read_rule::latest) {
+        const read_need need = needOf(engine, group, session, rules, transaction.beganAt, now);
+        if (now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
+            refreshPosition(engine, group, now);
+        }
+        if (need.unknown) {
+            return false;
+        }
+        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid}, engine.settings, now).empty();
+        if (!need.lead && !triedAll) {
+            database_link *link = takeForRead(engine, group, session, transaction.avoid, now);
+            if (link == nullptr) {
+                return false;
+            }
+            transaction.floor = need.floor;
+            sendBegin(engine, session, *link, true, now);
+            return true;
+        }
+    }
+    if (!group.lead) {
+        return false;
+    }
+    database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
+    if (link == nullptr) {
+        return false;
+    }
+    // A plain transaction proves the lead with each of its statements.
+    transaction.floor.reset();
+    sendBegin(engine, session, *link, false, now);
+    return true;
+}
+
+/// Whether the session no longer waits: it was placed, or has nothing to place.
+bool place(proxy_engine &engine, group_state &group, client_session &session, time_point now)
+{
+    if (session.transaction) {
+        if (session.transaction->phase != transaction_phase::waitsForLink) {
+            return true;
+        }
+        return placeTransaction(engine, group, session, now);
+    }
+    if (!session.current || session.current->link != link_id{}) {
+        return true;
+    }
+    const auto rules = engine.routes.routes.find(session.database);
+    if (rules == engine.routes.routes.end()) {
+        refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
+        return true;
+    }
+    if (!session.current->writes) {
+        return placeRead(engine, group, session, rules->second, now);
+    }
+    if (!group.lead) {
+        return false;
+    }
+    database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
+    if (link == nullptr) {
+        return false;
+    }
+    session.current->floor.reset();
+    session.current->needsProof = false;
+    sendSingle(engine, session, *link, now);
+    return true;
+}
+
+} // namespace
+
+group_state *groupOf(proxy_engine &engine, const client_session &session)
+{
+    group_name name;
+    if (session.transaction) {
+        name = session.transaction->rules.group;
+    } else {
+        const auto rules = engine.routes.routes.find(session.database);
+        if (rules == engine.routes.routes.end()) {
+            return nullptr;
+        }
+        name = rules->second.group;
+    }
+    const auto found = engine.groups.find(name);
+    return found == engine.groups.end() ? nullptr : &found->second;
+}
+
+void seekLink(proxy_engine &engine, client_session &session, time_point now)
+{
+    group_state *group = groupOf(engine, session);
+    if (group == nullptr) {
+        if (session.current) {
+            refuseStatement(engine, session, reply_code::busy, "the group has no databases", now);
+        }
+        return;
+    }
+    if (session.current) {
+        session.current->link = link_id{};
+    }
+    if (!session.waiting) {
+        session.waiting = true;
+        group->waiting.push_back(session.id);
+    }
+    engine.unsettled.insert(group->name);
+}
+
+void sendInTransaction(proxy_engine &engine, client_session &session, time_point now)
+{
+    database_link &link = engine.links.at(session.transaction->link);
+    session.current->floor.reset();
+    session.current->needsProof = false;
+    std::vector<reply_part> parts;
+    std::vector<database_command> commands = prepareStatement(link, session, parts);
+    noteSent(engine, session, link, now);
+    sendOn(engine, link, std::move(commands), parts, now);
+}
+
+void pump(proxy_engine &engine, group_state &group, time_point now)
+{
+    std::deque<session_id> still;
+    std::deque<session_id> waiting = std::exchange(group.waiting, {});
+    for (std::size_t at = 0; at < waiting.size(); ++at) {
+        const auto found = engine.sessions.find(waiting[at]);
+        if (found == engine.sessions.end()) {
+            continue;
+        }
+        // Placing may refuse the statement and so take the session's next one, which waits anew.
+        client_session &session = found->second;
+        session.waiting = false;
+        if (!place(engine, group, session, now) && !session.waiting) {
+            session.waiting = true;
+            still.push_back(session.id);
+        }
+    }
+    for (const session_id id : group.waiting) {
+        still.push_back(id);
+    }
+    group.waiting = std::move(still);
+    if (!group.waiting.empty() && !group.lead) {
+        watchGroup(engine, group, now);
+    }
+}
+
+void settle(proxy_engine &engine, time_point now)
+{
+    // Refusals while placing may unsettle a group again; a bound keeps one event finite.
+    for (int round = 0; round < 8 && !engine.unsettled.empty(); ++round) {
+        const std::set<group_name> names = std::exchange(engine.unsettled, {});
+        for (const group_name &name : names) {
+            const auto found = engine.groups.find(name);
+            if (found != engine.groups.end()) {
+                pump(engine, found->second, now);
+            }
+        }
+    }
+}
+
+} // namespace mustardrouter::proxying
--- /dev/null
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -0,0 +1,427 @@
+#include "mustardrouter/Proxy/engine_parts.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace proxying;
+
+/// A client waits so long for its session before it gives up; the instance answers before.
+constexpr duration startPatience = std::chrono::milliseconds(1500);
+/// Advice to a client whose statement found no room in time.
+constexpr duration comeBackSoon = std::chrono::milliseconds(100);
+/// Advice to a client whose group has no primary: a promotion takes about this long.
+constexpr duration comeBackAfterFailover = std::chrono::milliseconds(1000);
+
+const route *findRoute(const proxy_engine &engine, const client_session &session)
+{
+    const auto found = engine.routes.routes.find(session.database);
+    return found == engine.routes.routes.end() ? nullptr : &found->second;
+}
+
+client_reply localReply(const client_session &session, reply_code code = reply_code::done, std::string detail = {})
+{
+    client_reply reply;
+    reply.code = code;
+    reply.detail = std::move(detail);
+    reply.state = session.state;
+    return reply;
+}
+
+void sendLocal(proxy_engine &engine, client_session &session, client_reply reply)
+{
+    engine.actions.emplace_back(answer_client{session.id, std::move(reply)});
+}
+
+void resolveStart(proxy_engine &engine, client_session &session, time_point now)
+{
+    if (!engine.configured && now - session.startedAt < startPatience) {
+        arm(engine, session.startedAt + startPatience, timer_kind::session, session.id.value());
+        return;
+    }
+    if (findRoute(engine, session) == nullptr) {
+        const reply_code code = engine.configured ? reply_code::unknownDatabase : reply_code::busy;
+        const char *detail = engine.configured ? "no route has this name" : "no configuration yet";
+        engine.actions.emplace_back(close_session{session.id, code, detail});
+        engine.sessions.erase(session.id);
+        return;
+    }
+    session.accepted = true;
+    session.restsSince = now;
+    engine.actions.emplace_back(accept_session{session.id});
+}
+
+/// Begins a transaction for the client; the database hears of it as soon as there is a connection.
+void beginTransaction(proxy_engine &engine, client_session &session, bool readOnly, time_point now)
+{
+    const route *rules = findRoute(engine, session);
+    if (rules == nullptr) {
+        sendLocal(engine, session, localReply(session, reply_code::unknownDatabase, "no route has this name"));
+        return;
+    }
+    client_transaction transaction;
+    transaction.rules = *rules;
+    transaction.readOnly = readOnly;
+    transaction.beganAt = now;
+    session.transaction = std::move(transaction);
+    session.state = transaction_state::open;
+    sendLocal(engine, session, localReply(session));
+    seekLink(engine, session, now);
+}
+
+void endFailed(proxy_engine &engine, client_session &session, client_verb verb, time_point now)
+{
+    dropTransaction(engine, session, transaction_state::none, now);
+    if (verb == client_verb::rollback) {
+        sendLocal(engine, session, localReply(session));
+        return;
+    }
+    sendLocal(engine, session, localReply(session, reply_code::aborted, "the transaction had failed and was rolled back"));
+}
+
+/// Statements that the instance answers by itself; false for the others.
+bool answerLocally(proxy_engine &engine, client_session &session, const client_statement &what, time_point now)
+{
+    const bool endsTransaction = what.verb == client_verb::commit || what.verb == client_verb::rollback;
+    if (session.state == transaction_state::failed) {
+        if (endsTransaction) {
+            endFailed(engine, session, what.verb, now);
+        } else {
+            sendLocal(engine, session, localReply(session, reply_code::malformed, "the transaction has failed"));
+        }
+        return true;
+    }
+    switch (what.verb) {
+    case client_verb::malformed:
+        sendLocal(engine, session, localReply(session, reply_code::malformed, "not a statement"));
+        return true;
+    case client_verb::begin:
+    case client_verb::beginRead:
+        if (session.state == transaction_state::open) {
+            sendLocal(engine, session, localReply(session, reply_code::malformed, "a transaction is open already"));
+        } else {
+            beginTransaction(engine, session, what.verb == client_verb::beginRead, now);
+        }
+        return true;
+    case client_verb::rollback:
+        dropTransaction(engine, session, transaction_state::none, now);
+        sendLocal(engine, session, localReply(session));
+        return true;
+    case client_verb::commit:
+        if (session.state == transaction_state::none) {
+            sendLocal(engine, session, localReply(session, reply_code::malformed, "no transaction is open"));
+            return true;
+        }
+        return false;
+    case client_verb::setValue:
+        session.values[what.name] = what.value;
+        sendLocal(engine, session, localReply(session));
+        return true;
+    case client_verb::prepare:
+        session.prepared[what.name] = {what.writes, what.value};
+        sendLocal(engine, session, localReply(session));
+        return true;
+    case client_verb::deallocate:
+        if (session.prepared.erase(what.name) == 0) {
+            sendLocal(engine, session, localReply(session, reply_code::unknownStatement, "nothing is prepared under this name"));
+        } else {
+            sendLocal(engine, session, localReply(session));
+        }
+        return true;
+    case client_verb::execute:
+        if (!session.prepared.contains(what.name)) {
+            sendLocal(engine, session, localReply(session, reply_code::unknownStatement, "nothing is prepared under this name"));
+            return true;
+        }
+        return false;
+    case client_verb::read:
+    case client_verb::write:
+        return false;
+    }
+    return false;
+}
+
+bool isWrite(const client_session &session, const client_statement &what)
+{
+    if (what.verb == client_verb::execute) {
+        return session.prepared.at(what.name).writes;
+    }
+    return what.verb == client_verb::write;
+}
+
+void beginStatement(proxy_engine &engine, client_session &session, client_statement what, time_point now)
+{
+    engine.figures.statements += 1;
+    const route *rules = session.transaction ? &session.transaction->rules : findRoute(engine, session);
+    if (rules == nullptr) {
+        sendLocal(engine, session, localReply(session, reply_code::unknownDatabase, "no route has this name"));
+        return;
+    }
+    running_statement run;
+    run.writes = isWrite(session, what);
+    run.what = std::move(what);
+    run.arrivedAt = now;
+    run.deadline = now + rules->timeout;
+    session.current = std::move(run);
+    arm(engine, session.current->deadline, timer_kind::session, session.id.value());
+    if (session.transaction && session.transaction->readOnly && session.current->writes) {
+        refuseStatement(engine, session, reply_code::readOnly, "write in a transaction for reading", now);
+        return;
+    }
+    if (!session.transaction) {
+        seekLink(engine, session, now);
+        return;
+    }
+    if (session.transaction->phase == transaction_phase::ready) {
+        sendInTransaction(engine, session, now);
+    } else if (session.transaction->phase == transaction_phase::waitsForLink && !session.waiting) {
+        seekLink(engine, session, now);
+    }
+}
+
+void takeNext(proxy_engine &engine, client_session &session, time_point now)
+{
+    while (!session.current && !session.backlog.empty()) {
+        client_statement what = std::move(session.backlog.front());
+        session.backlog.pop_front();
+        if (!answerLocally(engine, session, what, now)) {
+            beginStatement(engine, session, std::move(what), now);
+        }
+    }
+    session.restsSince = now;
+    if (!session.current && session.transaction) {
+        arm(engine, now + engine.routes.idleInTransaction, timer_kind::session, session.id.value());
+    }
+}
+
+/// Whether the session can be closed without a loss for its client.
+bool rests(const client_session &session)
+{
+    return session.accepted && !session.current && session.backlog.empty() && session.state == transaction_state::none;
+}
+
+void planLeave(proxy_engine &engine, client_session &session, time_point now)
+{
+    const auto spread = static_cast<std::uint64_t>(engine.settings.leaveSpread.count());
+    session.leaveAt = now + engine.settings.leaveAfter + duration(static_cast<std::int64_t>(engine.random() % spread));
+    arm(engine, session.leaveAt, timer_kind::session, session.id.value());
+    if (session.transaction) {
+        arm(engine, now + engine.settings.stopTransactions, timer_kind::session, session.id.value());
+    }
+}
+
+void leaveIfResting(proxy_engine &engine, client_session &session, time_point now)
+{
+    if (session.leaveAt == time_point{} || now < session.leaveAt || !rests(session)) {
+        return;
+    }
+    engine.actions.emplace_back(close_session{session.id, reply_code::done, {}});
+    engine.sessions.erase(session.id);
+}
+
+} // namespace
+
+void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now)
+{
+    client_session &session = engine.sessions[id];
+    session.id = id;
+    session.database = database;
+    session.startedAt = now;
+    if (engine.stoppingSince != time_point{}) {
+        planLeave(engine, session, now);
+    }
+    resolveStart(engine, session, now);
+}
+
+void onStatement(proxy_engine &engine, session_id id, client_statement what, time_point now)
+{
+    const auto found = engine.sessions.find(id);
+    if (found == engine.sessions.end()) {
+        return;
+    }
+    client_session &session = found->second;
+    if (session.backlog.size() >= engine.settings.sessionBacklog) {
+        tell(engine, "session_backlog_full", {{"session", std::to_string(id.value())}});
+        engine.actions.emplace_back(close_session{id, reply_code::malformed, "too many statements at once"});
+        onSessionClosed(engine, id, now);
+        return;
+    }
+    session.backlog.push_back(std::move(what));
+    takeNext(engine, session, now);
+    if (session.leaveAt != time_point{}) {
+        arm(engine, std::max(now, session.leaveAt), timer_kind::session, session.id.value());
+    }
+    settle(engine, now);
+}
+
+void onSessionClosed(proxy_engine &engine, session_id id, time_point now)
+{
+    const auto found = engine.sessions.find(id);
+    if (found == engine.sessions.end()) {
+        return;
+    }
+    client_session &session = found->second;
+    if (session.transaction) {
+        dropTransaction(engine, session, transaction_state::none, now);
+    } else if (session.current && session.current->link != link_id{}) {
+        releaseLink(engine, session.current->link, now);
+    }
+    engine.sessions.erase(found);
+    settle(engine, now);
+}
+
+void onStop(proxy_engine &engine, time_point now)
+{
+    engine.stoppingSince = now;
+    for (auto &[id, session] : engine.sessions) {
+        planLeave(engine, session, now);
+    }
+}
+
+namespace proxying
+{
+
+void answerStatement(proxy_engine &engine, client_session &session, client_reply reply, time_point now)
+{
+    assert(session.current.has_value());
+    session.current.reset();
+    reply.state = session.state;
+    sendLocal(engine, session, std::move(reply));
+    takeNext(engine, session, now);
+    if (session.leaveAt != time_point{}) {
+        // Not closed here: callers go on with the session.
+        arm(engine, std::max(now, session.leaveAt), timer_kind::session, session.id.value());
+    }
+}
+
+void refuseStatement(proxy_engine &engine, client_session &session, reply_code code, const char *why, time_point now)
+{
+    const running_statement &run = *session.current;
+    const group_state *group = groupOf(engine, session);
+    const bool hasLead = group != nullptr && group->lead.has_value();
+    client_reply reply;
+    reply.code = code;
+    reply.detail = why;
+    reply.retryAfter = hasLead ? comeBackSoon : comeBackAfterFailover;
+    engine.figures.refusals += 1;
+    tell(engine,
+         "statement_refused",
+         {{"request", run.what.id},
+          {"database", session.database},
+          {"code", std::string(toString(code))},
+          {"why", why},
+          {"waited_ms", inMillis(now - run.arrivedAt)},
+          {"attempts", std::to_string(run.attempts)},
+          {"lead", hasLead ? group->lead->value() : std::string("none")},
+          {"lead_proved_ms_ago", group == nullptr ? std::string("-") : inMillis(now - group->leadProvedAt)}});
+    if (session.transaction) {
+        const bool ends = run.what.verb == client_verb::commit;
+        dropTransaction(engine, session, ends ? transaction_state::none : transaction_state::failed, now);
+    }
+    answerStatement(engine, session, std::move(reply), now);
+}
+
+void dropTransaction(proxy_engine &engine, client_session &session, transaction_state left, time_point now)
+{
+    if (session.transaction && session.transaction->link != link_id{}) {
+        releaseLink(engine, session.transaction->link, now);
+    }
+    session.transaction.reset();
+    session.state = left;
+}
+
+namespace
+{
+
+void statementExpired(proxy_engine &engine, client_session &session, time_point now)
+{
+    running_statement &run = *session.current;
+    const bool sent = run.link != link_id{};
+    if (!sent) {
+        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "no connection in time", now);
+        return;
+    }
+    const bool mayBeKept = session.transaction ? run.what.verb == client_verb::commit && session.transaction->wrote : run.writes;
+    if (!mayBeKept) {
+        if (!session.transaction) {
+            releaseLink(engine, run.link, now);
+        }
+        refuseStatement(engine, session, reply_code::aborted, "no answer in time", now);
+        return;
+    }
+    engine.figures.inDoubt += 1;
+    tell(engine, "statement_in_doubt", {{"request", run.what.id}, {"database", session.database}, {"why", "no answer in time"}});
+    if (session.transaction) {
+        dropTransaction(engine, session, transaction_state::none, now);
+    } else {
+        releaseLink(engine, run.link, now);
+    }
+    client_reply reply;
+    reply.code = reply_code::inDoubt;
+    reply.detail = "the database did not answer in time";
+    answerStatement(engine, session, std::move(reply), now);
+}
+
+/// A statement without an answer makes its database suspect; a read is asked elsewhere.
+void answerOverdue(proxy_engine &engine, client_session &session, time_point now)
+{
+    running_statement &run = *session.current;
+    const auto link = engine.links.find(run.link);
+    if (link == engine.links.end()) {
+        return;
+    }
+    group_state &group = engine.groups.at(link->second.group);
+    const auto database = group.databases.find(link->second.database);
+    if (database != group.databases.end() && database->second.answeredAt < run.sentAt) {
+        suspect(engine, group, database->second, "statement without an answer", now);
+    }
+    if (session.transaction || run.writes) {
+        return;
+    }
+    tell(engine,
+         "read_asked_elsewhere",
+         {{"request", run.what.id}, {"from", link->second.database.value()}, {"waited_ms", inMillis(now - run.sentAt)}});
+    run.avoid.push_back(link->second.database);
+    engine.figures.retries += 1;
+    releaseLink(engine, run.link, now);
+    seekLink(engine, session, now);
+}
+
+} // namespace
+
+void checkSession(proxy_engine &engine, client_session &session, time_point now)
+{
+    if (!session.accepted) {
+        resolveStart(engine, session, now);
+        return;
+    }
+    if (session.current) {
+        if (now >= session.current->deadline) {
+            statementExpired(engine, session, now);
+            return;
+        }
+        const bool overdue = session.current->link != link_id{} && now - session.current->sentAt >= engine.settings.answerPatience;
+        if (overdue) {
+            answerOverdue(engine, session, now);
+        }
+        return;
+    }
+    const bool restedTooLong = session.transaction && now - session.restsSince >= engine.routes.idleInTransaction;
+    const bool stopping = session.transaction && engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.stopTransactions;
+    if (restedTooLong || stopping) {
+        tell(engine, "transaction_ended", {{"database", session.database}, {"why", restedTooLong ? "rested too long" : "instance stops"}});
+        dropTransaction(engine, session, transaction_state::failed, now);
+        return;
+    }
+    leaveIfResting(engine, session, now);
+}
+
+} // namespace proxying
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/failover_watch.cpp
@@ -0,0 +1,94 @@
+#include "mustardrouter/Proxy/failover_watch.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// A status older than this says nothing of the present.
+constexpr duration statusValid = std::chrono::milliseconds(1000);
+
+bool isFresh(const database_state &database, time_point now)
+{
+    return database.status.has_value() && now - database.statusAt <= statusValid;
+}
+
+bool isListed(const database_state &database)
+{
+    return database.missingSince == time_point{};
+}
+
+} // namespace
+
+failover_cause causeOfFailover(const failover_view &view, const proxy_settings &settings, time_point now)
+{
+    const database_state *lead = nullptr;
+    if (view.lead) {
+        const auto found = view.databases->find(*view.lead);
+        lead = found == view.databases->end() ? nullptr : &found->second;
+    }
+    if (lead != nullptr && lead->listed.leaving) {
+        return failover_cause::leaving;
+    }
+    if (lead != nullptr && (lead->suspectedAt == time_point{} || now - lead->suspectedAt < settings.failoverPatience)) {
+        return failover_cause::none;
+    }
+    bool witnessed = false;
+    for (const auto &[name, database] : *view.databases) {
+        if (view.lead == name || !isFresh(database, now)) {
+            continue;
+        }
+        if (database.status->primary) {
+            return failover_cause::none;
+        }
+        if (now - database.grewAt < settings.failoverPatience) {
+            return failover_cause::none;
+        }
+        witnessed = true;
+    }
+    return witnessed ? failover_cause::silent : failover_cause::none;
+}
+
+std::optional<database_name> chooseSuccessor(const failover_view &view, const proxy_settings &settings, time_point now)
+{
+    const database_state *best = nullptr;
+    for (const auto &[name, database] : *view.databases) {
+        if (view.lead == name) {
+            continue;
+        }
+        if (!isFresh(database, now)) {
+            // With synchronous replicas the one that is silent may be the only holder of a commit.
+            const bool mayHoldCommits = isListed(database) || now - database.missingSince < settings.missingPatience;
+            if (view.syncReplicas > 0 && mayHoldCommits) {
+                return std::nullopt;
+            }
+            continue;
+        }
+        if (database.listed.leaving || !isListed(database) || database.suspectedAt != time_point{}) {
+            continue;
+        }
+        if (best == nullptr || database.status->received > best->status->received) {
+            best = &database;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return best->listed.name;
+}
+
+term_number highestTerm(const failover_view &view)
+{
+    term_number highest;
+    for (const auto &[name, database] : *view.databases) {
+        if (database.status) {
+            highest = std::max({highest, database.status->term, database.status->received.term});
+        }
+    }
+    return highest;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/position_samples.cpp
@@ -0,0 +1,53 @@
+#include "mustardrouter/Proxy/position_samples.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+/// Samples kept; at one for each `sampleSpacing` they span more than the longest staleness in use.
+constexpr std::size_t sampleCapacity = 32;
+/// Samples nearer to one another than this tell nothing new.
+constexpr duration sampleSpacing = std::chrono::milliseconds(150);
+} // namespace
+
+void addSample(position_samples &history, time_point asked, log_entry entry)
+{
+    auto &samples = history.samples;
+    if (!samples.empty() && entry.term > samples.back().entry.term) {
+        // Entries of an earlier term may have been rolled back: as a floor they could block for ever.
+        samples.clear();
+    }
+    if (!samples.empty() && (asked <= samples.back().asked || entry < samples.back().entry)) {
+        return;
+    }
+    const bool dense = samples.size() >= 2 && asked - samples[samples.size() - 2].asked < sampleSpacing;
+    if (dense) {
+        samples.back() = {asked, entry};
+        return;
+    }
+    samples.push_back({asked, entry});
+    if (samples.size() > sampleCapacity) {
+        samples.pop_front();
+    }
+}
+
+std::optional<log_entry> floorAt(const position_samples &history, time_point instant)
+{
+    const auto found = std::ranges::find_if(history.samples, [&](const position_samples::sample &sample) {
+        return sample.asked >= instant;
+    });
+    if (found == history.samples.end()) {
+        return std::nullopt;
+    }
+    return found->entry;
+}
+
+time_point newestQuestion(const position_samples &history)
+{
+    return history.samples.empty() ? time_point{} : history.samples.back().asked;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "mustardrouter/Proxy/client_reply.h"
+#include "mustardrouter/Proxy/database_command.h"
+#include "mustardrouter/Proxy/proxy_ids.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Tells a client that its session stands.
+struct accept_session {
+    session_id session;
+};
+
+/// Refuses a session, or ends one; with a code, the client is told first.
+struct close_session {
+    session_id session;
+    reply_code code = reply_code::done;
+    std::string detail;
+};
+
+/// Answers a client's statement.
+struct answer_client {
+    session_id session;
+    client_reply reply;
+};
+
+/// Opens a connection to a database, which must be the named one.
+struct open_link {
+    link_id link;
+    database_name database;
+    group_name group;
+    std::string address;
+};
+
+/// Sends commands to a database in one packet.
+struct send_commands {
+    link_id link;
+    std::vector<database_command> commands;
+};
+
+/// Closes a connection; the database rolls back what was open.
+struct close_link {
+    link_id link;
+};
+
+/// Reads who last claimed the right to order for a group.
+struct read_claim {
+    group_name group;
+};
+
+/// Claims the right to order, if the claim read is still the latest.
+struct write_claim {
+    group_name group;
+    /// Revision of the claim that was read; zero when there was none.
+    std::uint64_t expected = 0;
+    /// Term whose primary is to be replaced.
+    term_number term;
+    database_name successor;
+};
+
+/// Orders the platform to make a database primary.
+struct order_promotion {
+    group_name group;
+    database_name successor;
+    fence_number fence;
+};
+
+/// A decision or a change of belief for the log.
+struct report_event {
+    const char *event;
+    std::vector<std::pair<const char *, std::string>> fields;
+};
+
+/// What the engine asks its surroundings to do.
+using proxy_action = std::variant<accept_session,
+                                  close_session,
+                                  answer_client,
+                                  open_link,
+                                  send_commands,
+                                  close_link,
+                                  read_claim,
+                                  write_claim,
+                                  order_promotion,
+                                  report_event>;
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/proxy_engine.cpp
@@ -0,0 +1,90 @@
+#include "mustardrouter/Proxy/proxy_engine.h"
+
+#include "mustardrouter/Proxy/engine_parts.h"
+
+#include <utility>
+
+namespace mustardrouter
+{
+
+proxy_engine::proxy_engine(proxy_settings engineSettings)
+    : settings(std::move(engineSettings))
+    , random(settings.seed)
+{
+}
+
+std::optional<time_point> nextTimer(const proxy_engine &engine)
+{
+    if (engine.timers.empty()) {
+        return std::nullopt;
+    }
+    return engine.timers.top().due;
+}
+
+namespace
+{
+
+void runTimer(proxy_engine &engine, const proxy_timer &timer, time_point now)
+{
+    switch (timer.kind) {
+    case timer_kind::session: {
+        const auto found = engine.sessions.find(session_id(timer.id));
+        if (found != engine.sessions.end()) {
+            proxying::checkSession(engine, found->second, now);
+        }
+        return;
+    }
+    case timer_kind::link: {
+        const auto found = engine.links.find(link_id(timer.id));
+        if (found != engine.links.end()) {
+            proxying::checkLink(engine, found->second, now);
+        }
+        return;
+    }
+    case timer_kind::group: {
+        const auto found = engine.groups.find(timer.group);
+        if (found != engine.groups.end() && found->second.checkAt == timer.due) {
+            found->second.checkAt = time_point{};
+            proxying::checkGroup(engine, found->second, now);
+        }
+        return;
+    }
+    case timer_kind::pump:
+        engine.unsettled.insert(timer.group);
+        return;
+    }
+}
+
+} // namespace
+
+void onTimer(proxy_engine &engine, time_point now)
+{
+    while (!engine.timers.empty() && engine.timers.top().due <= now) {
+        const proxy_timer timer = engine.timers.top();
+        engine.timers.pop();
+        runTimer(engine, timer, now);
+    }
+    proxying::settle(engine, now);
+}
+
+namespace proxying
+{
+
+void arm(proxy_engine &engine, time_point due, timer_kind kind, std::uint64_t id, const group_name &group)
+{
+    engine.timers.push({due, kind, id, group});
+}
+
+void tell(proxy_engine &engine, const char *event, std::vector<std::pair<const char *, std::string>> fields)
+{
+    engine.actions.emplace_back(report_event{event, std::move(fields)});
+}
+
+std::string inMillis(duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+} // namespace proxying
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "mustardrouter/Proxy/client_session.h"
+#include "mustardrouter/Proxy/database_link.h"
+#include "mustardrouter/Proxy/database_state.h"
+#include "mustardrouter/Proxy/failover_watch.h"
+#include "mustardrouter/Proxy/position_samples.h"
+#include "mustardrouter/Proxy/proxy_action.h"
+#include "mustardrouter/Proxy/proxy_figures.h"
+#include "mustardrouter/Proxy/proxy_settings.h"
+#include "mustardrouter/Proxy/route_table.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// What an instance knows of one database group.
+struct group_state {
+    group_name name;
+    group_limits limits;
+    std::map<database_name, database_state> databases;
+    /// The database believed to lead; each use proves it anew.
+    std::optional<database_name> lead;
+    term_number leadTerm;
+    time_point leadProvedAt{};
+    position_samples samples;
+    /// Sessions whose statement or transaction waits for a connection, oldest first.
+    std::deque<session_id> waiting;
+    failover_watch failover;
+    /// Instant of the check that is armed; the epoch when none is.
+    time_point checkAt{};
+};
+
+/// What a timer is for.
+enum class timer_kind : std::uint8_t { session, link, group, pump };
+
+/// One timer; what it is for is looked at again when it is due.
+struct proxy_timer {
+    time_point due{};
+    timer_kind kind = timer_kind::session;
+    std::uint64_t id = 0;
+    group_name group;
+
+    bool operator>(const proxy_timer &other) const
+    {
+        return due > other.due;
+    }
+};
+
+/// Everything that one instance decides about its clients' statements and its databases. Each
+/// event appends to `actions` what is to be done, in order.
+struct proxy_engine {
+    explicit proxy_engine(proxy_settings engineSettings);
+
+    proxy_settings settings;
+    route_table routes;
+    bool configured = false;
+    bool listed = false;
+    std::map<group_name, group_state> groups;
+    std::unordered_map<session_id, client_session> sessions;
+    std::unordered_map<link_id, database_link> links;
+    std::priority_queue<proxy_timer, std::vector<proxy_timer>, std::greater<>> timers;
+    std::set<group_name> unsettled;
+    std::vector<proxy_action> actions;
+    proxy_figures figures;
+    std::mt19937_64 random;
+    std::uint64_t nextLink = 1;
+    /// When the request to stop came; the epoch before.
+    time_point stoppingSince{};
+};
+
+/// A version of the configuration was read; an older one is ignored.
+void onConfiguration(proxy_engine &engine, const route_table &routes, time_point now);
+/// The platform's list of databases was read or has changed.
+void onListing(proxy_engine &engine, const database_listing &listing, time_point now);
+
+/// A client asks for a session with a database.
+void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now);
+/// A client sent a statement.
+void onStatement(proxy_engine &engine, session_id id, client_statement what, time_point now);
+/// A client has gone.
+void onSessionClosed(proxy_engine &engine, session_id id, time_point now);
+
+/// A connection to a database stands.
+void onLinkOpened(proxy_engine &engine, link_id id, time_point now);
+/// A database refused a connection.
+void onLinkRefused(proxy_engine &engine, link_id id, reply_code code, time_point now);
+/// A connection broke or could not be made.
+void onLinkClosed(proxy_engine &engine, link_id id, time_point now);
+/// A database answered.
+void onDatabaseReply(proxy_engine &engine, link_id id, database_reply reply, time_point now);
+
+/// The latest claim of a group was read; revision 0 says that there is none.
+void onClaimRead(proxy_engine &engine, const group_name &group, std::uint64_t revision, term_number term, time_point now);
+/// The claim could not be read, or its answer was lost.
+void onClaimUnread(proxy_engine &engine, const group_name &group, time_point now);
+/// The claim was written; its revision is the fence.
+void onClaimWritten(proxy_engine &engine, const group_name &group, fence_number fence, time_point now);
+/// The claim was not written, or the answer was lost.
+void onClaimLost(proxy_engine &engine, const group_name &group, time_point now);
+/// The platform answered an order; `accepted` when it will be carried out.
+void onOrderAnswered(proxy_engine &engine, const group_name &group, bool accepted, time_point now);
+
+/// The instance is to stop: sessions that rest are asked to leave.
+void onStop(proxy_engine &engine, time_point now);
+
+/// Does what is due.
+void onTimer(proxy_engine &engine, time_point now);
+/// When `onTimer` is to be called next.
+std::optional<time_point> nextTimer(const proxy_engine &engine);
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/proxy_figures.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace mustardrouter
+{
+
+/// Counts since the start of the instance.
+struct proxy_figures {
+    std::uint64_t statements = 0;
+    std::uint64_t replicaReads = 0;
+    std::uint64_t primaryReads = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t inDoubt = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t linksOpened = 0;
+    std::uint64_t linksRefused = 0;
+    std::uint64_t proofs = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t leadChanges = 0;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "mustardrouter/Core/virtual_clock.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace mustardrouter
+{
+
+/// Where this instance stands, and the limits of its decisions. The sources of the defaults are
+/// the delays and bounds of the users' deployments: 40 ms to another region and back, statements
+/// of up to 400 ms, 1 to 3 s for a statement, 6 s to stop.
+struct proxy_settings {
+    std::string instance;
+    std::string dataCentre;
+    /// Region of each data centre.
+    std::unordered_map<std::string, std::string> regions;
+    /// Connections that this instance opens to one database, at most.
+    std::uint32_t linksPerDatabase = 6;
+    /// Statements that wait in one session while another runs.
+    std::size_t sessionBacklog = 64;
+    /// Opening a connection takes longer than this only when the way or the database is bad.
+    duration openPatience = std::chrono::milliseconds(1000);
+    /// Pause after a connection was refused or could not be opened.
+    duration openBackoff = std::chrono::milliseconds(300);
+    /// A statement without an answer for so long makes its database suspect, and a read is asked elsewhere.
+    duration answerPatience = std::chrono::milliseconds(400);
+    /// A connection whose abandoned statement has no answer for so long is closed.
+    duration abandonedPatience = std::chrono::seconds(3);
+    /// Between two questions to a suspect database.
+    duration probeInterval = std::chrono::milliseconds(200);
+    /// A primary without a sign of life for so long, while replicas answer and receive nothing, is replaced.
+    duration failoverPatience = std::chrono::milliseconds(900);
+    /// Instances start their orders at different times within this span.
+    duration failoverSpread = std::chrono::milliseconds(400);
+    /// For so long an order of another instance is given time to take effect.
+    duration orderPatience = std::chrono::seconds(3);
+    /// Before an order that was refused or not answered is given again.
+    duration orderRetry = std::chrono::milliseconds(700);
+    /// A database that is no longer listed stays usable for so long: the platform's list loses entries
+    /// during its own outages and has them back within two seconds.
+    duration missingPatience = std::chrono::milliseconds(2500);
+    /// After a database said that it is full, reads go elsewhere for so long.
+    duration fullPause = std::chrono::milliseconds(30);
+    /// From the request to stop on: callers are asked to leave after this time, over this span.
+    duration leaveAfter = std::chrono::milliseconds(300);
+    duration leaveSpread = std::chrono::milliseconds(2200);
+    /// Open transactions have so long to end after the request to stop.
+    duration stopTransactions = std::chrono::milliseconds(3000);
+    std::uint64_t seed = 1;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Runtime/event_log.cpp
@@ -0,0 +1,147 @@
+#include "mustardrouter/Runtime/event_log.h"
+
+#include "mustardrouter/Runtime/thread_name.h"
+
+#include <unistd.h>
+
+#include <chrono>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Lines that wait for the writer.
+constexpr std::size_t ringCapacity = 1024;
+/// Lines a second, and as many at once; a storm of refusals must not cost more than serving.
+constexpr std::uint64_t linesPerSecond = 100;
+/// The writer looks for the end of the program this often without a line.
+constexpr auto idleWait = std::chrono::seconds(1);
+/// The end of the program waits so long for the writer.
+constexpr auto closeWait = std::chrono::milliseconds(5);
+constexpr int closeWaits = 40;
+
+void appendQuoted(std::string &out, std::string_view text)
+{
+    out += '"';
+    for (const char letter : text) {
+        if (letter == '"' || letter == '\\') {
+            out += '\\';
+        }
+        out += static_cast<unsigned char>(letter) < ' ' ? ' ' : letter;
+    }
+    out += '"';
+}
+
+std::int64_t wallMillis()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void writeAll(const std::string &text)
+{
+    std::size_t done = 0;
+    while (done < text.size()) {
+        const ssize_t size = ::write(STDOUT_FILENO, text.data() + done, text.size() - done);
+        if (size <= 0) {
+            return;
+        }
+        done += static_cast<std::size_t>(size);
+    }
+}
+
+} // namespace
+
+event_log::event_log(std::string instance)
+    : m_instance(std::move(instance))
+    , m_lines(ringCapacity, m_signal)
+    , m_budget(linesPerSecond)
+    , m_budgetSince(std::chrono::steady_clock::now())
+    , m_thread([this] {
+        run();
+    })
+{
+}
+
+event_log::~event_log()
+{
+    close();
+    m_thread.join();
+}
+
+void event_log::close()
+{
+    m_stop.store(true);
+    m_signal.notify();
+    for (int waits = 0; waits < closeWaits && !m_done.load(); ++waits) {
+        std::this_thread::sleep_for(closeWait);
+    }
+}
+
+bool event_log::hasBudget()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - m_budgetSince >= std::chrono::seconds(1)) {
+        m_budgetSince = now;
+        m_budget = linesPerSecond;
+    }
+    if (m_budget == 0) {
+        return false;
+    }
+    m_budget -= 1;
+    return true;
+}
+
+void event_log::write(std::string_view event, const fields &values)
+{
+    if (!hasBudget()) {
+        m_dropped += 1;
+        return;
+    }
+    std::string line = R"({"at":)" + std::to_string(wallMillis()) + R"(,"instance":)";
+    appendQuoted(line, m_instance);
+    line += R"(,"event":)";
+    appendQuoted(line, event);
+    for (const auto &[name, value] : values) {
+        line += ',';
+        appendQuoted(line, name);
+        line += ':';
+        appendQuoted(line, value);
+    }
+    if (m_dropped != m_droppedTold) {
+        line += R"(,"dropped_before":)" + std::to_string(m_dropped);
+    }
+    line += "}\n";
+    if (m_lines.offer(line) == failure::none) {
+        m_droppedTold = m_dropped;
+    } else {
+        m_dropped += 1;
+    }
+}
+
+std::uint64_t event_log::dropped() const
+{
+    return m_dropped;
+}
+
+void event_log::run()
+{
+    nameThread("log");
+    while (true) {
+        const bool stopping = m_stop.load();
+        std::string batch;
+        while (std::optional<std::string> line = m_lines.pop()) {
+            batch += *line;
+        }
+        writeAll(batch);
+        if (stopping) {
+            m_done.store(true);
+            return;
+        }
+        m_signal.wait(idleWait);
+    }
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/main.cpp
+++ b/mustardrouter/main.cpp
@@ -38,6 +38,7 @@
 {
     static const std::map<std::string, command> all{
         {"serve", {runServe, "run the daemon"}},
+        {"edge", {runEdge, "run an instance on the users' platform"}},
         {"demo", {runDemoCommand, "run a whole deployment on loopback and kill a primary"}},
         {"load", {runLoad, "measure a deployment on loopback under a load profile"}},
         {"call", {runCall, "run one statement as a caller"}},
