Connections follow demand; reads are drawn by expected time; changes of the store are gathered

Ruled out: a fixed share for each instance - nobody knows the number of instances, and a share below one is none. Conclusion: no hop between instances is needed for fewer connections than instances.

--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -29,6 +29,10 @@
 constexpr auto stopInterval = std::chrono::milliseconds(50);
 /// Share of the time to stop after which the instance ends, whatever is open, in tenths.
 constexpr std::int64_t stopTenths = 9;
+/// Changes of databases and of the configuration that come together are taken together; both spans
+/// are small against the bounds for them (7 s and 3 s).
+constexpr duration gatherDatabases = std::chrono::milliseconds(900);
+constexpr duration gatherConfiguration = std::chrono::milliseconds(400);
 /// New clients may come for so long after the request to stop, until the platform has noticed.
 constexpr duration stopAccepting = std::chrono::milliseconds(2600);
 
@@ -428,6 +432,7 @@
     m_databaseWatch = std::make_shared<object_watch>(m_context,
                                                      m_environment.storeAddress,
                                                      platform::databaseKind,
+                                                     gatherDatabases,
                                                      seed,
                                                      object_watch::handlers{[this](const object_watch::objects &objects) {
                                                                                 takeDatabases(objects);
@@ -436,6 +441,7 @@
     m_configurationWatch = std::make_shared<object_watch>(m_context,
                                                           m_environment.storeAddress,
                                                           platform::configurationKind,
+                                                          gatherConfiguration,
                                                           seed + 1,
                                                           object_watch::handlers{[this](const object_watch::objects &objects) {
                                                                                      takeConfiguration(objects);
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -13,9 +13,9 @@
 
 /// A watch is asked anew after this time: one that the store no longer serves, but has not cut off,
 /// is found out within the bound for configurations.
-constexpr duration watchWait = std::chrono::milliseconds(5000);
+constexpr duration watchWait = std::chrono::milliseconds(6500);
 /// For the way and a slow store, beyond the time that it was asked to wait.
-constexpr duration watchPatience = watchWait + std::chrono::milliseconds(1200);
+constexpr duration watchPatience = watchWait + std::chrono::milliseconds(1000);
 /// Pause after a failure, doubled with each further one, up to the longest; a random half is added.
 constexpr std::uint64_t shortestPauseMillis = 100;
 constexpr std::uint64_t longestPauseMillis = 800;
@@ -23,11 +23,12 @@
 
 } // namespace
 
-object_watch::object_watch(asio::io_context &context, std::string address, std::string kind, std::uint64_t seed, handlers callbacks)
+object_watch::object_watch(asio::io_context &context, std::string address, std::string kind, duration gather, std::uint64_t seed, handlers callbacks)
     : m_context(context)
     , m_channel(std::make_shared<platform::http_channel>(context, std::move(address)))
     , m_timer(context)
     , m_kind(std::move(kind))
+    , m_gather(gather)
     , m_random(seed)
     , m_handlers(std::move(callbacks))
 {
@@ -92,7 +93,7 @@
     m_listed = true;
     m_objects = std::exchange(m_arriving, {});
     m_handlers.onChange(m_objects);
-    watch();
+    watchAfter(m_gather);
 }
 
 void object_watch::watch()
@@ -129,10 +130,22 @@
         }
     }
     m_revision = std::max(m_revision, changes->revision);
-    if (!changes->changes.empty()) {
-        m_handlers.onChange(m_objects);
+    if (changes->changes.empty()) {
+        watch();
+        return;
     }
-    watch();
+    m_handlers.onChange(m_objects);
+    watchAfter(m_gather);
+}
+
+void object_watch::watchAfter(duration rest)
+{
+    m_timer.expires_after(rest);
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
+        if (!problem) {
+            self->watch();
+        }
+    });
 }
 
 void object_watch::pause()
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -28,7 +28,8 @@
         std::function<void(bool reachable)> onReachable;
     };
 
-    object_watch(asio::io_context &context, std::string address, std::string kind, std::uint64_t seed, handlers callbacks);
+    /// After a change the watch rests for `gather`, so that changes that come together cost one call.
+    object_watch(asio::io_context &context, std::string address, std::string kind, duration gather, std::uint64_t seed, handlers callbacks);
 
     void start();
     void stop();
@@ -41,12 +42,14 @@
     void watch();
     void takeChanges(const platform::http_answer &answer);
     void pause();
+    void watchAfter(duration rest);
     void noteReachable(bool reachable);
 
     asio::io_context &m_context;
     std::shared_ptr<platform::http_channel> m_channel;
     asio::steady_timer m_timer;
     std::string m_kind;
+    duration m_gather;
     std::mt19937_64 m_random;
     handlers m_handlers;
     objects m_objects;
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -40,6 +40,8 @@
     bool provedBefore = false;
     std::optional<database_reply> answer;
     std::uint32_t attempts = 0;
+    /// Not tried again before.
+    time_point notBefore{};
 };
 
 /// How far a transaction is.
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Core/log_entry.h"
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Proxy/database_listing.h"
 #include "mustardrouter/Proxy/database_status.h"
@@ -17,18 +18,30 @@
     /// When it was first missing from the platform's list; the epoch while it is listed.
     time_point missingSince{};
     std::vector<link_id> links;
+    /// Statements of this instance that it works on.
+    std::uint32_t inFlight = 0;
     /// Since when it owes a sign of life; the epoch while it is trusted.
     time_point suspectedAt{};
     time_point answeredAt{};
     time_point openAfter{};
-    time_point fullUntil{};
     time_point probedAt{};
     /// Its last status, when it was asked for, and when its log was last seen to grow.
     std::optional<database_status> status;
     time_point statusAt{};
     time_point grewAt{};
-    /// Smoothed time of a read from here, waiting at the database included, in microseconds.
+    /// Connections of all instances, as it said last, and when.
+    std::uint32_t connectionsTaken = 0;
+    time_point connectionsAt{};
+    /// When it last refused work for want of room; since when it leaves.
+    time_point fullAt{};
+    time_point leavingSince{};
+    /// Smoothed time of a read from here, waiting at the database included, in microseconds, and
+    /// when it was last seen.
     double readMicros = 0;
+    time_point readAt{};
+    /// A position that its log lacked, and until when that is taken for true.
+    log_entry lacked;
+    time_point lackedUntil{};
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -16,22 +16,14 @@
 /// Connections that a probe may open beyond the limit of statements.
 constexpr std::uint32_t probeLinks = 1;
 
-/// Waits that shared limits leave to one instance; the number of instances is not known here.
-constexpr std::uint32_t expectedInstances = 18;
-constexpr std::uint32_t fewestLinks = 2;
-constexpr std::uint32_t mostLinks = 8;
-
 void adoptLimits(proxy_engine &engine)
 {
-    std::uint32_t least = mostLinks;
     for (auto &[name, group] : engine.groups) {
         const auto limits = engine.routes.groups.find(name);
         if (limits != engine.routes.groups.end()) {
             group.limits = limits->second;
-            least = std::min(least, std::max(fewestLinks, group.limits.connections / expectedInstances));
         }
     }
-    engine.settings.linksPerDatabase = least;
 }
 
 /// Closes connections to a life of the database that has ended.
@@ -55,7 +47,7 @@
     }
     const bool reborn = !added && listed.life != database.listed.life;
     const bool moved = !added && listed.address != database.listed.address;
-    const bool startsLeaving = listed.leaving && !database.listed.leaving;
+    const bool startsLeaving = listed.leaving && (added || !database.listed.leaving);
     database.listed = listed;
     database.missingSince = time_point{};
     if (reborn || moved) {
@@ -64,6 +56,7 @@
         database.status.reset();
     }
     if (startsLeaving) {
+        database.leavingSince = now;
         tell(engine, "database_leaves", {{"database", listed.name.value()}});
         watchGroup(engine, group, now);
     }
@@ -117,31 +110,6 @@
     return nullptr;
 }
 
-void ask(proxy_engine &engine, database_link &link, bool proof, bool status, bool pause, term_number pauseTerm, time_point now)
-{
-    std::vector<database_command> commands;
-    std::vector<reply_part> parts;
-    const auto add = [&](command_kind kind, reply_part part) {
-        database_command command;
-        command.kind = kind;
-        command.term = pauseTerm;
-        commands.push_back(command);
-        parts.push_back(part);
-    };
-    if (proof) {
-        add(command_kind::begin, reply_part::proof);
-        add(command_kind::rollback, reply_part::proofEnd);
-    }
-    if (status) {
-        add(pause ? command_kind::pause : command_kind::status, reply_part::status);
-    }
-    engine.figures.proofs += 1;
-    link.state = link_state::busy;
-    link.session = session_id{};
-    sendOn(engine, link, std::move(commands), parts, now);
-    arm(engine, now + engine.settings.abandonedPatience, timer_kind::link, link.id.value());
-}
-
 void probe(proxy_engine &engine, group_state &group, database_state &database, bool witness, time_point now)
 {
     if (database.probedAt != time_point{} && now - database.probedAt < engine.settings.probeInterval) {
@@ -153,7 +121,8 @@
     }
     database.probedAt = now;
     const bool isLead = group.lead == database.listed.name;
-    ask(engine, *link, isLead || !group.lead, witness && !isLead, false, {}, now);
+    link->state = link_state::busy;
+    ask(engine, *link, isLead || !group.lead, witness && !isLead, now);
 }
 
 void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now)
@@ -394,7 +363,8 @@
         return;
     }
     lead.probedAt = now;
-    ask(engine, *link, true, false, false, {}, now);
+    link->state = link_state::busy;
+    ask(engine, *link, true, false, now);
 }
 
 void checkGroup(proxy_engine &engine, group_state &group, time_point now)
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/read_ranking.h"
 
 #include <algorithm>
 #include <cassert>
@@ -16,8 +17,8 @@
 constexpr std::size_t preparedPerLink = 200;
 /// A statement is tried at most so often.
 constexpr std::uint32_t maxAttempts = 8;
-/// Weight of a new reading in the smoothed time of a read.
-constexpr double readWeight = 0.1;
+/// A position that a replica lacks is not asked of it again for so long.
+constexpr duration lackedPatience = std::chrono::milliseconds(150);
 
 database_state *databaseOf(proxy_engine &engine, const database_link &link)
 {
@@ -35,6 +36,16 @@
     return found == engine.sessions.end() ? nullptr : &found->second;
 }
 
+/// Arms the look at a connection that has become idle.
+void armIdleCheck(proxy_engine &engine, const database_link &link, time_point now)
+{
+    const database_state *database = databaseOf(engine, link);
+    if (database != nullptr) {
+        const duration span = idleTimeoutOf(budgetOf(engine, engine.groups.at(link.group), *database, now));
+        arm(engine, now + std::min(span, engine.settings.connectionsValid), timer_kind::link, link.id.value());
+    }
+}
+
 client_reply toClient(const database_reply &reply)
 {
     client_reply answer;
@@ -46,25 +57,41 @@
     return answer;
 }
 
+std::string textOf(const std::optional<log_entry> &entry)
+{
+    return entry ? std::to_string(entry->term.value()) + "." + std::to_string(entry->position.value()) : std::string("-");
+}
+
 /// Tries the statement again on another connection, after `pause`.
-void retry(proxy_engine &engine, client_session &session, const char *why, duration pause, time_point now)
+void retry(proxy_engine &engine, client_session &session, const database_name &from, const char *why, duration pause, time_point now)
 {
     running_statement &run = *session.current;
     engine.figures.retries += 1;
     tell(engine,
          "statement_retried",
-         {{"request", run.what.id}, {"why", why}, {"attempts", std::to_string(run.attempts)}, {"after_ms", inMillis(now - run.arrivedAt)}});
+         {{"request", run.what.id}, {"from", from.value()}, {"why", why}, {"attempts", std::to_string(run.attempts)}, {"after_ms", inMillis(now - run.arrivedAt)}});
     if (run.attempts >= maxAttempts) {
         refuseStatement(engine, session, reply_code::busy, why, now);
         return;
     }
+    run.notBefore = now + pause;
     seekLink(engine, session, now);
-    if (pause > duration{}) {
-        // The group is looked at again by the pump timer; others may go ahead meanwhile.
-        arm(engine, now + pause, timer_kind::pump, 0, groupOf(engine, session) == nullptr ? group_name{} : groupOf(engine, session)->name);
+    const group_state *group = groupOf(engine, session);
+    if (pause > duration{} && group != nullptr) {
+        arm(engine, run.notBefore, timer_kind::pump, 0, group->name);
     }
 }
 
+/// Pause before a database that is full is asked again: none at first when another may have room.
+duration pauseWhenFull(const proxy_engine &engine, const running_statement &run)
+{
+    constexpr std::uint32_t mostDoublings = 3;
+    if (!run.writes && !run.needsProof && run.attempts <= 1) {
+        return {};
+    }
+    return engine.settings.fullPause * (1 << std::min(run.attempts, mostDoublings));
+}
+
 void inDoubt(proxy_engine &engine, client_session &session, const char *why, time_point now)
 {
     engine.figures.inDoubt += 1;
@@ -92,12 +119,11 @@
     running_statement &run = *session.current;
     if (!isFreshEnough(run, reply)) {
         run.avoid.push_back(link.database);
-        retry(engine, session, run.needsProof ? "lead not proved" : "log of another term", {}, now);
+        retry(engine, session, link.database, run.needsProof ? "lead not proved" : "log of another term", {}, now);
         return;
     }
     if (database_state *database = databaseOf(engine, link)) {
-        const auto took = static_cast<double>((now - run.sentAt).count());
-        database->readMicros += readWeight * (took - database->readMicros);
+        noteReadTime(*database, now - run.sentAt, now);
     }
     if (run.needsProof && session.ownCommits && group.leadTerm > session.ownCommits->term && !group.samples.samples.empty()) {
         // What the session had written beyond the new primary's log is gone: its floor would block for ever.
@@ -121,27 +147,34 @@
     switch (reply.code) {
     case reply_code::busy:
         if (database != nullptr) {
-            database->fullUntil = now + engine.settings.fullPause;
+            noteFull(*database, now);
         }
-        retry(engine, session, "database full", engine.settings.fullPause, now);
+        retry(engine, session, link.database, "database full", pauseWhenFull(engine, run), now);
         return;
     case reply_code::lagging:
+        if (database != nullptr && run.floor) {
+            database->lacked = *run.floor;
+            database->lackedUntil = now + lackedPatience;
+        }
+        tell(engine,
+             "replica_lags",
+             {{"request", run.what.id}, {"database", link.database.value()}, {"floor", textOf(run.floor)}, {"position", textOf(reply.position)}});
         run.avoid.push_back(link.database);
-        retry(engine, session, "replica lags", {}, now);
+        retry(engine, session, link.database, "replica lags", {}, now);
         return;
     case reply_code::readOnly:
         noteNotLead(engine, group, link.database, now);
-        retry(engine, session, "not the primary", {}, now);
+        retry(engine, session, link.database, "not the primary", {}, now);
         return;
     case reply_code::unknownStatement:
         link.valuesUncertain = true;
-        retry(engine, session, "prepared statement lost", {}, now);
+        retry(engine, session, link.database, "prepared statement lost", {}, now);
         return;
     case reply_code::failed:
     case reply_code::timedOut:
         if (!run.writes) {
             run.avoid.push_back(link.database);
-            retry(engine, session, "database failed the read", {}, now);
+            retry(engine, session, link.database, "database failed the read", {}, now);
             return;
         }
         break;
@@ -160,6 +193,8 @@
     run.link = link_id{};
     link.session = session_id{};
     link.state = link_state::idle;
+    link.since = now;
+    armIdleCheck(engine, link, now);
     engine.unsettled.insert(link.group);
     if (reply.code != reply_code::done) {
         singleRefused(engine, group, link, session, reply, now);
@@ -258,9 +293,13 @@
             releaseLink(engine, link.id, now);
             return;
         }
+        const bool rested = link.state == link_state::idle;
         link.state = link_state::idle;
-        link.since = now;
         link.session = session_id{};
+        if (!rested) {
+            link.since = now;
+            armIdleCheck(engine, link, now);
+        }
         engine.unsettled.insert(link.group);
         return;
     }
@@ -304,6 +343,8 @@
     }
     database.status = reply.status;
     database.statusAt = asked;
+    database.connectionsTaken = reply.status->connections;
+    database.connectionsAt = asked;
 }
 
 bool isWhole(const expected_reply &expected, const database_reply &reply)
@@ -315,10 +356,32 @@
     return isSigned == (expected.part == reply_part::statement);
 }
 
+/// Closes a connection that has been idle too long for what is taken of the database's; asks how many
+/// are taken when that is not known any more.
+void checkIdle(proxy_engine &engine, database_link &link, time_point now)
+{
+    const database_state *database = databaseOf(engine, link);
+    if (database == nullptr) {
+        discardLink(engine, link.id);
+        return;
+    }
+    const duration span = idleTimeoutOf(budgetOf(engine, engine.groups.at(link.group), *database, now));
+    const duration rested = now - link.since;
+    if (rested >= span) {
+        discardLink(engine, link.id);
+        return;
+    }
+    const bool outdated = now - database->connectionsAt > engine.settings.connectionsValid * 3;
+    if (outdated && link.expected.empty()) {
+        ask(engine, link, false, true, now);
+    }
+    arm(engine, now + std::min(span - rested, engine.settings.connectionsValid), timer_kind::link, link.id.value());
+}
+
 /// What becomes of the statement or transaction of a link that is gone.
-void lostLink(proxy_engine &engine, client_session &session, link_id gone, time_point now)
+void lostLink(proxy_engine &engine, client_session &session, const database_link &gone, time_point now)
 {
-    if (session.transaction && session.transaction->link == gone) {
+    if (session.transaction && session.transaction->link == gone.id) {
         session.transaction->link = link_id{};
         if (session.transaction->phase == transaction_phase::beginning) {
             // No statement of the client has run: the transaction begins elsewhere.
@@ -337,7 +400,7 @@
         refuseStatement(engine, session, reply_code::aborted, "connection lost inside a transaction", now);
         return;
     }
-    if (!session.current || session.current->link != gone) {
+    if (!session.current || session.current->link != gone.id) {
         return;
     }
     session.current->link = link_id{};
@@ -345,7 +408,7 @@
         inDoubt(engine, session, "connection lost after the write was sent", now);
         return;
     }
-    retry(engine, session, "connection lost", {}, now);
+    retry(engine, session, gone.database, "connection lost", {}, now);
 }
 
 void forgetLink(proxy_engine &engine, link_id id)
@@ -368,12 +431,17 @@
     if (found == engine.links.end()) {
         return;
     }
-    found->second.state = link_state::idle;
-    found->second.since = now;
-    if (database_state *database = databaseOf(engine, found->second)) {
+    database_link &link = found->second;
+    link.state = link_state::idle;
+    link.since = now;
+    if (database_state *database = databaseOf(engine, link)) {
         database->answeredAt = now;
+        if (now - database->connectionsAt > engine.settings.connectionsValid) {
+            ask(engine, link, false, true, now);
+        }
     }
-    engine.unsettled.insert(found->second.group);
+    armIdleCheck(engine, link, now);
+    engine.unsettled.insert(link.group);
     settle(engine, now);
 }
 
@@ -389,6 +457,10 @@
     if (database_state *database = databaseOf(engine, found->second)) {
         database->openAfter = now + engine.settings.openBackoff;
         arm(engine, database->openAfter, timer_kind::pump, 0, group);
+        if (code == reply_code::tooManyConnections) {
+            database->connectionsTaken = engine.groups.at(group).limits.connections;
+            database->connectionsAt = now;
+        }
     }
     forgetLink(engine, id);
     settle(engine, now);
@@ -411,7 +483,7 @@
     }
     forgetLink(engine, id);
     if (client_session *session = sessionOf(engine, link)) {
-        lostLink(engine, *session, id, now);
+        lostLink(engine, *session, link, now);
     }
     settle(engine, now);
 }
@@ -484,6 +556,28 @@
 namespace proxying
 {
 
+void ask(proxy_engine &engine, database_link &link, bool proof, bool status, time_point now)
+{
+    std::vector<database_command> commands;
+    std::vector<reply_part> parts;
+    const auto add = [&](command_kind kind, reply_part part) {
+        database_command command;
+        command.kind = kind;
+        commands.push_back(command);
+        parts.push_back(part);
+    };
+    if (proof) {
+        add(command_kind::begin, reply_part::proof);
+        add(command_kind::rollback, reply_part::proofEnd);
+        engine.figures.proofs += 1;
+    }
+    if (status) {
+        add(command_kind::status, reply_part::status);
+    }
+    sendOn(engine, link, std::move(commands), parts, now);
+    arm(engine, now + engine.settings.abandonedPatience, timer_kind::link, link.id.value());
+}
+
 database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now)
 {
     const link_id id(engine.nextLink++);
@@ -535,6 +629,7 @@
         return;
     }
     link.state = link_state::idle;
+    armIdleCheck(engine, link, now);
     engine.unsettled.insert(link.group);
 }
 
@@ -547,14 +642,18 @@
 void checkLink(proxy_engine &engine, database_link &link, time_point now)
 {
     const bool opening = link.state == link_state::opening && now - link.since >= engine.settings.openPatience;
-    const bool abandoned = link.state == link_state::busy && link.session == session_id{} && !link.expected.empty()
-        && now - link.expected.front().sentAt >= engine.settings.abandonedPatience;
+    const bool ownWork = link.state == link_state::idle || (link.state == link_state::busy && link.session == session_id{});
+    const bool abandoned = ownWork && !link.expected.empty() && now - link.expected.front().sentAt >= engine.settings.abandonedPatience;
     if (opening || abandoned) {
         const link_id id = link.id;
         engine.actions.emplace_back(close_link{id});
         onLinkClosed(engine, id, now);
         return;
     }
+    if (link.state == link_state::idle) {
+        checkIdle(engine, link, now);
+        return;
+    }
     client_session *session = sessionOf(engine, link);
     const bool sendAgain = link.state == link_state::held && link.expected.empty() && session != nullptr && session->current
         && session->transaction && session->transaction->link == link.id && session->transaction->phase == transaction_phase::ready;
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Proxy/link_budget.h"
 #include "mustardrouter/Proxy/proxy_engine.h"
 
 #include <string>
@@ -38,11 +39,15 @@
 void pump(proxy_engine &engine, group_state &group, time_point now);
 /// Works off the groups that may place more.
 void settle(proxy_engine &engine, time_point now);
+/// What is known for decisions about connections to the database.
+link_budget budgetOf(const proxy_engine &engine, const group_state &group, const database_state &database, time_point now);
 /// The group that serves the session's present work, or nothing.
 group_state *groupOf(proxy_engine &engine, const client_session &session);
 
 // Links (engine_links.cpp)
 
+/// Asks the database on the connection; the answers come before those of what is sent later.
+void ask(proxy_engine &engine, database_link &link, bool proof, bool status, time_point now);
 /// Opens a connection to the database.
 database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now);
 /// Sends commands and notes what answers they owe.
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/link_budget.h"
 #include "mustardrouter/Proxy/link_setup.h"
 #include "mustardrouter/Proxy/read_ranking.h"
 
@@ -112,15 +113,14 @@
         return nullptr;
     }
     database_state &database = found->second;
+    const bool leavesSoon = database.listed.leaving && now - database.leavingSince >= engine.settings.leavingPatience;
+    if (leavesSoon) {
+        return nullptr;
+    }
     if (database_link *idle = findIdle(engine, database, session.values)) {
         return idle;
     }
-    const auto opening = std::ranges::count_if(database.links, [&](link_id id) {
-        return engine.links.at(id).state == link_state::opening;
-    });
-    const bool enough = static_cast<std::size_t>(opening) >= std::min<std::size_t>(2, group.waiting.size() + 1);
-    const bool mayOpen = now >= database.openAfter && database.links.size() < engine.settings.linksPerDatabase && !enough;
-    if (mayOpen) {
+    if (now >= database.openAfter && mayOpenLink(budgetOf(engine, group, database, now))) {
         openLink(engine, group, database, now);
     }
     return nullptr;
@@ -158,9 +158,20 @@
 }
 
 /// The first link of the ranked databases that is idle. Where the best has none, one is opened there.
-database_link *takeForRead(proxy_engine &engine, group_state &group, const client_session &session, const std::vector<database_name> &avoid, time_point now)
+database_link *takeForRead(proxy_engine &engine,
+                           group_state &group,
+                           const client_session &session,
+                           const std::vector<database_name> &avoid,
+                           const std::optional<log_entry> &floor,
+                           time_point now)
 {
-    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid}, engine.settings, now);
+    for (auto &[name, database] : group.databases) {
+        const auto working = std::ranges::count_if(database.links, [&](link_id id) {
+            return engine.links.at(id).state == link_state::busy;
+        });
+        database.inFlight = static_cast<std::uint32_t>(working);
+    }
+    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid, floor}, engine.settings, now, engine.random);
     for (const ranked_database &candidate : ranked) {
         if (database_link *link = takeOrOpen(engine, group, candidate.database->listed.name, session, now)) {
             return link;
@@ -176,7 +187,7 @@
     if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
         refreshPosition(engine, group, now);
     }
-    const bool triedAll = !run.avoid.empty() && rankForRead({&group.databases, group.lead, &run.avoid}, engine.settings, now).empty();
+    const bool triedAll = rankForRead({&group.databases, group.lead, &run.avoid, need.floor}, engine.settings, now, engine.random).empty();
     if (need.lead || need.unknown || triedAll) {
         // The primary needs no floor when it proves its lead.
         if (!group.lead || (need.unknown && !need.lead && !triedAll)) {
@@ -191,7 +202,7 @@
         sendSingle(engine, session, *link, now);
         return true;
     }
-    database_link *link = takeForRead(engine, group, session, run.avoid, now);
+    database_link *link = takeForRead(engine, group, session, run.avoid, need.floor, now);
     if (link == nullptr) {
         return false;
     }
@@ -213,9 +224,9 @@
         if (need.unknown) {
             return false;
         }
-        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid}, engine.settings, now).empty();
+        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid, need.floor}, engine.settings, now, engine.random).empty();
         if (!need.lead && !triedAll) {
-            database_link *link = takeForRead(engine, group, session, transaction.avoid, now);
+            database_link *link = takeForRead(engine, group, session, transaction.avoid, need.floor, now);
             if (link == nullptr) {
                 return false;
             }
@@ -249,6 +260,9 @@
     if (!session.current || session.current->link != link_id{}) {
         return true;
     }
+    if (now < session.current->notBefore) {
+        return false;
+    }
     const auto rules = engine.routes.routes.find(session.database);
     if (rules == engine.routes.routes.end()) {
         refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
@@ -272,6 +286,21 @@
 
 } // namespace
 
+link_budget budgetOf(const proxy_engine &engine, const group_state &group, const database_state &database, time_point now)
+{
+    const auto opening = std::ranges::count_if(database.links, [&](link_id id) {
+        return engine.links.at(id).state == link_state::opening;
+    });
+    link_budget budget;
+    budget.links = static_cast<std::uint32_t>(database.links.size());
+    budget.opening = static_cast<std::uint32_t>(opening);
+    budget.most = engine.settings.linksPerDatabase;
+    budget.taken = database.connectionsTaken;
+    budget.limit = group.limits.connections;
+    budget.saturated = database.fullAt != time_point{} && now - database.fullAt < engine.settings.fullMemory;
+    return budget;
+}
+
 group_state *groupOf(proxy_engine &engine, const client_session &session)
 {
     group_name name;
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -18,7 +18,7 @@
     /// Region of each data centre.
     std::unordered_map<std::string, std::string> regions;
     /// Connections that this instance opens to one database, at most.
-    std::uint32_t linksPerDatabase = 6;
+    std::uint32_t linksPerDatabase = 8;
     /// Statements that wait in one session while another runs.
     std::size_t sessionBacklog = 64;
     /// Opening a connection takes longer than this only when the way or the database is bad.
@@ -42,8 +42,14 @@
     /// A database that is no longer listed stays usable for so long: the platform's list loses entries
     /// during its own outages and has them back within two seconds.
     duration missingPatience = std::chrono::milliseconds(2500);
-    /// After a database said that it is full, reads go elsewhere for so long.
-    duration fullPause = std::chrono::milliseconds(30);
+    /// A database that was full within this time gets no further connections.
+    duration fullMemory = std::chrono::milliseconds(500);
+    /// What a database said of its connections holds for so long.
+    duration connectionsValid = std::chrono::seconds(3);
+    /// A leaving database gets no new work after this time; the bound for it is 7 s.
+    duration leavingPatience = std::chrono::milliseconds(5000);
+    /// First pause after a database said that it is full.
+    duration fullPause = std::chrono::milliseconds(20);
     /// From the request to stop on: callers are asked to leave after this time, over this span.
     duration leaveAfter = std::chrono::milliseconds(300);
     duration leaveSpread = std::chrono::milliseconds(2200);
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Proxy/read_ranking.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardrouter
 {
@@ -11,12 +12,20 @@
 /// Expected times until a database has answered, by distance, in microseconds: a statement's own
 /// work and the way of the users' deployments.
 constexpr double nearMicros = 30'000;
-constexpr double sameRegionMicros = 35'000;
+constexpr double sameRegionMicros = 34'000;
 constexpr double farMicros = 75'000;
 /// What a read at the primary takes from the writes, in microseconds.
 constexpr double primaryMicros = 20'000;
-/// A database that is full now.
-constexpr double fullMicros = 100'000;
+/// What a read at a database with a full queue would have taken, in microseconds.
+constexpr double fullMicros = 250'000;
+/// Each statement of this instance that a database works on, in microseconds.
+constexpr double inFlightMicros = 6'000;
+/// Weight of a new time in the smoothed one.
+constexpr double readWeight = 0.2;
+/// A smoothed time of a database that is not asked loses half of its excess in this time.
+constexpr double forgetMicros = 700'000;
+/// How strongly a shorter expected time is preferred.
+constexpr double preference = 6;
 
 std::string regionOf(const proxy_settings &settings, const std::string &dataCentre)
 {
@@ -33,27 +42,67 @@
     return sameRegion ? sameRegionMicros : farMicros;
 }
 
+bool isUsable(const read_choice &choice, const database_name &name, const database_state &database, time_point now)
+{
+    const bool reachable = !database.listed.leaving && database.suspectedAt == time_point{} && now >= database.openAfter;
+    const bool refused = std::ranges::find(*choice.avoid, name) != choice.avoid->end();
+    const bool lacksFloor = choice.floor && now < database.lackedUntil && *choice.floor >= database.lacked;
+    return reachable && !refused && !lacksFloor;
+}
+
+double expectedMicros(const read_choice &choice, const database_name &name, const database_state &database, const proxy_settings &settings, time_point now)
+{
+    const double distance = distanceMicros(settings, database.listed.dataCentre);
+    const auto unasked = static_cast<double>((now - database.readAt).count());
+    const double excess = std::max(0.0, database.readMicros - distance) * std::exp2(-unasked / forgetMicros);
+    const double own = inFlightMicros * static_cast<double>(database.inFlight);
+    return distance + excess + own + (choice.lead == name ? primaryMicros : 0);
+}
+
+void note(database_state &database, double micros, time_point now)
+{
+    const bool known = database.readMicros > 0;
+    database.readMicros = known ? database.readMicros + readWeight * (micros - database.readMicros) : micros;
+    database.readAt = now;
+}
+
 } // namespace
 
-std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now)
+std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now, std::mt19937_64 &random)
 {
-    std::vector<ranked_database> ranked;
+    struct drawn {
+        ranked_database item;
+        double key = 0;
+    };
+    std::vector<drawn> all;
+    std::uniform_real_distribution<double> uniform(1e-9, 1.0);
     for (const auto &[name, database] : *choice.databases) {
-        if (database.listed.leaving || database.suspectedAt != time_point{} || now < database.openAfter) {
+        if (!isUsable(choice, name, database, now)) {
             continue;
         }
-        if (std::ranges::find(*choice.avoid, name) != choice.avoid->end()) {
-            continue;
-        }
-        // A time seen at this database counts more than the guess from the distance, but never pulls
-        // reads to another region for a few milliseconds.
-        double expected = std::max(distanceMicros(settings, database.listed.dataCentre), database.readMicros);
-        expected += choice.lead == name ? primaryMicros : 0;
-        expected += now < database.fullUntil ? fullMicros : 0;
-        ranked.push_back({&database, expected});
+        const double expected = expectedMicros(choice, name, database, settings, now);
+        // The least of exponential times with these rates is a draw with these weights.
+        const double weight = std::pow(nearMicros / expected, preference);
+        all.push_back({{&database, expected}, -std::log(uniform(random)) / weight});
+    }
+    std::ranges::sort(all, {}, &drawn::key);
+    std::vector<ranked_database> ranked;
+    ranked.reserve(all.size());
+    for (const drawn &entry : all) {
+        ranked.push_back(entry.item);
     }
-    std::ranges::sort(ranked, {}, &ranked_database::expectedMicros);
     return ranked;
 }
 
+void noteReadTime(database_state &database, duration took, time_point now)
+{
+    note(database, static_cast<double>(took.count()), now);
+}
+
+void noteFull(database_state &database, time_point now)
+{
+    note(database, fullMicros, now);
+    database.fullAt = now;
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/read_ranking.h
+++ b/mustardrouter/Proxy/read_ranking.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace mustardrouter
@@ -22,10 +23,17 @@
     std::optional<database_name> lead;
     /// Databases that refused this read already.
     const std::vector<database_name> *avoid = nullptr;
+    /// Entry that the read must see, if any.
+    std::optional<log_entry> floor;
 };
 
-/// Databases that may serve a read, best first: near ones, those that have answered fast, and
-/// replicas before the primary, whose slots the writes need.
-std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now);
+/// Databases that may serve a read, the one to try first in front. Near databases that have answered
+/// fast come first most often, and replicas before the primary, whose slots the writes need. The order
+/// is drawn, weighted by the expected time: instances that know the same must not all choose the same.
+std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now, std::mt19937_64 &random);
+
+/// Notes how long a read took at a database; a refusal for want of room counts as a long one.
+void noteReadTime(database_state &database, duration took, time_point now);
+void noteFull(database_state &database, time_point now);
 
 } // namespace mustardrouter
