A gate before a full primary whose replicas lag

Change: overload_gate learns from refusals and answers what share of the reads fits, and refuses the others at once; longer reads first; urgent statements go first; pauses grow; first connections are opened ahead of demand; a replica that lacks an entry is not asked for it again at once. Ruled out: more tries (the same load again).

--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -40,6 +40,10 @@
     bool provedBefore = false;
     std::optional<database_reply> answer;
     std::uint32_t attempts = 0;
+    /// How often a database had no room for it.
+    std::uint32_t fullRefusals = 0;
+    /// It was let in at the primary.
+    bool admitted = false;
     /// Not tried again before.
     time_point notBefore{};
 };
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -39,9 +39,13 @@
     /// when it was last seen.
     double readMicros = 0;
     time_point readAt{};
-    /// A position that its log lacked, and until when that is taken for true.
+    /// A position that its log lacked, until when that is taken for true, and how often in a row.
     log_entry lacked;
     time_point lackedUntil{};
+    std::uint32_t lackedInRow = 0;
+    /// Share of the reads that it lets in while it is short of room, and when that was last changed.
+    double openShare = 1;
+    time_point openShareAt{};
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -90,6 +90,22 @@
     }
 }
 
+/// Plans the first connections, once, when databases and limits are known.
+void planWarmUp(proxy_engine &engine, time_point now)
+{
+    if (engine.warmedUp || !engine.configured || engine.groups.empty()) {
+        return;
+    }
+    engine.warmedUp = true;
+    const auto spread = static_cast<std::uint64_t>(engine.settings.warmUpSpread.count());
+    for (const auto &[name, group] : engine.groups) {
+        for (const auto &[databaseName, database] : group.databases) {
+            const duration wait(static_cast<std::int64_t>(engine.random() % spread));
+            engine.timers.push({now + wait, timer_kind::warmUp, 0, name, databaseName});
+        }
+    }
+}
+
 failover_view viewOf(const group_state &group)
 {
     return {&group.databases, group.lead, group.limits.syncReplicas};
@@ -190,6 +206,7 @@
     engine.routes = routes;
     const bool first = !std::exchange(engine.configured, true);
     adoptLimits(engine);
+    planWarmUp(engine, now);
     if (first) {
         for (auto &[id, session] : engine.sessions) {
             arm(engine, now, timer_kind::session, id.value());
@@ -221,6 +238,7 @@
         }
     }
     adoptLimits(engine);
+    planWarmUp(engine, now);
     settle(engine, now);
 }
 
@@ -395,6 +413,14 @@
     }
 }
 
+void warmUp(proxy_engine &engine, group_state &group, const database_name &name, time_point now)
+{
+    const auto found = group.databases.find(name);
+    if (found != group.databases.end() && found->second.links.empty() && !found->second.listed.leaving) {
+        openLink(engine, group, found->second, now);
+    }
+}
+
 void watchGroup(proxy_engine &engine, group_state &group, time_point due)
 {
     if (group.checkAt != time_point{} && group.checkAt <= due) {
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -17,8 +17,6 @@
 constexpr std::size_t preparedPerLink = 200;
 /// A statement is tried at most so often.
 constexpr std::uint32_t maxAttempts = 8;
-/// A position that a replica lacks is not asked of it again for so long.
-constexpr duration lackedPatience = std::chrono::milliseconds(150);
 
 database_state *databaseOf(proxy_engine &engine, const database_link &link)
 {
@@ -85,11 +83,11 @@
 /// Pause before a database that is full is asked again: none at first when another may have room.
 duration pauseWhenFull(const proxy_engine &engine, const running_statement &run)
 {
-    constexpr std::uint32_t mostDoublings = 3;
-    if (!run.writes && !run.needsProof && run.attempts <= 1) {
+    constexpr std::uint32_t mostDoublings = 2;
+    if (!run.writes && !run.needsProof && run.fullRefusals <= 1) {
         return {};
     }
-    return engine.settings.fullPause * (1 << std::min(run.attempts, mostDoublings));
+    return engine.settings.fullPause * (1 << std::min(run.fullRefusals - 1, mostDoublings));
 }
 
 void inDoubt(proxy_engine &engine, client_session &session, const char *why, time_point now)
@@ -114,6 +112,18 @@
     return !run.floor || (reply.position && *reply.position >= *run.floor);
 }
 
+/// Smooths the time that reads of the session's route take, and that of the group's reads.
+void noteWork(proxy_engine &engine, group_state &group, const client_session &session, duration took)
+{
+    constexpr double weight = 0.05;
+    const auto micros = static_cast<double>(took.count());
+    const auto smooth = [&](double &value) {
+        value = value == 0 ? micros : value + weight * (micros - value);
+    };
+    smooth(engine.workMicros[session.database]);
+    smooth(group.workMicros);
+}
+
 void readSucceeded(proxy_engine &engine, group_state &group, database_link &link, client_session &session, database_reply reply, time_point now)
 {
     running_statement &run = *session.current;
@@ -124,6 +134,7 @@
     }
     if (database_state *database = databaseOf(engine, link)) {
         noteReadTime(*database, now - run.sentAt, now);
+        noteWork(engine, group, session, now - run.sentAt);
     }
     if (run.needsProof && session.ownCommits && group.leadTerm > session.ownCommits->term && !group.samples.samples.empty()) {
         // What the session had written beyond the new primary's log is gone: its floor would block for ever.
@@ -148,13 +159,13 @@
     case reply_code::busy:
         if (database != nullptr) {
             noteFull(*database, now);
+            run.fullRefusals += 1;
         }
         retry(engine, session, link.database, "database full", pauseWhenFull(engine, run), now);
         return;
     case reply_code::lagging:
         if (database != nullptr && run.floor) {
-            database->lacked = *run.floor;
-            database->lackedUntil = now + lackedPatience;
+            noteLacking(*database, *run.floor, now);
         }
         tell(engine,
              "replica_lags",
@@ -262,7 +273,11 @@
     running_statement &run = *session.current;
     if (reply.code == reply_code::busy && reply.state == transaction_state::open) {
         engine.figures.retries += 1;
-        arm(engine, now + engine.settings.fullPause, timer_kind::link, link.id.value());
+        run.fullRefusals += 1;
+        if (database_state *database = databaseOf(engine, link)) {
+            noteFull(*database, now);
+        }
+        arm(engine, now + pauseWhenFull(engine, run), timer_kind::link, link.id.value());
         return;
     }
     if (run.what.verb == client_verb::commit) {
@@ -367,15 +382,22 @@
     }
     const duration span = idleTimeoutOf(budgetOf(engine, engine.groups.at(link.group), *database, now));
     const duration rested = now - link.since;
-    if (rested >= span) {
+    // All that hear of a shortage at the same time must not close at the same time: each asks again, and decides
+    // by what is left by then.
+    const bool due = rested >= span;
+    const duration age = now - database->connectionsAt;
+    const bool fresh = age <= engine.settings.connectionsFresh;
+    if (due && fresh) {
         discardLink(engine, link.id);
         return;
     }
-    const bool outdated = now - database->connectionsAt > engine.settings.connectionsValid * 3;
+    const bool outdated = due || age > engine.settings.connectionsValid * 3;
     if (outdated && link.expected.empty()) {
         ask(engine, link, false, true, now);
     }
-    arm(engine, now + std::min(span - rested, engine.settings.connectionsValid), timer_kind::link, link.id.value());
+    const auto spread = static_cast<std::uint64_t>(engine.settings.connectionsFresh.count());
+    const duration next = due ? duration(static_cast<std::int64_t>(spread / 4 + engine.random() % spread)) : std::min(span - rested, engine.settings.connectionsValid);
+    arm(engine, now + next, timer_kind::link, link.id.value());
 }
 
 /// What becomes of the statement or transaction of a link that is gone.
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -73,6 +73,8 @@
 void refreshPosition(proxy_engine &engine, group_state &group, time_point now);
 /// Probes what is in doubt and orders a promotion when it is due.
 void checkGroup(proxy_engine &engine, group_state &group, time_point now);
+/// Opens the first connection to the database, ahead of demand.
+void warmUp(proxy_engine &engine, group_state &group, const database_name &name, time_point now);
 /// Calls checkGroup soon.
 void watchGroup(proxy_engine &engine, group_state &group, time_point due);
 
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Proxy/engine_parts.h"
 #include "mustardrouter/Proxy/link_budget.h"
 #include "mustardrouter/Proxy/link_setup.h"
+#include "mustardrouter/Proxy/overload_gate.h"
 #include "mustardrouter/Proxy/read_ranking.h"
 
 #include <algorithm>
@@ -171,7 +172,7 @@
         });
         database.inFlight = static_cast<std::uint32_t>(working);
     }
-    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid, floor}, engine.settings, now, engine.random);
+    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid, floor, true}, engine.settings, now, engine.random);
     for (const ranked_database &candidate : ranked) {
         if (database_link *link = takeOrOpen(engine, group, candidate.database->listed.name, session, now)) {
             return link;
@@ -180,6 +181,23 @@
     return nullptr;
 }
 
+/// Whether a read that no replica can serve may go to the primary.
+bool passesGate(proxy_engine &engine, const group_state &group, client_session &session, const route &rules, time_point now)
+{
+    running_statement &run = *session.current;
+    const auto primary = group.databases.find(*group.lead);
+    if (primary == group.databases.end() || rules.rule == read_rule::latest || (run.admitted && run.fullRefusals == 0)) {
+        return true;
+    }
+    gate_request request;
+    request.priority = rules.priority;
+    request.workMicros = engine.workMicros[session.database];
+    request.usualMicros = group.workMicros;
+    request.refusals = run.fullRefusals;
+    run.admitted = std::uniform_real_distribution<double>(0, 1)(engine.random) < admissionShare(primary->second, request, now);
+    return run.admitted;
+}
+
 bool placeRead(proxy_engine &engine, group_state &group, client_session &session, const route &rules, time_point now)
 {
     running_statement &run = *session.current;
@@ -187,18 +205,22 @@
     if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
         refreshPosition(engine, group, now);
     }
-    const bool triedAll = rankForRead({&group.databases, group.lead, &run.avoid, need.floor}, engine.settings, now, engine.random).empty();
+    const bool triedAll = rankForRead({&group.databases, group.lead, &run.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
     if (need.lead || need.unknown || triedAll) {
-        // The primary needs no floor when it proves its lead.
         if (!group.lead || (need.unknown && !need.lead && !triedAll)) {
             return false;
         }
+        if (!passesGate(engine, group, session, rules, now)) {
+            refuseStatement(engine, session, reply_code::busy, "replicas lag and the primary is full", now);
+            return true;
+        }
         database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
         if (link == nullptr) {
             return false;
         }
-        run.floor.reset();
-        run.needsProof = true;
+        // The primary needs no floor where it proves its lead; with a floor it needs no proof.
+        run.floor = need.lead ? std::nullopt : need.floor;
+        run.needsProof = !run.floor.has_value();
         sendSingle(engine, session, *link, now);
         return true;
     }
@@ -224,7 +246,7 @@
         if (need.unknown) {
             return false;
         }
-        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid, need.floor}, engine.settings, now, engine.random).empty();
+        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
         if (!need.lead && !triedAll) {
             database_link *link = takeForRead(engine, group, session, transaction.avoid, need.floor, now);
             if (link == nullptr) {
@@ -347,10 +369,32 @@
     sendOn(engine, link, std::move(commands), parts, now);
 }
 
+namespace
+{
+
+/// Whether the session waits with a write, a transaction, or a statement of the most urgent kind.
+bool isUrgent(const proxy_engine &engine, session_id id)
+{
+    const auto found = engine.sessions.find(id);
+    if (found == engine.sessions.end()) {
+        return false;
+    }
+    const client_session &session = found->second;
+    const bool writes = session.transaction.has_value() || (session.current && session.current->writes);
+    const auto rules = engine.routes.routes.find(session.database);
+    return writes || (rules != engine.routes.routes.end() && rules->second.rule == read_rule::latest);
+}
+
+} // namespace
+
 void pump(proxy_engine &engine, group_state &group, time_point now)
 {
     std::deque<session_id> still;
     std::deque<session_id> waiting = std::exchange(group.waiting, {});
+    // Urgent ones first, and those that only the primary can serve; within them the oldest.
+    std::ranges::stable_partition(waiting, [&](session_id id) {
+        return isUrgent(engine, id);
+    });
     for (std::size_t at = 0; at < waiting.size(); ++at) {
         const auto found = engine.sessions.find(waiting[at]);
         if (found == engine.sessions.end()) {
--- /dev/null
+++ b/mustardrouter/Proxy/overload_gate.cpp
@@ -0,0 +1,43 @@
+#include "mustardrouter/Proxy/overload_gate.h"
+
+#include "mustardrouter/Proxy/read_ranking.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Priorities up to this one are never kept out: they can be served nowhere else.
+constexpr std::uint32_t urgentPriority = 1;
+/// A read that the database itself refused so often is kept out.
+constexpr std::uint32_t mostRefusals = 2;
+/// Nobody is kept out wholly, so that the end of the overload is seen.
+constexpr double leastShare = 0.05;
+/// Bounds of the work's weight.
+constexpr double leastWeight = 0.5;
+constexpr double mostWeight = 2.0;
+
+} // namespace
+
+double admissionShare(const database_state &primary, const gate_request &request, time_point now)
+{
+    if (request.priority <= urgentPriority) {
+        return 1;
+    }
+    if (request.refusals > mostRefusals) {
+        return 0;
+    }
+    const double open = readShare(primary, now);
+    if (open >= 1) {
+        return 1;
+    }
+    const bool known = request.workMicros > 0 && request.usualMicros > 0;
+    const double weight = known ? std::clamp(request.workMicros / request.usualMicros, leastWeight, mostWeight) : 1.0;
+    return std::max(leastShare, std::pow(open, weight));
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.cpp
+++ b/mustardrouter/Proxy/proxy_engine.cpp
@@ -49,6 +49,13 @@
         }
         return;
     }
+    case timer_kind::warmUp: {
+        const auto found = engine.groups.find(timer.group);
+        if (found != engine.groups.end()) {
+            proxying::warmUp(engine, found->second, timer.database, now);
+        }
+        return;
+    }
     case timer_kind::pump:
         engine.unsettled.insert(timer.group);
         return;
@@ -72,7 +79,7 @@
 
 void arm(proxy_engine &engine, time_point due, timer_kind kind, std::uint64_t id, const group_name &group)
 {
-    engine.timers.push({due, kind, id, group});
+    engine.timers.push({due, kind, id, group, {}});
 }
 
 void tell(proxy_engine &engine, const char *event, std::vector<std::pair<const char *, std::string>> fields)
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -32,6 +32,8 @@
     term_number leadTerm;
     time_point leadProvedAt{};
     position_samples samples;
+    /// Smoothed time of a read, in microseconds.
+    double workMicros = 0;
     /// Sessions whose statement or transaction waits for a connection, oldest first.
     std::deque<session_id> waiting;
     failover_watch failover;
@@ -40,7 +42,7 @@
 };
 
 /// What a timer is for.
-enum class timer_kind : std::uint8_t { session, link, group, pump };
+enum class timer_kind : std::uint8_t { session, link, group, pump, warmUp };
 
 /// One timer; what it is for is looked at again when it is due.
 struct proxy_timer {
@@ -48,6 +50,7 @@
     timer_kind kind = timer_kind::session;
     std::uint64_t id = 0;
     group_name group;
+    database_name database;
 
     bool operator>(const proxy_timer &other) const
     {
@@ -69,6 +72,9 @@
     std::unordered_map<link_id, database_link> links;
     std::priority_queue<proxy_timer, std::vector<proxy_timer>, std::greater<>> timers;
     std::set<group_name> unsettled;
+    /// Smoothed time of a read, by the database name that clients give, in microseconds.
+    std::unordered_map<std::string, double> workMicros;
+    bool warmedUp = false;
     std::vector<proxy_action> actions;
     proxy_figures figures;
     std::mt19937_64 random;
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -46,6 +46,10 @@
     duration fullMemory = std::chrono::milliseconds(500);
     /// What a database said of its connections holds for so long.
     duration connectionsValid = std::chrono::seconds(3);
+    /// A connection is closed for scarcity only by what the database said within this time.
+    duration connectionsFresh = std::chrono::milliseconds(500);
+    /// The first connections are opened at random times within this span after the start.
+    duration warmUpSpread = std::chrono::seconds(4);
     /// A leaving database gets no new work after this time; the bound for it is 7 s.
     duration leavingPatience = std::chrono::milliseconds(5000);
     /// First pause after a database said that it is full.
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -24,6 +24,15 @@
 constexpr double readWeight = 0.2;
 /// A smoothed time of a database that is not asked loses half of its excess in this time.
 constexpr double forgetMicros = 700'000;
+/// A refusal takes this part of the share of reads away, an answer gives this much back, and each second
+/// without either this much: refusals stop about where the database is just full.
+constexpr double shareCut = 0.6;
+constexpr double shareStep = 0.04;
+constexpr double shareStepPerSecond = 0.25;
+constexpr double smallestShare = 0.03;
+/// A replica that lacks an entry is not asked for it for this time, doubled with each time in a row.
+constexpr duration lackedPatience = std::chrono::milliseconds(120);
+constexpr std::uint32_t mostLackedDoublings = 3;
 /// How strongly a shorter expected time is preferred.
 constexpr double preference = 6;
 
@@ -47,7 +56,8 @@
     const bool reachable = !database.listed.leaving && database.suspectedAt == time_point{} && now >= database.openAfter;
     const bool refused = std::ranges::find(*choice.avoid, name) != choice.avoid->end();
     const bool lacksFloor = choice.floor && now < database.lackedUntil && *choice.floor >= database.lacked;
-    return reachable && !refused && !lacksFloor;
+    const bool spared = choice.sparesFullPrimary && choice.lead == name && readShare(database, now) < 1;
+    return reachable && !refused && !lacksFloor && !spared;
 }
 
 double expectedMicros(const read_choice &choice, const database_name &name, const database_state &database, const proxy_settings &settings, time_point now)
@@ -66,8 +76,27 @@
     database.readAt = now;
 }
 
+void setShare(database_state &database, double share, time_point now)
+{
+    database.openShare = std::clamp(share, smallestShare, 1.0);
+    database.openShareAt = now;
+}
+
 } // namespace
 
+double readShare(const database_state &database, time_point now)
+{
+    const double seconds = std::chrono::duration<double>(now - database.openShareAt).count();
+    return std::min(1.0, database.openShare + shareStepPerSecond * seconds);
+}
+
+void noteLacking(database_state &database, log_entry floor, time_point now)
+{
+    database.lacked = floor;
+    database.lackedUntil = now + lackedPatience * (1 << std::min(database.lackedInRow, mostLackedDoublings));
+    database.lackedInRow += 1;
+}
+
 std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now, std::mt19937_64 &random)
 {
     struct drawn {
@@ -97,12 +126,15 @@
 void noteReadTime(database_state &database, duration took, time_point now)
 {
     note(database, static_cast<double>(took.count()), now);
+    database.lackedInRow = 0;
+    setShare(database, readShare(database, now) + shareStep, now);
 }
 
 void noteFull(database_state &database, time_point now)
 {
     note(database, fullMicros, now);
     database.fullAt = now;
+    setShare(database, readShare(database, now) * shareCut, now);
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/read_ranking.h
+++ b/mustardrouter/Proxy/read_ranking.h
@@ -25,6 +25,8 @@
     const std::vector<database_name> *avoid = nullptr;
     /// Entry that the read must see, if any.
     std::optional<log_entry> floor;
+    /// A primary that is short of room is left to those for whom there is nothing else.
+    bool sparesFullPrimary = false;
 };
 
 /// Databases that may serve a read, the one to try first in front. Near databases that have answered
@@ -36,4 +38,9 @@
 void noteReadTime(database_state &database, duration took, time_point now);
 void noteFull(database_state &database, time_point now);
 
+/// Share of the reads that the database has room for, learnt from its refusals and answers.
+double readShare(const database_state &database, time_point now);
+/// Notes that the log lacks an entry: it is not asked for it again for a while, longer each time in a row.
+void noteLacking(database_state &database, log_entry floor, time_point now);
+
 } // namespace mustardrouter
