A database that calls itself primary is used at once; reads wait a while at the gate

Change: assumeLead, from a status of the present term or from a change in the list. The gate lets reads wait three tenths of their objective, drawn anew, and hears slow answers before refusals.

--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -47,6 +47,7 @@
     }
     const bool reborn = !added && listed.life != database.listed.life;
     const bool moved = !added && listed.address != database.listed.address;
+    const bool becamePrimary = !added && listed.saysPrimary && !database.listed.saysPrimary;
     const bool startsLeaving = listed.leaving && (added || !database.listed.leaving);
     database.listed = listed;
     database.missingSince = time_point{};
@@ -60,9 +61,8 @@
         tell(engine, "database_leaves", {{"database", listed.name.value()}});
         watchGroup(engine, group, now);
     }
-    if (listed.saysPrimary && !group.lead) {
-        group.lead = listed.name;
-        tell(engine, "lead_assumed", {{"group", group.name.value()}, {"database", listed.name.value()}, {"source", "list"}});
+    if (becamePrimary || (listed.saysPrimary && !group.lead)) {
+        assumeLead(engine, group, listed.name, "list", now);
     }
 }
 
@@ -313,6 +313,22 @@
 namespace proxying
 {
 
+void assumeLead(proxy_engine &engine, group_state &group, const database_name &name, const char *source, time_point now)
+{
+    if (group.lead == name) {
+        return;
+    }
+    tell(engine,
+         "lead_assumed",
+         {{"group", group.name.value()},
+          {"database", name.value()},
+          {"before", group.lead ? group.lead->value() : std::string("none")},
+          {"source", source},
+          {"without_lead_ms", inMillis(now - group.leadProvedAt)}});
+    group.lead = name;
+    engine.unsettled.insert(group.name);
+}
+
 void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now)
 {
     if (asked < group.leadProvedAt && group.lead != name) {
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -537,6 +537,9 @@
         }
         if (expected.part == reply_part::status) {
             statusAnswered(*database, reply, expected.sentAt);
+            if (reply.status && reply.status->primary && reply.status->term >= group.leadTerm) {
+                assumeLead(engine, group, link.database, "status", now);
+            }
         }
     }
     client_session *session = sessionOf(engine, link);
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -17,6 +17,10 @@
 /// A proof of the lead that is younger than this spares the one before a read: two promotions,
 /// which alone could hide a change of lead, take longer.
 constexpr duration proofValid = std::chrono::milliseconds(250);
+/// A read that the gate keeps out asks again after about this time, and is refused when this part of its
+/// objective, in tenths, has passed: what is left is enough for an attempt elsewhere.
+constexpr duration gatePause = std::chrono::milliseconds(70);
+constexpr std::int64_t gateWaitTenths = 3;
 /// A question for the position is due this long before the newest sample is too old.
 constexpr duration refreshAhead = std::chrono::milliseconds(400);
 
@@ -211,8 +215,13 @@
             return false;
         }
         if (!passesGate(engine, group, session, rules, now)) {
-            refuseStatement(engine, session, reply_code::busy, "replicas lag and the primary is full", now);
-            return true;
+            if (now - run.arrivedAt >= rules.objective * gateWaitTenths / 10) {
+                refuseStatement(engine, session, reply_code::busy, "replicas lag and the primary is full", now);
+                return true;
+            }
+            run.notBefore = now + gatePause + duration(static_cast<std::int64_t>(engine.random() % gatePause.count()));
+            arm(engine, run.notBefore, timer_kind::pump, 0, group.name);
+            return false;
         }
         database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
         if (link == nullptr) {
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -28,6 +28,9 @@
 /// without either this much: refusals stop about where the database is just full.
 constexpr double shareCut = 0.6;
 constexpr double shareStep = 0.04;
+/// An answer after this time tells of a queue that is half full, before anything is refused.
+constexpr duration slowRead = std::chrono::milliseconds(220);
+constexpr double shareCutWhenSlow = 0.9;
 constexpr double shareStepPerSecond = 0.25;
 constexpr double smallestShare = 0.03;
 /// A replica that lacks an entry is not asked for it for this time, doubled with each time in a row.
@@ -127,7 +130,8 @@
 {
     note(database, static_cast<double>(took.count()), now);
     database.lackedInRow = 0;
-    setShare(database, readShare(database, now) + shareStep, now);
+    const double share = readShare(database, now);
+    setShare(database, took > slowRead ? share * shareCutWhenSlow : share + shareStep, now);
 }
 
 void noteFull(database_state &database, time_point now)
