--- /dev/null
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -0,0 +1,355 @@
+#include "UnitTests/Proxy/proxy_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A world with one group, configured and warm.
+struct ready_world : proxy_world {
+    ready_world()
+        : proxy_world(7)
+    {
+        addGroup();
+        configure(1);
+        runFor(5s);
+    }
+};
+
+std::string first(const proxy_world &world)
+{
+    return world.broken.empty() ? std::string() : world.broken.front();
+}
+
+void check(const proxy_world &world)
+{
+    CHECK_TRUE_TEXT(world.broken.empty(), first(world).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(proxy_engine){};
+
+TEST(proxy_engine, readsAndWritesOfAllRulesAreServedOnACalmDay)
+{
+    ready_world world;
+    for (const char *name : {"latest", "session", "age"}) {
+        fake_client &client = world.connect(name);
+        CHECK_TRUE(client.accepted);
+        CHECK_TRUE(world.ask(client, client_verb::write, "x", "1").code == reply_code::done);
+        CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::done);
+        CHECK_TRUE(world.ask(client, client_verb::begin).state == transaction_state::open);
+        CHECK_TRUE(world.ask(client, client_verb::write, "x", "2").code == reply_code::done);
+        CHECK_TRUE(world.ask(client, client_verb::commit).state == transaction_state::none);
+    }
+    check(world);
+    CHECK_TRUE(world.engine.figures.replicaReads > 0);
+}
+
+TEST(proxy_engine, anUnknownDatabaseIsRefusedAndADroppedOneFromTheNextTransactionOn)
+{
+    ready_world world;
+    CHECK_TRUE(world.connect("nobody").closedWith == reply_code::unknownDatabase);
+    fake_client &client = world.connect("age");
+    world.ask(client, client_verb::begin);
+    route_table table = world.engine.routes;
+    table.version = revision_number(2);
+    table.routes.erase("age");
+    onConfiguration(world.engine, table, world.now);
+    CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::done);
+    CHECK_TRUE(world.ask(client, client_verb::commit).code == reply_code::done);
+    CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::unknownDatabase);
+}
+
+TEST(proxy_engine, anOlderConfigurationIsIgnored)
+{
+    ready_world world;
+    world.configure(9);
+    route_table older = world.engine.routes;
+    older.version = revision_number(8);
+    older.routes.clear();
+    onConfiguration(world.engine, older, world.now);
+    CHECK_EQUAL(9, world.engine.routes.version.value());
+    CHECK_TRUE(world.connect("age").accepted);
+}
+
+TEST(proxy_engine, aReplacedPrimaryThatStillAnswersReadsServesNoneOfTheLatestRule)
+{
+    ready_world world;
+    fake_client &writer = world.connect("latest");
+    fake_client &reader = world.connect("latest");
+    CHECK_TRUE(world.ask(reader, client_verb::read, "x").code == reply_code::done);
+    world.promote(database_name("db-1"));
+    world.ask(writer, client_verb::write, "x", "1");
+    world.ask(writer, client_verb::write, "x", "2");
+    CHECK_TRUE(world.ask(reader, client_verb::read, "x").code == reply_code::done);
+    check(world);
+}
+
+TEST(proxy_engine, aReplicaOfAnOlderTermWithAsManyEntriesServesNoFresherRead)
+{
+    ready_world world;
+    fake_client &session = world.connect("session");
+    world.ask(session, client_verb::write, "x", "1");
+    world.runFor(100ms);
+    fake_database &cut = world.databases.at(database_name("db-2"));
+    const std::vector<fake_commit> before = world.primary().log;
+    world.promote(database_name("db-1"));
+    // Entries that the promotion rolled back; the numbers alone would pass the floor.
+    cut.log = before;
+    cut.log.push_back({term_number(1), "lost-1"});
+    cut.log.push_back({term_number(1), "lost-2"});
+    cut.log.push_back({term_number(1), "lost-3"});
+    cut.lag = 60s;
+    world.databases.at(database_name("db-0")).dark = true;
+    world.ask(session, client_verb::write, "x", "2");
+    for (int reads = 0; reads < 20; ++reads) {
+        CHECK_TRUE(world.ask(session, client_verb::read, "x").code == reply_code::done);
+    }
+    check(world);
+}
+
+TEST(proxy_engine, aFloorThatWasRolledBackDoesNotBlockTheSession)
+{
+    ready_world world;
+    fake_client &session = world.connect("session");
+    for (auto &[name, database] : world.databases) {
+        database.lag = 60s;
+    }
+    for (int writes = 0; writes < 5; ++writes) {
+        world.ask(session, client_verb::write, "x", "1");
+    }
+    for (auto &[name, database] : world.databases) {
+        database.arriving.clear();
+        database.lag = 10ms;
+    }
+    world.promote(database_name("db-1"));
+    world.runFor(3s);
+    CHECK_TRUE(world.ask(session, client_verb::read, "x").code == reply_code::done);
+    check(world);
+}
+
+TEST(proxy_engine, aCrashedPrimaryIsReplacedWithinThreeSecondsWithOneOrderForEachFence)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "1").code == reply_code::done);
+    world.runFor(1s);
+    world.crash(world.primary());
+    const time_point crashed = world.now;
+    while (world.now - crashed < 6s && world.ask(client, client_verb::write, "x", "2").code != reply_code::done) { }
+    CHECK_TRUE(world.now - crashed < 3s);
+    CHECK_EQUAL(1, world.fences.size());
+    check(world);
+}
+
+TEST(proxy_engine, aPrimaryThatFeedsItsReplicasIsNotReplacedBecauseOneInstanceLostIt)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::write, "x", "1");
+    fake_database &primary = world.primary();
+    primary.dark = true;
+    for (int step = 0; step < 30; ++step) {
+        // Others still write there, and the replicas receive it.
+        for (auto &[name, database] : world.databases) {
+            if (!database.primary) {
+                database.log.push_back({term_number(1), "other-" + std::to_string(step)});
+            }
+        }
+        world.send(client, client_verb::write, "x", "2");
+        world.runFor(200ms);
+    }
+    CHECK_EQUAL(0, world.fences.size());
+}
+
+TEST(proxy_engine, anUnansweredOrderIsGivenAgainWithAnotherFence)
+{
+    ready_world world;
+    world.ordersUnanswered = true;
+    world.promoteTakes = 10s;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::write, "x", "1");
+    world.crash(world.primary());
+    for (int tries = 0; tries < 6; ++tries) {
+        world.ask(client, client_verb::write, "x", "2");
+    }
+    CHECK_TRUE(world.fences.size() >= 2);
+    check(world);
+}
+
+TEST(proxy_engine, whileTheStoreIsAwayNothingIsOrderedAndAfterwardsItIs)
+{
+    ready_world world;
+    world.storeDown = true;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::write, "x", "1");
+    world.crash(world.primary());
+    world.ask(client, client_verb::write, "x", "2");
+    world.runFor(3s);
+    CHECK_EQUAL(0, world.fences.size());
+    world.storeDown = false;
+    world.runFor(3s);
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "3").code == reply_code::done);
+    CHECK_EQUAL(1, world.fences.size());
+}
+
+TEST(proxy_engine, aLeavingPrimaryIsHandedOverAndGetsNoNewWork)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::write, "x", "1");
+    const database_name old = world.primary().listed.name;
+    world.primary().listed.leaving = true;
+    world.tellListing();
+    world.runFor(3s);
+    CHECK_TRUE(world.primary().listed.name != old);
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "2").code == reply_code::done);
+    check(world);
+}
+
+TEST(proxy_engine, aLeavingPrimaryThatNobodyReplacesGetsNoWorkAfterFiveSeconds)
+{
+    ready_world world;
+    world.storeDown = true;
+    fake_client &client = world.connect("latest");
+    world.primary().listed.leaving = true;
+    world.tellListing();
+    world.runFor(5100ms);
+    const std::size_t before = world.primary().log.size();
+    const client_reply reply = world.ask(client, client_verb::write, "x", "2");
+    CHECK_TRUE(reply.code == reply_code::busy);
+    CHECK_TRUE(reply.retryAfter > duration{});
+    CHECK_EQUAL(before, world.primary().log.size());
+}
+
+TEST(proxy_engine, aWriteWhoseAnswerIsLostIsInDoubtAndRunsOnce)
+{
+    ready_world world;
+    fake_client &client = world.connect("session");
+    world.ask(client, client_verb::write, "x", "1");
+    world.primary().percentLost = 100;
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "2").code == reply_code::inDoubt);
+    const std::string id = client.sent.id;
+    world.primary().percentLost = 0;
+    world.runFor(5s);
+    CHECK_EQUAL(1, world.committed()[id]);
+    check(world);
+}
+
+TEST(proxy_engine, aReadWhoseAnswerIsLostIsAskedElsewhere)
+{
+    ready_world world;
+    fake_client &client = world.connect("age");
+    world.databases.at(database_name("db-0")).percentLost = 100;
+    for (int reads = 0; reads < 5; ++reads) {
+        CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::done);
+    }
+    check(world);
+}
+
+TEST(proxy_engine, aCommitWhoseAnswerIsLostIsInDoubtOnlyIfTheTransactionWrote)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::write, "x", "1");
+    world.primary().percentLost = 100;
+    CHECK_TRUE(world.ask(client, client_verb::commit).code == reply_code::inDoubt);
+    world.primary().percentLost = 0;
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::read, "x");
+    world.primary().percentLost = 100;
+    CHECK_TRUE(world.ask(client, client_verb::commit).code == reply_code::aborted);
+    check(world);
+}
+
+TEST(proxy_engine, valuesAndPreparedStatementsOfOneClientAreNeverSeenByAnother)
+{
+    ready_world world;
+    fake_client &one = world.connect("session");
+    fake_client &two = world.connect("session");
+    world.ask(one, client_verb::setValue, "zone", "a");
+    world.ask(one, client_verb::prepare, "s", "shape1", true);
+    world.ask(two, client_verb::prepare, "s", "shape2", false);
+    for (int turns = 0; turns < 10; ++turns) {
+        CHECK_TRUE(world.ask(one, client_verb::execute, "s", "x").code == reply_code::done);
+        CHECK_TRUE(world.ask(two, client_verb::execute, "s", "x").code == reply_code::done);
+        CHECK_TRUE(world.ask(two, client_verb::read, "x").code == reply_code::done);
+    }
+    CHECK_TRUE(world.ask(two, client_verb::execute, "none", "x").code == reply_code::unknownStatement);
+    check(world);
+}
+
+TEST(proxy_engine, aFailedTransactionAcceptsOnlyItsEnd)
+{
+    ready_world world;
+    fake_client &client = world.connect("session");
+    world.ask(client, client_verb::beginRead);
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "1").code == reply_code::readOnly);
+    CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::malformed);
+    const client_reply ended = world.ask(client, client_verb::commit);
+    CHECK_TRUE(ended.code == reply_code::aborted);
+    CHECK_TRUE(ended.state == transaction_state::none);
+    CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::done);
+}
+
+TEST(proxy_engine, aTransactionThatRestsTooLongIsEndedAndItsWritesAreGone)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::write, "x", "1");
+    const std::string id = client.sent.id;
+    world.runFor(4s);
+    CHECK_TRUE(world.ask(client, client_verb::commit).code == reply_code::aborted);
+    CHECK_FALSE(world.committed().contains(id));
+}
+
+TEST(proxy_engine, aFullDatabaseIsAskedAgainInsideATransactionAtGrowingPauses)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    // Each leaves a timer of the connection behind, none of which may send the statement again.
+    for (int writes = 0; writes < 50; ++writes) {
+        world.ask(client, client_verb::write, "x", "0");
+        world.runFor(40ms);
+    }
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::write, "x", "1");
+    world.primary().full = true;
+    const std::uint64_t before = world.engine.figures.retries;
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "2").code == reply_code::aborted);
+    // 20, 40 and then 80 ms within the route's second.
+    CHECK_TRUE(world.engine.figures.retries - before <= 15);
+}
+
+TEST(proxy_engine, atTheRequestToStopRestingSessionsAreClosedAndWorkGoesOn)
+{
+    ready_world world;
+    fake_client &resting = world.connect("age");
+    fake_client &working = world.connect("latest");
+    world.ask(working, client_verb::begin);
+    onStop(world.engine, world.now);
+    world.carryOut();
+    CHECK_TRUE(world.ask(working, client_verb::write, "x", "1").code == reply_code::done);
+    CHECK_TRUE(world.ask(working, client_verb::commit).code == reply_code::done);
+    world.runFor(3s);
+    CHECK_TRUE(resting.closed);
+    CHECK_TRUE(resting.closedWith == reply_code::done);
+    CHECK_TRUE(working.closed);
+}
+
+TEST(proxy_engine, aDatabaseThatVanishesFromTheListStaysUsableForAWhile)
+{
+    ready_world world;
+    database_listing none;
+    onListing(world.engine, none, world.now);
+    fake_client &client = world.connect("latest");
+    CHECK_TRUE(world.ask(client, client_verb::write, "x", "1").code == reply_code::done);
+    world.runFor(3s);
+    CHECK_TRUE(world.engine.groups.at(group_name("g")).databases.empty());
+}
--- /dev/null
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -0,0 +1,141 @@
+#include "UnitTests/Proxy/proxy_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Does one random operation of a client, where the client is free.
+void act(proxy_world &world, fake_client &client)
+{
+    if (client.waits || client.closed || !client.accepted) {
+        return;
+    }
+    const std::uint64_t draw = world.random() % 100;
+    const std::string item = "item" + std::to_string(world.random() % 5);
+    if (client.inTransaction && draw < 25) {
+        world.send(client, client_verb::commit);
+    } else if (client.inTransaction && draw < 32) {
+        world.send(client, client_verb::rollback);
+    } else if (!client.inTransaction && draw < 8) {
+        world.send(client, client_verb::begin);
+    } else if (!client.inTransaction && draw < 14) {
+        world.send(client, client_verb::beginRead);
+    } else if (draw < 40) {
+        world.send(client, client_verb::write, item, "data");
+    } else if (draw < 46) {
+        world.send(client, client_verb::setValue, "name" + std::to_string(draw % 2), "value" + std::to_string(world.random() % 3));
+    } else if (draw < 52) {
+        world.send(client, client_verb::prepare, "s" + std::to_string(draw % 2), "shape" + std::to_string(world.random() % 3), world.random() % 2 == 0);
+    } else if (draw < 62 && !client.shapes.empty()) {
+        world.send(client, client_verb::execute, client.shapes.begin()->first, item);
+    } else {
+        world.send(client, client_verb::read, item);
+    }
+}
+
+/// One fault or the end of one; several may overlap.
+void disturb(proxy_world &world)
+{
+    fake_database &any = world.databases.at(database_name("db-" + std::to_string(world.random() % 3)));
+    switch (world.random() % 9) {
+    case 0:
+        world.crash(any);
+        break;
+    case 1:
+        world.restart(any);
+        break;
+    case 2:
+        any.lag = 10ms + duration(1ms) * static_cast<int>(world.random() % 3000);
+        break;
+    case 3:
+        any.lag = 10ms;
+        break;
+    case 4:
+        any.percentLost = world.random() % 2 == 0 ? 0 : 20;
+        break;
+    case 5:
+        any.full = !any.full;
+        break;
+    case 6:
+        world.storeDown = !world.storeDown;
+        break;
+    case 7:
+        world.ordersUnanswered = !world.ordersUnanswered;
+        break;
+    case 8:
+        world.promote(any.listed.name);
+        break;
+    }
+}
+
+/// Runs clients on all rules under random faults, then without; returns what was broken first.
+std::string play(std::uint64_t seed)
+{
+    proxy_world world(seed);
+    world.addGroup();
+    world.configure(1);
+    const char *routes[] = {"latest", "session", "age"};
+    for (int index = 0; index < 9; ++index) {
+        world.connect(routes[index % 3]);
+    }
+    world.runFor(5s);
+    for (int step = 0; step < 400; ++step) {
+        for (auto &[id, client] : world.clients) {
+            act(world, client);
+        }
+        world.runFor(20ms);
+        if (step > 40 && step < 300 && world.random() % 25 == 0) {
+            disturb(world);
+        }
+        if (step == 300) {
+            world.storeDown = false;
+            world.ordersUnanswered = false;
+            for (auto &[name, database] : world.databases) {
+                world.restart(database);
+                database.full = false;
+                database.percentLost = 0;
+                database.lag = 10ms;
+            }
+        }
+        if (!world.broken.empty()) {
+            return "seed " + std::to_string(seed) + ", step " + std::to_string(step) + ": " + world.broken.front();
+        }
+    }
+    world.runFor(6s);
+    world.checkPromises();
+    for (const auto &[id, count] : world.committed()) {
+        if (count != 1) {
+            return "seed " + std::to_string(seed) + ": TWICE: " + id;
+        }
+    }
+    const std::map<std::string, int> kept = world.committed();
+    for (const acknowledged_commit &commit : world.acknowledged) {
+        if (!kept.contains(commit.id) && !world.rolledBack.contains(commit.id)) {
+            return "seed " + std::to_string(seed) + ": LOST: " + commit.id;
+        }
+    }
+    for (const char *name : routes) {
+        fake_client &client = world.connect(name);
+        if (world.ask(client, client_verb::read, "item").code != reply_code::done || world.ask(client, client_verb::write, "item", "x").code != reply_code::done) {
+            return "seed " + std::to_string(seed) + ": not served after the last fault on " + name;
+        }
+    }
+    return world.broken.empty() ? std::string() : "seed " + std::to_string(seed) + ": " + world.broken.front();
+}
+
+} // namespace
+
+TEST_GROUP(proxy_random){};
+
+TEST(proxy_random, noPromiseIsBrokenUnderOverlappingFaults)
+{
+    constexpr std::uint64_t plays = 150;
+    for (std::uint64_t seed = 1; seed <= plays; ++seed) {
+        const std::string problem = play(seed);
+        CHECK_TRUE_TEXT(problem.empty(), problem.c_str());
+    }
+}
--- /dev/null
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -0,0 +1,585 @@
+#include "UnitTests/Proxy/proxy_world.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+proxy_settings settingsOf(std::uint64_t seed)
+{
+    proxy_settings settings;
+    settings.instance = "instance-1";
+    settings.dataCentre = "dc-0";
+    settings.regions = {{"dc-0", "r-0"}, {"dc-1", "r-1"}, {"dc-2", "r-2"}};
+    settings.seed = seed;
+    return settings;
+}
+
+log_entry endOf(const fake_database &database)
+{
+    const term_number term = database.log.empty() ? term_number(1) : database.log.back().term;
+    return {term, log_position(database.log.size())};
+}
+
+bool promisesNothingKept(reply_code code)
+{
+    return code == reply_code::busy || code == reply_code::aborted || code == reply_code::lagging || code == reply_code::readOnly
+        || code == reply_code::misrouted || code == reply_code::tooManyConnections;
+}
+
+} // namespace
+
+proxy_world::proxy_world(std::uint64_t seed)
+    : engine(settingsOf(seed))
+    , random(seed)
+{
+}
+
+void proxy_world::addGroup()
+{
+    for (int index = 0; index < 3; ++index) {
+        fake_database database;
+        database.listed.name = database_name("db-" + std::to_string(index));
+        database.listed.group = group_name("g");
+        database.listed.address = "10.0.0." + std::to_string(index + 1) + ":1";
+        database.listed.dataCentre = "dc-" + std::to_string(index);
+        database.listed.slots = 3;
+        database.listed.saysPrimary = index == 0;
+        database.listed.life = 1;
+        database.primary = index == 0;
+        database.way = index == 0 ? 1ms : 20ms;
+        databases[database.listed.name] = database;
+    }
+    tellListing();
+}
+
+void proxy_world::tellListing()
+{
+    database_listing listing;
+    for (const auto &[name, database] : databases) {
+        listing.push_back(database.listed);
+    }
+    onListing(engine, listing, now);
+    carryOut();
+}
+
+void proxy_world::configure(std::uint64_t version)
+{
+    route_table table;
+    table.version = revision_number(version);
+    table.groups[group_name("g")] = {20, 0};
+    const auto add = [&](const char *name, read_rule rule, duration maxAge) {
+        table.routes[name] = {group_name("g"), rule, maxAge, 1000ms, 600ms, 2};
+    };
+    add("latest", read_rule::latest, 0ms);
+    add("session", read_rule::session, 2500ms);
+    add("age", read_rule::age, 1500ms);
+    onConfiguration(engine, table, now);
+    carryOut();
+}
+
+void proxy_world::runFor(duration span)
+{
+    const time_point end = now + span;
+    while (true) {
+        const std::optional<time_point> timer = nextTimer(engine);
+        const bool hasEvent = !events.empty();
+        const time_point next = std::min(timer.value_or(end), hasEvent ? events.begin()->first : end);
+        if (next >= end) {
+            break;
+        }
+        now = std::max(now, next);
+        if (hasEvent && events.begin()->first <= now) {
+            const auto event = events.begin()->second;
+            events.erase(events.begin());
+            event();
+        } else {
+            onTimer(engine, now);
+        }
+        carryOut();
+    }
+    now = end;
+}
+
+fake_client &proxy_world::connect(const std::string &database)
+{
+    const session_id id(nextSession++);
+    fake_client &client = clients[id];
+    client.id = id;
+    client.database = database;
+    onSessionStarted(engine, id, database, now);
+    carryOut();
+    return client;
+}
+
+void proxy_world::send(fake_client &client, client_verb verb, const std::string &name, const std::string &value, bool writes)
+{
+    client_statement what;
+    what.id = "q" + std::to_string(nextId++);
+    what.verb = verb;
+    what.name = name;
+    what.value = value;
+    what.writes = writes;
+    what.text = verb == client_verb::commit ? "COMMIT" : verb == client_verb::write ? "WRITE " + name + " " + value : "READ " + name;
+    client.sent = what;
+    m_sent.insert(what.id);
+    client.sentAt = now;
+    client.waits = true;
+    onStatement(engine, client.id, what, now);
+    carryOut();
+}
+
+client_reply proxy_world::ask(fake_client &client, client_verb verb, const std::string &name, const std::string &value, bool writes)
+{
+    const std::size_t before = client.answers.size();
+    send(client, verb, name, value, writes);
+    for (int steps = 0; steps < 2000 && client.answers.size() == before && !client.closed; ++steps) {
+        runFor(5ms);
+    }
+    if (client.answers.size() == before) {
+        broken.emplace_back("no answer to " + client.sent.id);
+        return {};
+    }
+    return client.answers.back().reply;
+}
+
+fake_database &proxy_world::primary()
+{
+    for (auto &[name, database] : databases) {
+        if (database.primary) {
+            return database;
+        }
+    }
+    return databases.begin()->second;
+}
+
+void proxy_world::promote(const database_name &name)
+{
+    fake_database &chosen = databases.at(name);
+    if (chosen.primary) {
+        return;
+    }
+    term_number highest;
+    for (auto &[other, database] : databases) {
+        highest = std::max(highest, database.term);
+    }
+    for (const auto &[due, commit] : chosen.arriving) {
+        chosen.log.push_back(commit);
+    }
+    chosen.arriving.clear();
+    std::set<std::string> kept;
+    for (const fake_commit &commit : chosen.log) {
+        kept.insert(commit.id);
+    }
+    for (auto &[other, database] : databases) {
+        for (const fake_commit &commit : database.log) {
+            if (!kept.contains(commit.id)) {
+                rolledBack.insert(commit.id);
+            }
+        }
+        for (const auto &[due, commit] : database.arriving) {
+            if (!kept.contains(commit.id)) {
+                rolledBack.insert(commit.id);
+            }
+        }
+        database.primary = false;
+        database.arriving.clear();
+        if (database.log.size() > chosen.log.size() || other != name) {
+            database.log = chosen.log;
+        }
+    }
+    chosen.primary = true;
+    chosen.term = term_number(highest.value() + 1);
+}
+
+void proxy_world::crash(fake_database &database)
+{
+    database.dark = true;
+    database.connections.clear();
+}
+
+void proxy_world::restart(fake_database &database)
+{
+    if (!database.dark) {
+        return;
+    }
+    database.dark = false;
+    if (!database.primary) {
+        database.log = primary().log;
+        database.arriving.clear();
+    }
+}
+
+std::map<std::string, int> proxy_world::committed()
+{
+    std::map<std::string, int> counts;
+    for (const fake_commit &commit : primary().log) {
+        ++counts[commit.id];
+    }
+    return counts;
+}
+
+void proxy_world::carryOut()
+{
+    while (!engine.actions.empty()) {
+        std::vector<proxy_action> actions = std::exchange(engine.actions, {});
+        for (proxy_action &action : actions) {
+            perform(action);
+        }
+    }
+}
+
+void proxy_world::perform(proxy_action &action)
+{
+    if (auto *accepted = std::get_if<accept_session>(&action)) {
+        clients.at(accepted->session).accepted = true;
+    } else if (auto *closed = std::get_if<close_session>(&action)) {
+        clients.at(closed->session).closed = true;
+        clients.at(closed->session).closedWith = closed->code;
+    } else if (auto *answer = std::get_if<answer_client>(&action)) {
+        fake_client &client = clients.at(answer->session);
+        checkAnswer(client, answer->reply);
+        client.answers.push_back({client.sent, answer->reply, now});
+        client.waits = false;
+    } else if (auto *open = std::get_if<open_link>(&action)) {
+        linkHomes[open->link] = open->database;
+        const link_id link = open->link;
+        const auto found = databases.find(open->database);
+        if (found == databases.end() || found->second.dark) {
+            return;
+        }
+        events.emplace(now + found->second.way * 2, [this, link] {
+            fake_database &database = databases.at(linkHomes.at(link));
+            if (!database.dark) {
+                database.connections[link] = {};
+                onLinkOpened(engine, link, now);
+            }
+        });
+    } else if (auto *sent = std::get_if<send_commands>(&action)) {
+        const link_id link = sent->link;
+        const std::vector<database_command> commands = sent->commands;
+        events.emplace(now + databases.at(linkHomes.at(link)).way, [this, link, commands] {
+            deliver(link, commands);
+        });
+    } else if (auto *gone = std::get_if<close_link>(&action)) {
+        const link_id link = gone->link;
+        events.emplace(now + 1ms, [this, link] {
+            databases.at(linkHomes.at(link)).connections.erase(link);
+        });
+    } else if (auto *read = std::get_if<read_claim>(&action)) {
+        const group_name group = read->group;
+        events.emplace(now + 4ms, [this, group] {
+            if (storeDown) {
+                onClaimUnread(engine, group, now);
+            } else {
+                onClaimRead(engine, group, claimRevision, claimTerm, now);
+            }
+        });
+    } else if (auto *write = std::get_if<write_claim>(&action)) {
+        const write_claim claim = *write;
+        events.emplace(now + 4ms, [this, claim] {
+            if (storeDown || claim.expected != claimRevision) {
+                onClaimLost(engine, claim.group, now);
+                return;
+            }
+            claimRevision = ++storeRevision;
+            claimTerm = claim.term;
+            onClaimWritten(engine, claim.group, fence_number(claimRevision), now);
+        });
+    } else if (auto *order = std::get_if<order_promotion>(&action)) {
+        if (!fences.empty() && order->fence.value() <= fences.back()) {
+            broken.emplace_back("an order with a fence that was used before");
+        }
+        fences.push_back(order->fence.value());
+        const database_name successor = order->successor;
+        events.emplace(now + promoteTakes, [this, successor] {
+            promote(successor);
+        });
+        const group_name group = order->group;
+        const bool answered = !ordersUnanswered;
+        events.emplace(now + (answered ? 10ms : 1500ms), [this, group, answered] {
+            onOrderAnswered(engine, group, answered, now);
+        });
+    }
+}
+
+void proxy_world::deliver(link_id link, const std::vector<database_command> &commands)
+{
+    fake_database &database = databases.at(linkHomes.at(link));
+    const auto connection = database.connections.find(link);
+    if (database.dark || connection == database.connections.end()) {
+        return;
+    }
+    time_point at = std::max(now, connection->second.busyUntil);
+    for (const database_command &command : commands) {
+        const bool works = command.kind == command_kind::forward || command.kind == command_kind::execute;
+        at += works ? database.work : duration{};
+        const bool lost = works && random() % 100 < database.percentLost;
+        events.emplace(at, [this, link, command, lost] {
+            fake_database &home = databases.at(linkHomes.at(link));
+            if (home.dark || !home.connections.contains(link)) {
+                return;
+            }
+            const database_reply reply = execute(home, link, command);
+            if (lost) {
+                home.deaf.insert(link);
+            }
+            if (home.deaf.contains(link)) {
+                return;
+            }
+            events.emplace(now + home.way, [this, link, reply] {
+                if (!databases.at(linkHomes.at(link)).dark) {
+                    onDatabaseReply(engine, link, reply, now);
+                }
+            });
+        });
+    }
+    connection->second.busyUntil = at;
+}
+
+void proxy_world::applyArrived(fake_database &database)
+{
+    while (!database.arriving.empty() && database.arriving.front().first <= now) {
+        database.log.push_back(database.arriving.front().second);
+        database.arriving.erase(database.arriving.begin());
+    }
+}
+
+void proxy_world::append(fake_database &database, const std::string &id)
+{
+    const fake_commit commit{database.term, id};
+    database.log.push_back(commit);
+    for (auto &[name, other] : databases) {
+        if (&other != &database && !other.dark) {
+            const time_point before = other.arriving.empty() ? now : other.arriving.back().first;
+            other.arriving.emplace_back(std::max(before, now + other.lag), commit);
+            other.term = std::max(other.term, database.term);
+        }
+    }
+}
+
+database_reply proxy_world::execute(fake_database &database, link_id link, const database_command &command)
+{
+    applyArrived(database);
+    fake_connection &connection = database.connections.at(link);
+    database_reply reply;
+    reply.position = endOf(database);
+    const auto refuse = [&](reply_code code) {
+        reply.code = code;
+        reply.state = connection.inTransaction ? transaction_state::failed : transaction_state::none;
+        connection.failed = connection.inTransaction;
+        return reply;
+    };
+    // Numbers only, as the real databases compare: a log of an older term may pass.
+    if (command.floor && command.floor->position > reply.position->position) {
+        return refuse(reply_code::lagging);
+    }
+    switch (command.kind) {
+    case command_kind::begin:
+    case command_kind::beginRead:
+        if (command.kind == command_kind::begin && !database.primary) {
+            return refuse(reply_code::readOnly);
+        }
+        connection.inTransaction = true;
+        connection.plain = command.kind == command_kind::begin;
+        connection.begunIn = database.term;
+        break;
+    case command_kind::rollback:
+        connection.inTransaction = false;
+        connection.failed = false;
+        connection.writes.clear();
+        break;
+    case command_kind::discard:
+        connection.values.clear();
+        connection.prepared.clear();
+        break;
+    case command_kind::setValue:
+        connection.values[command.name] = command.value;
+        break;
+    case command_kind::prepare:
+        connection.prepared[command.name] = (command.writes ? "w " : "r ") + command.value;
+        break;
+    case command_kind::status:
+    case command_kind::pause:
+    case command_kind::resume: {
+        database_status status;
+        status.primary = database.primary;
+        status.term = database.term;
+        status.received = {reply.position->term, log_position(database.log.size() + database.arriving.size())};
+        status.connections = static_cast<std::uint32_t>(database.connections.size());
+        reply.status = status;
+        reply.rows = {"status"};
+        break;
+    }
+    case command_kind::forward:
+    case command_kind::execute:
+        return runStatement(database, link, command);
+    }
+    reply.state = connection.inTransaction ? transaction_state::open : transaction_state::none;
+    return reply;
+}
+
+database_reply proxy_world::runStatement(fake_database &database, link_id link, const database_command &command)
+{
+    fake_connection &connection = database.connections.at(link);
+    database_reply reply;
+    const auto refuse = [&](reply_code code) {
+        reply.code = code;
+        reply.position = endOf(database);
+        connection.failed = connection.inTransaction;
+        reply.state = connection.inTransaction ? transaction_state::failed : transaction_state::none;
+        return reply;
+    };
+    if (connection.failed) {
+        return refuse(reply_code::malformed);
+    }
+    if (database.full) {
+        reply.code = reply_code::busy;
+        reply.position = endOf(database);
+        reply.state = connection.inTransaction ? transaction_state::open : transaction_state::none;
+        return reply;
+    }
+    checkRun(database, link, command, connection);
+    bool writes = command.text.starts_with("WRITE");
+    if (command.kind == command_kind::execute) {
+        if (!connection.prepared.contains(command.name)) {
+            return refuse(reply_code::unknownStatement);
+        }
+        writes = connection.prepared.at(command.name).starts_with("w ");
+    }
+    const bool commits = command.kind == command_kind::forward && command.text == "COMMIT";
+    const bool leads = database.primary && (!connection.inTransaction || connection.begunIn == database.term);
+    const bool emptyCommit = commits && connection.writes.empty();
+    if (!leads && !emptyCommit && (writes || (connection.inTransaction && connection.plain))) {
+        return refuse(reply_code::readOnly);
+    }
+    if (commits) {
+        if (!connection.inTransaction) {
+            return refuse(reply_code::malformed);
+        }
+        if (!connection.writes.empty()) {
+            append(database, command.id);
+        }
+        connection.inTransaction = false;
+        connection.writes.clear();
+    } else if (writes && connection.inTransaction) {
+        connection.writes.push_back(command.id);
+    } else if (writes) {
+        append(database, command.id);
+    } else {
+        std::set<std::string> seen;
+        for (const fake_commit &commit : database.log) {
+            seen.insert(commit.id);
+        }
+        m_seenByRead[command.id] = seen;
+        reply.rows = {"row of " + command.id};
+    }
+    reply.signature = "signed " + command.id;
+    reply.position = endOf(database);
+    reply.state = connection.inTransaction ? transaction_state::open : transaction_state::none;
+    return reply;
+}
+
+void proxy_world::checkRun(fake_database &, link_id link, const database_command &command, const fake_connection &connection)
+{
+    for (auto &[id, client] : clients) {
+        if (client.sent.id != command.id || !client.waits) {
+            continue;
+        }
+        if (connection.values != client.values) {
+            broken.emplace_back("PINNED: " + command.id + " ran with another session's values");
+        }
+        if (command.kind == command_kind::execute) {
+            const auto prepared = connection.prepared.find(command.name);
+            if (prepared == connection.prepared.end() || prepared->second != client.shapes[client.sent.name]) {
+                broken.emplace_back("PINNED: " + command.id + " ran another shape");
+            }
+        } else if (command.text != client.sent.text) {
+            broken.emplace_back("UNASKED: changed text of " + command.id);
+        }
+        if (connection.inTransaction != client.inTransaction) {
+            broken.emplace_back("PINNED: " + command.id + " ran inside or outside of the wrong transaction");
+        }
+        if (client.inTransaction) {
+            if (client.transactionLink != link_id{} && client.transactionLink != link) {
+                broken.emplace_back("PINNED: " + command.id + " ran on another connection than its transaction");
+            }
+            client.transactionLink = link;
+        }
+        return;
+    }
+    // It may run after its client was told that it waited too long; what that may leave behind is checked at the end.
+    if (!m_sent.contains(command.id)) {
+        broken.emplace_back("UNASKED: nobody sent " + command.id);
+    }
+}
+
+void proxy_world::checkAnswer(fake_client &client, const client_reply &reply)
+{
+    const client_statement &what = client.sent;
+    const bool done = reply.code == reply_code::done;
+    const bool forwarded = what.verb == client_verb::read || what.verb == client_verb::write || what.verb == client_verb::commit || what.verb == client_verb::execute;
+    if (done && forwarded && reply.signature != "signed " + what.id) {
+        broken.emplace_back("MIXED: answer to " + what.id + " is signed '" + reply.signature + "'");
+    }
+    if (done && what.verb == client_verb::setValue) {
+        client.values[what.name] = what.value;
+    }
+    if (done && what.verb == client_verb::prepare) {
+        client.shapes[what.name] = (what.writes ? "w " : "r ") + what.value;
+    }
+    const bool reads = what.verb == client_verb::read || (what.verb == client_verb::execute && client.shapes[what.name].starts_with("r "));
+    if (done && reads) {
+        checkFresh(client, what.id);
+    }
+    const bool singleWrite = !client.inTransaction && (what.verb == client_verb::write || (what.verb == client_verb::execute && !reads));
+    if (done && (singleWrite || (what.verb == client_verb::commit && committed().contains(what.id)))) {
+        acknowledged.push_back({what.id, client.id, now});
+    }
+    if (promisesNothingKept(reply.code) && committed().contains(what.id)) {
+        broken.emplace_back("REFUSED: " + what.id + " is kept, though the answer was " + std::string(toString(reply.code)));
+    }
+    const bool begins = what.verb == client_verb::begin || what.verb == client_verb::beginRead;
+    if (begins && done) {
+        client.inTransaction = true;
+        client.transactionAt = client.sentAt;
+        client.transactionLink = link_id{};
+    } else if (reply.state == transaction_state::none) {
+        client.inTransaction = false;
+    }
+}
+
+void proxy_world::checkPromises()
+{
+    const std::map<std::string, int> kept = committed();
+    for (const auto &[id, client] : clients) {
+        for (const told &answer : client.answers) {
+            if (promisesNothingKept(answer.reply.code) && kept.contains(answer.what.id)) {
+                broken.emplace_back("REFUSED: " + answer.what.id + " is kept, though the answer was " + std::string(toString(answer.reply.code)));
+            }
+        }
+    }
+}
+
+void proxy_world::checkFresh(const fake_client &client, const std::string &id)
+{
+    const time_point arrived = client.inTransaction ? client.transactionAt : client.sentAt;
+    for (const acknowledged_commit &commit : acknowledged) {
+        if (rolledBack.contains(commit.id) || commit.at >= arrived) {
+            continue;
+        }
+        const bool own = client.database == "session" && commit.session == client.id;
+        const duration age = client.database == "latest" ? 0ms : client.database == "age" ? 1500ms : 2500ms;
+        const bool due = own || commit.at < arrived - age;
+        if (due && !m_seenByRead[id].contains(commit.id)) {
+            broken.emplace_back("STALE: " + id + " on '" + client.database + "' lacks " + commit.id);
+        }
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/UnitTests/Proxy/proxy_world.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "mustardrouter/Proxy/proxy_engine.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// One committed write in a fake database's log; the client's id of the write or commit names it.
+struct fake_commit {
+    term_number term;
+    std::string id;
+};
+
+/// One connection as a fake database sees it.
+struct fake_connection {
+    bool inTransaction = false;
+    bool plain = false;
+    bool failed = false;
+    term_number begunIn;
+    std::vector<std::string> writes;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared;
+    time_point busyUntil{};
+};
+
+/// A database in virtual time.
+struct fake_database {
+    listed_database listed;
+    bool primary = false;
+    term_number term{1};
+    std::vector<fake_commit> log;
+    /// Commits received from the primary that are not applied yet.
+    std::vector<std::pair<time_point, fake_commit>> arriving;
+    duration lag = std::chrono::milliseconds(10);
+    duration way = std::chrono::milliseconds(1);
+    duration work = std::chrono::milliseconds(5);
+    /// Receives nothing and says nothing.
+    bool dark = false;
+    bool full = false;
+    /// Out of a hundred answers to clients' statements, so many are lost together with their connection's later ones.
+    unsigned percentLost = 0;
+    std::map<link_id, fake_connection> connections;
+    std::set<link_id> deaf;
+};
+
+/// What a client was told about a statement.
+struct told {
+    client_statement what;
+    client_reply reply;
+    time_point at{};
+};
+
+/// One client session of the world.
+struct fake_client {
+    session_id id;
+    std::string database;
+    bool accepted = false;
+    bool closed = false;
+    reply_code closedWith = reply_code::done;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> shapes;
+    std::vector<told> answers;
+    client_statement sent;
+    time_point sentAt{};
+    bool waits = false;
+    bool inTransaction = false;
+    time_point transactionAt{};
+    link_id transactionLink;
+};
+
+/// An acknowledged commit.
+struct acknowledged_commit {
+    std::string id;
+    session_id session;
+    time_point at{};
+};
+
+/// An engine, its databases, clients, and the platform's store and orders, in virtual time. Broken promises are
+/// collected as text.
+struct proxy_world {
+    explicit proxy_world(std::uint64_t seed);
+
+    proxy_engine engine;
+    std::mt19937_64 random;
+    time_point now{std::chrono::seconds(1000)};
+    std::multimap<time_point, std::function<void()>> events;
+    std::map<database_name, fake_database> databases;
+    std::map<link_id, database_name> linkHomes;
+    std::map<session_id, fake_client> clients;
+    std::vector<acknowledged_commit> acknowledged;
+    std::set<std::string> rolledBack;
+    std::vector<std::string> broken;
+    std::uint64_t nextId = 1;
+    std::uint64_t nextSession = 1;
+    std::uint64_t storeRevision = 10;
+    std::uint64_t claimRevision = 0;
+    term_number claimTerm;
+    bool storeDown = false;
+    bool ordersUnanswered = false;
+    std::vector<std::uint64_t> fences;
+    duration promoteTakes = std::chrono::milliseconds(300);
+
+    /// Three databases of one group; the first is primary.
+    void addGroup();
+    void tellListing();
+    /// Routes "latest", "session" and "age" of the group, in this version.
+    void configure(std::uint64_t version);
+    void runFor(duration span);
+    fake_client &connect(const std::string &database);
+    /// Sends a statement as a client would; the id is made here.
+    void send(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
+    /// Sends and runs until it is answered, at most for `patience`.
+    client_reply ask(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
+    fake_database &primary();
+    void promote(const database_name &name);
+    void crash(fake_database &database);
+    /// Starts a crashed database again; a replica copies what it missed.
+    void restart(fake_database &database);
+    /// Commits that the logs of databases hold, by id, with the number of times.
+    std::map<std::string, int> committed();
+    void carryOut();
+    /// Looks for commits that exist though their client was promised that nothing is kept.
+    void checkPromises();
+
+private:
+    void perform(proxy_action &action);
+    void deliver(link_id link, const std::vector<database_command> &commands);
+    database_reply execute(fake_database &database, link_id link, const database_command &command);
+    database_reply runStatement(fake_database &database, link_id link, const database_command &command);
+    void append(fake_database &database, const std::string &id);
+    void applyArrived(fake_database &database);
+    void checkRun(fake_database &database, link_id link, const database_command &command, const fake_connection &connection);
+    void checkAnswer(fake_client &client, const client_reply &reply);
+    void checkFresh(const fake_client &client, const std::string &signature);
+    std::map<std::string, std::set<std::string>> m_seenByRead;
+    std::set<std::string> m_sent;
+};
+
+} // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -136,9 +136,10 @@
         noteReadTime(*database, now - run.sentAt, now);
         noteWork(engine, group, session, now - run.sentAt);
     }
-    if (run.needsProof && session.ownCommits && group.leadTerm > session.ownCommits->term && !group.samples.samples.empty()) {
-        // What the session had written beyond the new primary's log is gone: its floor would block for ever.
-        session.ownCommits = group.samples.samples.back().entry;
+    const bool ownRolledBack = session.ownCommits && reply.position && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
+    if (run.needsProof && ownRolledBack) {
+        // What the session had written beyond the log of a primary that leads is gone: its floor would block for ever.
+        session.ownCommits = reply.position;
     }
     (group.lead == link.database ? engine.figures.primaryReads : engine.figures.replicaReads) += 1;
     answerStatement(engine, session, toClient(reply), now);
@@ -277,7 +278,8 @@
         if (database_state *database = databaseOf(engine, link)) {
             noteFull(*database, now);
         }
-        arm(engine, now + pauseWhenFull(engine, run), timer_kind::link, link.id.value());
+        run.notBefore = now + pauseWhenFull(engine, run);
+        arm(engine, run.notBefore, timer_kind::link, link.id.value());
         return;
     }
     if (run.what.verb == client_verb::commit) {
@@ -682,7 +684,7 @@
     client_session *session = sessionOf(engine, link);
     const bool sendAgain = link.state == link_state::held && link.expected.empty() && session != nullptr && session->current
         && session->transaction && session->transaction->link == link.id && session->transaction->phase == transaction_phase::ready;
-    if (sendAgain) {
+    if (sendAgain && now >= session->current->notBefore) {
         sendInTransaction(engine, *session, now);
     }
 }
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -227,8 +227,10 @@
         if (link == nullptr) {
             return false;
         }
-        // The primary needs no floor where it proves its lead; with a floor it needs no proof.
-        run.floor = need.lead ? std::nullopt : need.floor;
+        // The primary needs no floor where it proves its lead; with a floor it needs no proof. One that lacks the
+        // floor has lost the entry in a promotion.
+        const bool leadLacksFloor = std::ranges::find(run.avoid, *group.lead) != run.avoid.end();
+        run.floor = need.lead || leadLacksFloor ? std::nullopt : need.floor;
         run.needsProof = !run.floor.has_value();
         sendSingle(engine, session, *link, now);
         return true;
--- a/mustardrouter/Proxy/position_samples.cpp
+++ b/mustardrouter/Proxy/position_samples.cpp
@@ -16,13 +16,14 @@
 void addSample(position_samples &history, time_point asked, log_entry entry)
 {
     auto &samples = history.samples;
-    if (!samples.empty() && entry.term > samples.back().entry.term) {
-        // Entries of an earlier term may have been rolled back: as a floor they could block for ever.
-        samples.clear();
-    }
-    if (!samples.empty() && (asked <= samples.back().asked || entry < samples.back().entry)) {
+    if (!samples.empty() && asked <= samples.back().asked) {
         return;
     }
+    if (!samples.empty() && (entry.term > samples.back().entry.term || entry < samples.back().entry)) {
+        // After a promotion, entries seen before may be rolled back: as floors they could block for ever. The
+        // term of the log's end changes with the first commit only, so that a log may also just be shorter.
+        samples.clear();
+    }
     const bool dense = samples.size() >= 2 && asked - samples[samples.size() - 2].asked < sampleSpacing;
     if (dense) {
         samples.back() = {asked, entry};
