--- /dev/null
+++ b/UnitTests/PlatformAdapter/stored_objects_test.cpp
@@ -0,0 +1,95 @@
+#include "platform/stored_objects.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace mustardrouter::platform;
+
+namespace
+{
+
+const char *const entry = R"({"service":"g","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":3,"state":"ready",
+"warmup_left_ms":0,"db_role":"replica","sequence":4,"born":1784412349033})";
+
+stored_object objectOf(const std::string &spec)
+{
+    const auto object = decodeObject(R"({"meta":{"name":"i-1","revision":7,"created":1,"finalizers":[],"marked_for_deletion":false},"spec":)" + spec + R"(,"status":null})");
+    CHECK_TRUE(object.has_value());
+    return *object;
+}
+
+std::string replaced(const char *what, const char *with)
+{
+    std::string text = entry;
+    text.replace(text.find(what), std::string(what).size(), with);
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(stored_objects){};
+
+TEST(stored_objects, aDatabasesEntryIsDecodedToOurWords)
+{
+    std::string problem;
+    const auto database = decodeDatabase(objectOf(entry), problem);
+    CHECK_TRUE(database.has_value());
+    CHECK_EQUAL(std::string("g"), database->group.value());
+    CHECK_EQUAL(std::string("z"), database->dataCentre);
+    CHECK_FALSE(database->leaving);
+    CHECK_FALSE(database->saysPrimary);
+    CHECK_EQUAL(1784412349033ULL, database->life);
+}
+
+TEST(stored_objects, entriesOfOtherWritersNameNoDatabase)
+{
+    const std::string damaged[] = {"null",
+                                   "\"text\"",
+                                   "[]",
+                                   "{}",
+                                   replaced("\"slots\":3", "\"slots\":\"3\""),
+                                   replaced("\"slots\":3", "\"slots\":0"),
+                                   replaced("\"state\":\"ready\"", "\"state\":\"asleep\""),
+                                   replaced("\"db_role\":\"replica\"", "\"db_role\":\"witness\""),
+                                   replaced("\"db_role\":\"replica\"", "\"db_role\":1"),
+                                   replaced("10.128.0.9:8080", "somewhere"),
+                                   replaced("10.128.0.9:8080", "10.128.0.9:99999"),
+                                   replaced("\"sequence\":4", "\"sequence\":\"x\"")};
+    for (const std::string &spec : damaged) {
+        std::string problem;
+        CHECK_FALSE(decodeDatabase(objectOf(spec), problem).has_value());
+        CHECK_FALSE(problem.empty());
+    }
+}
+
+TEST(stored_objects, theConfigurationIsDecodedAndAnUnknownRouteIsLeftOut)
+{
+    std::string problem;
+    const auto table = decodeConfiguration(objectOf(R"({"version":7,"routes":[
+{"name":"r","host":"h1","type":"read_your_writes","timeout_ms":1000,"target_latency_ms":900,"priority":2,"service":"g","max_staleness_ms":2500},
+{"name":"r","host":"h2","type":"primary","timeout_ms":700,"target_latency_ms":600,"priority":1,"service":"g"},
+{"name":"r","host":"h3","type":"sideways","service":"g"}],
+"services":[{"name":"g","max_conns":45,"sync_replicas":1}],"limits":{"tx_idle_ms":2000}})"),
+                                           problem);
+    CHECK_TRUE(table.has_value());
+    CHECK_EQUAL(2, table->routes.size());
+    CHECK_TRUE(table->routes.at("h1").rule == read_rule::session);
+    CHECK_TRUE(table->routes.at("h1").maxAge == std::chrono::milliseconds(2500));
+    CHECK_TRUE(table->routes.at("h2").rule == read_rule::latest);
+    CHECK_EQUAL(45, table->groups.at(group_name("g")).connections);
+    CHECK_EQUAL(1, table->groups.at(group_name("g")).syncReplicas);
+    CHECK_TRUE(table->idleInTransaction == std::chrono::milliseconds(2000));
+    CHECK_FALSE(problem.empty());
+}
+
+TEST(stored_objects, pagesAndChangesThatAreNoneAreRefused)
+{
+    for (const char *body : {"", "x", "[]", "{}", R"({"items":1,"as_of":1})", R"({"items":[],"as_of":"1"})"}) {
+        CHECK_FALSE(decodePage(body).has_value());
+        CHECK_FALSE(decodeChanges(body).has_value());
+    }
+    const auto page = decodePage(R"({"items":["x",{"meta":{"name":"a","revision":3},"spec":{}}],"has_more":true,"as_of":9})");
+    CHECK_EQUAL(1, page->objects.size());
+    CHECK_TRUE(page->more);
+    CHECK_EQUAL(9, page->revision);
+}
--- /dev/null
+++ b/UnitTests/Proxy/failover_watch_test.cpp
@@ -0,0 +1,109 @@
+#include "mustardrouter/Proxy/failover_watch.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const database_name leadName("a");
+constexpr time_point now(100s);
+
+database_state replica(std::uint64_t term, std::uint64_t number)
+{
+    database_state state;
+    database_status status;
+    status.term = term_number(term);
+    status.received = {term_number(term), log_position(number)};
+    state.status = status;
+    state.statusAt = now - 100ms;
+    state.grewAt = now - 5s;
+    return state;
+}
+
+struct group_fixture {
+    std::map<database_name, database_state> databases;
+    proxy_settings settings;
+
+    group_fixture()
+    {
+        databases[leadName].suspectedAt = now - 2s;
+        add("b", replica(1, 10));
+        add("c", replica(1, 12));
+    }
+    void add(const char *name, database_state state)
+    {
+        state.listed.name = database_name(name);
+        databases[database_name(name)] = std::move(state);
+    }
+    failover_view view(std::uint32_t sync = 0) const
+    {
+        return {&databases, leadName, sync};
+    }
+};
+
+} // namespace
+
+TEST_GROUP(failover_watch){};
+
+TEST(failover_watch, aSilentPrimaryWhoseReplicasReceiveNothingIsReplaced)
+{
+    const group_fixture group;
+    CHECK_TRUE(causeOfFailover(group.view(), group.settings, now) == failover_cause::silent);
+    CHECK_TRUE(chooseSuccessor(group.view(), group.settings, now) == database_name("c"));
+}
+
+TEST(failover_watch, aPrimaryThatStillFeedsAReplicaIsNotReplaced)
+{
+    group_fixture group;
+    group.databases[database_name("b")].grewAt = now - 200ms;
+    CHECK_TRUE(causeOfFailover(group.view(), group.settings, now) == failover_cause::none);
+}
+
+TEST(failover_watch, withoutAWitnessNothingIsConcluded)
+{
+    group_fixture group;
+    group.databases[database_name("b")].statusAt = now - 5s;
+    group.databases[database_name("c")].statusAt = now - 5s;
+    CHECK_TRUE(causeOfFailover(group.view(), group.settings, now) == failover_cause::none);
+}
+
+TEST(failover_watch, aShortSilenceIsNoCause)
+{
+    group_fixture group;
+    group.databases[leadName].suspectedAt = now - 300ms;
+    CHECK_TRUE(causeOfFailover(group.view(), group.settings, now) == failover_cause::none);
+}
+
+TEST(failover_watch, aReplicaOfANewerTermGoesBeforeALongerLog)
+{
+    group_fixture group;
+    group.add("b", replica(2, 5));
+    CHECK_TRUE(chooseSuccessor(group.view(), group.settings, now) == database_name("b"));
+}
+
+TEST(failover_watch, aReplicaThatLeavesIsNotChosen)
+{
+    group_fixture group;
+    group.databases[database_name("c")].listed.leaving = true;
+    CHECK_TRUE(chooseSuccessor(group.view(), group.settings, now) == database_name("b"));
+}
+
+TEST(failover_watch, withSynchronousReplicasASilentOneMayHoldTheOnlyCopy)
+{
+    group_fixture group;
+    group.databases[database_name("b")].statusAt = now - 5s;
+    CHECK_TRUE(chooseSuccessor(group.view(0), group.settings, now) == database_name("c"));
+    CHECK_FALSE(chooseSuccessor(group.view(1), group.settings, now).has_value());
+}
+
+TEST(failover_watch, withSynchronousReplicasNoneIsChosenBeforeAllHaveStoppedReceiving)
+{
+    group_fixture group;
+    CHECK_FALSE(chooseSuccessor(group.view(1), group.settings, now).has_value());
+    group.databases[database_name("b")].status->held = term_number(9);
+    group.databases[database_name("c")].status->held = term_number(9);
+    CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("c"));
+}
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -138,7 +138,14 @@
     database.probedAt = now;
     const bool isLead = group.lead == database.listed.name;
     link->state = link_state::busy;
-    ask(engine, *link, isLead || !group.lead, witness && !isLead, now);
+    question what;
+    what.proof = isLead || !group.lead;
+    what.status = witness && !isLead;
+    // Where commits wait for replicas, these stop receiving before one is chosen: what is acknowledged is then on one of them.
+    if (group.limits.syncReplicas > 0 && group.failover.cause != failover_cause::none) {
+        what.pauseAt = term_number(std::max(group.leadTerm, highestTerm(viewOf(group))).value() + 1);
+    }
+    ask(engine, *link, what, now);
 }
 
 void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now)
@@ -168,13 +175,29 @@
     engine.actions.emplace_back(read_claim{group.name});
 }
 
-void endFailover(proxy_engine &engine, group_state &group, const char *why)
+/// Lets replicas receive again that were stopped for a promotion that is not wanted any more.
+void resumeReplicas(proxy_engine &engine, group_state &group, time_point now)
+{
+    for (auto &[name, database] : group.databases) {
+        if (!database.status || database.status->held == term_number{}) {
+            continue;
+        }
+        database.status->held = term_number{};
+        if (database_link *link = takeForQuestion(engine, group, database, now)) {
+            link->state = link_state::busy;
+            ask(engine, *link, question{false, true, {}, true}, now);
+        }
+    }
+}
+
+void endFailover(proxy_engine &engine, group_state &group, const char *why, time_point now)
 {
     failover_watch &watch = group.failover;
     if (watch.cause == failover_cause::none) {
         return;
     }
     tell(engine, "promotion_no_longer_wanted", {{"group", group.name.value()}, {"why", why}});
+    resumeReplicas(engine, group, now);
     const std::uint64_t seen = watch.claimRevision;
     watch = failover_watch{};
     watch.claimRevision = seen;
@@ -344,11 +367,11 @@
               {"term", position ? std::to_string(position->term.value()) : std::string("-")},
               {"without_lead_ms", inMillis(now - group.leadProvedAt)}});
         group.lead = name;
-        endFailover(engine, group, "another database leads");
+        endFailover(engine, group, "another database leads", now);
     }
     group.leadProvedAt = std::max(group.leadProvedAt, asked);
     if (group.failover.cause == failover_cause::silent) {
-        endFailover(engine, group, "the primary answered");
+        endFailover(engine, group, "the primary answered", now);
     }
     if (position) {
         group.leadTerm = std::max(group.leadTerm, position->term);
@@ -398,7 +421,7 @@
     }
     lead.probedAt = now;
     link->state = link_state::busy;
-    ask(engine, *link, true, false, now);
+    ask(engine, *link, question{true, false, {}, false}, now);
 }
 
 void checkGroup(proxy_engine &engine, group_state &group, time_point now)
@@ -420,7 +443,7 @@
     if (cause != failover_cause::none) {
         startFailover(engine, group, cause, now);
     } else if (group.failover.phase == failover_phase::watching) {
-        endFailover(engine, group, "no cause any more");
+        endFailover(engine, group, "no cause any more", now);
     }
     if (anyDoubt && !group.databases.empty()) {
         watchGroup(engine, group, now + engine.settings.probeInterval);
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -395,7 +395,7 @@
     }
     const bool outdated = due || age > engine.settings.connectionsValid * 3;
     if (outdated && link.expected.empty()) {
-        ask(engine, link, false, true, now);
+        ask(engine, link, question{false, true, {}, false}, now);
     }
     const auto spread = static_cast<std::uint64_t>(engine.settings.connectionsFresh.count());
     const duration next = due ? duration(static_cast<std::int64_t>(spread / 4 + engine.random() % spread)) : std::min(span - rested, engine.settings.connectionsValid);
@@ -461,7 +461,7 @@
     if (database_state *database = databaseOf(engine, link)) {
         database->answeredAt = now;
         if (now - database->connectionsAt > engine.settings.connectionsValid) {
-            ask(engine, link, false, true, now);
+            ask(engine, link, question{false, true, {}, false}, now);
         }
     }
     armIdleCheck(engine, link, now);
@@ -583,23 +583,25 @@
 namespace proxying
 {
 
-void ask(proxy_engine &engine, database_link &link, bool proof, bool status, time_point now)
+void ask(proxy_engine &engine, database_link &link, const question &what, time_point now)
 {
     std::vector<database_command> commands;
     std::vector<reply_part> parts;
     const auto add = [&](command_kind kind, reply_part part) {
         database_command command;
         command.kind = kind;
+        command.term = what.pauseAt;
         commands.push_back(command);
         parts.push_back(part);
     };
-    if (proof) {
+    if (what.proof) {
         add(command_kind::begin, reply_part::proof);
         add(command_kind::rollback, reply_part::proofEnd);
         engine.figures.proofs += 1;
     }
-    if (status) {
-        add(command_kind::status, reply_part::status);
+    if (what.status) {
+        const bool pauses = what.pauseAt != term_number{};
+        add(pauses ? command_kind::pause : what.resume ? command_kind::resume : command_kind::status, reply_part::status);
     }
     sendOn(engine, link, std::move(commands), parts, now);
     arm(engine, now + engine.settings.abandonedPatience, timer_kind::link, link.id.value());
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -46,8 +46,20 @@
 
 // Links (engine_links.cpp)
 
+/// What the instance asks a database for itself.
+struct question {
+    /// Whether it leads.
+    bool proof = false;
+    /// Its status.
+    bool status = false;
+    /// With the status, stop it from receiving until it is promoted in a term of at least this; zero for not.
+    term_number pauseAt;
+    /// With the status, let it receive again.
+    bool resume = false;
+};
+
 /// Asks the database on the connection; the answers come before those of what is sent later.
-void ask(proxy_engine &engine, database_link &link, bool proof, bool status, time_point now);
+void ask(proxy_engine &engine, database_link &link, const question &what, time_point now);
 /// Opens a connection to the database.
 database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now);
 /// Sends commands and notes what answers they owe.
--- a/mustardrouter/Proxy/failover_watch.cpp
+++ b/mustardrouter/Proxy/failover_watch.cpp
@@ -67,6 +67,10 @@
             }
             continue;
         }
+        if (view.syncReplicas > 0 && database.status->held == term_number{}) {
+            // It still receives: the primary may acknowledge a commit that the chosen one lacks.
+            return std::nullopt;
+        }
         if (database.listed.leaving || !isListed(database) || database.suspectedAt != time_point{}) {
             continue;
         }
