Statements wait for databases that the list does not name yet

Change: a routed group exists without databases, statements wait for it up to their timeout; an instance is ready only when it knows a database. Ruled out: waiting for the list before the configuration (the list itself is what lapsed). Tests: two in proxy_engine_test, the first failed before.

--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -353,3 +353,27 @@
     world.runFor(3s);
     CHECK_TRUE(world.engine.groups.at(group_name("g")).databases.empty());
 }
+
+TEST(proxy_engine, afterAStartAStatementWaitsForDatabasesThatAreNotListedYet)
+{
+    proxy_world world(7);
+    world.configure(1);
+    fake_client &client = world.connect("latest");
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(500ms);
+    CHECK_TRUE(client.answers.empty());
+    world.addGroup();
+    world.runFor(300ms);
+    CHECK_EQUAL(1, client.answers.size());
+    CHECK_TRUE(client.answers.back().reply.code == reply_code::done);
+}
+
+TEST(proxy_engine, withoutAnyDatabaseAStatementIsRefusedAtItsTimeoutWithAdvice)
+{
+    proxy_world world(7);
+    world.configure(1);
+    fake_client &client = world.connect("latest");
+    const client_reply reply = world.ask(client, client_verb::write, "x", "1");
+    CHECK_TRUE(reply.code == reply_code::busy);
+    CHECK_TRUE(reply.retryAfter > duration{});
+}
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -218,6 +218,9 @@
 std::map<std::string, int> proxy_world::committed()
 {
     std::map<std::string, int> counts;
+    if (databases.empty()) {
+        return counts;
+    }
     for (const fake_commit &commit : primary().log) {
         ++counts[commit.id];
     }
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -59,6 +59,18 @@
 
 } // namespace
 
+namespace
+{
+
+bool hasDatabases(const proxy_engine &engine)
+{
+    return std::ranges::any_of(engine.groups, [](const auto &group) {
+        return !group.second.databases.empty();
+    });
+}
+
+} // namespace
+
 edge_instance::edge_instance(std::string settingsPath, platform::instance_environment environment, event_log &log)
     : m_settingsPath(std::move(settingsPath))
     , m_environment(std::move(environment))
@@ -575,7 +587,7 @@
 platform::probe_answer edge_instance::answerProbe(const std::string &path) const
 {
     if (path == platform::readinessPath) {
-        const bool ready = m_engine.configured && m_engine.listed && !m_stopping;
+        const bool ready = m_engine.configured && m_engine.listed && hasDatabases(m_engine) && !m_stopping;
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -246,8 +246,7 @@
     engine.listed = true;
     std::set<database_name> seen;
     for (const listed_database &listed : listing) {
-        group_state &group = engine.groups[listed.group];
-        group.name = listed.group;
+        group_state &group = groupNamed(engine, listed.group);
         seen.insert(listed.name);
         adoptDatabase(engine, group, listed, now);
         engine.unsettled.insert(group.name);
@@ -336,6 +335,13 @@
 namespace proxying
 {
 
+group_state &groupNamed(proxy_engine &engine, const group_name &name)
+{
+    group_state &group = engine.groups[name];
+    group.name = name;
+    return group;
+}
+
 void assumeLead(proxy_engine &engine, group_state &group, const database_name &name, const char *source, time_point now)
 {
     if (group.lead == name) {
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -77,6 +77,8 @@
 
 /// The database leads: it said so to a question sent at `asked`.
 void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now);
+/// The group of this name; made when it is not known yet.
+group_state &groupNamed(proxy_engine &engine, const group_name &name);
 /// Sends what needs the primary there from now on: the database calls itself primary. Each use proves it.
 void assumeLead(proxy_engine &engine, group_state &group, const database_name &name, const char *source, time_point now);
 /// The database refused as one that does not lead.
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -336,18 +336,12 @@
 
 group_state *groupOf(proxy_engine &engine, const client_session &session)
 {
-    group_name name;
+    // A group without a listed database exists too: after a start, and while the platform's list recovers, statements wait for it.
     if (session.transaction) {
-        name = session.transaction->rules.group;
-    } else {
-        const auto rules = engine.routes.routes.find(session.database);
-        if (rules == engine.routes.routes.end()) {
-            return nullptr;
-        }
-        name = rules->second.group;
+        return &groupNamed(engine, session.transaction->rules.group);
     }
-    const auto found = engine.groups.find(name);
-    return found == engine.groups.end() ? nullptr : &found->second;
+    const auto rules = engine.routes.routes.find(session.database);
+    return rules == engine.routes.routes.end() ? nullptr : &groupNamed(engine, rules->second.group);
 }
 
 void seekLink(proxy_engine &engine, client_session &session, time_point now)
@@ -355,7 +349,7 @@
     group_state *group = groupOf(engine, session);
     if (group == nullptr) {
         if (session.current) {
-            refuseStatement(engine, session, reply_code::busy, "the group has no databases", now);
+            refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
         }
         return;
     }
