Tests with writers at other instances

Cause: a mutant that asks for no proof of the lead survived: all writers of the fake world used the same instance, which learnt of a new primary by its own writes.

--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -197,6 +197,17 @@
     chosen.term = term_number(highest.value() + 1);
 }
 
+void proxy_world::writeElsewhere()
+{
+    if (primary().dark) {
+        return;
+    }
+    const std::string id = "elsewhere-" + std::to_string(nextId++);
+    applyArrived(primary());
+    append(primary(), id);
+    acknowledged.push_back({id, session_id(0), now});
+}
+
 void proxy_world::crash(fake_database &database)
 {
     database.dark = true;
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -120,6 +120,8 @@
     client_reply ask(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
     fake_database &primary();
     void promote(const database_name &name);
+    /// A client of another instance writes at the primary and is told so.
+    void writeElsewhere();
     void crash(fake_database &database);
     /// Starts a crashed database again; a replica copies what it missed.
     void restart(fake_database &database);
