--- a/.ci/check_core.sh
+++ b/.ci/check_core.sh
@@ -2,7 +2,7 @@
 # The decision modules must stay free of sockets, threads, clocks and serialization.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules="Core Ownership Sessions Admission Configuration Membership Routing"
+modules="Core Ownership Sessions Admission Configuration Membership Routing Proxy"
 forbidden='#include *[<"](asio|google/|boost/(asio|thread|lockfree)|thread>|mutex>|condition_variable>|atomic>|semaphore>|future>|sys/|unistd|jsonrpccpp|json/|log4cxx|prometheus|sqlite3|mustardrouter/(Schema|Runtime|Network|Platform|Instance|Operators|StandIn|Load))|(system|steady|high_resolution)_clock|std::random_device|[^a-zA-Z_]time\('
 bad=0
 for module in $modules; do
@@ -12,7 +12,7 @@
     fi
 done
 # Modules include only those above them in this order.
-order="Core Schema Ownership Sessions Admission Configuration Membership Routing Runtime Network Platform Instance StandIn Load Operators"
+order="Core Schema Ownership Sessions Admission Configuration Membership Routing Proxy Runtime Network Platform Instance StandIn Load Edge Operators"
 seen=""
 for module in $order; do
     seen="$seen|$module"
@@ -22,6 +22,15 @@
         bad=1
     fi
 done
+# The platform's names stay in its folder: outside, only Edge and the command that starts it may use the adapter.
+if grep -lE '#include "platform/' mustardrouter/*/* | grep -vE '^mustardrouter/(Edge/|Operators/edge_command.cpp)'; then
+    echo "core check: only Edge may use platform/" >&2
+    bad=1
+fi
+if grep -nE 'Fencing-Token|Duty-Holder|warmup_left_ms|db_role|allow_stale|marked_for_deletion|max_staleness_ms|tx_idle_ms|MISROUTED|STEPDOWN|DATAROW|sync_replicas|max_conns|node_name|bind_addrs' mustardrouter/{Proxy,Edge,Operators,Runtime,Network}/*; then
+    echo "core check: a name of the users' platform outside of platform/" >&2
+    bad=1
+fi
 if nm -C --undefined-only build/libmustardrouter_core.a 2>/dev/null | grep -E ' (asio::|google::protobuf|pthread_create|std::thread::|std::chrono::_V2::)' ; then
     echo "core check: the decision library links to something that it may not" >&2
     bad=1
--- a/.ci/lint.sh
+++ b/.ci/lint.sh
@@ -27,7 +27,7 @@
 }
 export -f lint_one
 # Files may be named; without any, all own sources are read.
-[ $# -gt 0 ] || mapfile -t all < <(git ls-files 'mustardrouter/*.cpp' 'bench/*.cpp')
+[ $# -gt 0 ] || mapfile -t all < <(git ls-files 'mustardrouter/*.cpp' 'platform/*.cpp' 'bench/*.cpp')
 [ $# -gt 0 ] || set -- "${all[@]}"
 if printf '%s\n' "$@" | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'; then
     echo "linter: clean"
--- a/UnitTests/PlatformAdapter/line_codec_test.cpp
+++ b/UnitTests/PlatformAdapter/line_codec_test.cpp
@@ -61,7 +61,13 @@
 
 TEST(line_codec, whatIsNoStatementIsMalformed)
 {
-    for (const char *line : {"QUERY 1 ", "QUERY 1 DROP x", "QUERY 1 BEGIN WRITE", "QUERY 1 READ", "QUERY 1 PREPARE s X q", "QUERY 1 AFTER 1.2 READ x", "QUERY 1 STATUS"}) {
+    for (const char *line : {"QUERY 1 ",
+                             "QUERY 1 DROP x",
+                             "QUERY 1 BEGIN WRITE",
+                             "QUERY 1 READ",
+                             "QUERY 1 PREPARE s X q",
+                             "QUERY 1 AFTER 1.2 READ x",
+                             "QUERY 1 STATUS"}) {
         CHECK_TRUE(statementOf(line).verb == client_verb::malformed);
     }
     for (const char *line : {"", " ", "STARTUP", "QUERY", "GET / HTTP/1.1", "query 1 READ x"}) {
--- a/UnitTests/PlatformAdapter/stored_objects_test.cpp
+++ b/UnitTests/PlatformAdapter/stored_objects_test.cpp
@@ -13,7 +13,9 @@
 
 stored_object objectOf(const std::string &spec)
 {
-    const auto object = decodeObject(R"({"meta":{"name":"i-1","revision":7,"created":1,"finalizers":[],"marked_for_deletion":false},"spec":)" + spec + R"(,"status":null})");
+    const auto object =
+        decodeObject(R"({"meta":{"name":"i-1","revision":7,"created":1,"finalizers":[],"marked_for_deletion":false},"spec":)" + spec
+                     + R"(,"status":null})");
     CHECK_TRUE(object.has_value());
     return *object;
 }
--- a/UnitTests/Proxy/proxy_random_test.cpp
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -29,7 +29,11 @@
     } else if (draw < 46) {
         world.send(client, client_verb::setValue, "name" + std::to_string(draw % 2), "value" + std::to_string(world.random() % 3));
     } else if (draw < 52) {
-        world.send(client, client_verb::prepare, "s" + std::to_string(draw % 2), "shape" + std::to_string(world.random() % 3), world.random() % 2 == 0);
+        world.send(client,
+                   client_verb::prepare,
+                   "s" + std::to_string(draw % 2),
+                   "shape" + std::to_string(world.random() % 3),
+                   world.random() % 2 == 0);
     } else if (draw < 62 && !client.shapes.empty()) {
         world.send(client, client_verb::execute, client.shapes.begin()->first, item);
     } else {
@@ -121,7 +125,8 @@
     }
     for (const char *name : routes) {
         fake_client &client = world.connect(name);
-        if (world.ask(client, client_verb::read, "item").code != reply_code::done || world.ask(client, client_verb::write, "item", "x").code != reply_code::done) {
+        if (world.ask(client, client_verb::read, "item").code != reply_code::done
+            || world.ask(client, client_verb::write, "item", "x").code != reply_code::done) {
             return "seed " + std::to_string(seed) + ": not served after the last fault on " + name;
         }
     }
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -29,7 +29,7 @@
 bool promisesNothingKept(reply_code code)
 {
     return code == reply_code::busy || code == reply_code::aborted || code == reply_code::lagging || code == reply_code::readOnly
-        || code == reply_code::misrouted || code == reply_code::tooManyConnections;
+           || code == reply_code::misrouted || code == reply_code::tooManyConnections;
 }
 
 } // namespace
@@ -537,7 +537,8 @@
 {
     const client_statement &what = client.sent;
     const bool done = reply.code == reply_code::done;
-    const bool forwarded = what.verb == client_verb::read || what.verb == client_verb::write || what.verb == client_verb::commit || what.verb == client_verb::execute;
+    const bool forwarded = what.verb == client_verb::read || what.verb == client_verb::write || what.verb == client_verb::commit
+                           || what.verb == client_verb::execute;
     if (done && forwarded && reply.signature != "signed " + what.id) {
         broken.emplace_back("MIXED: answer to " + what.id + " is signed '" + reply.signature + "'");
     }
@@ -574,7 +575,8 @@
     for (const auto &[id, client] : clients) {
         for (const told &answer : client.answers) {
             if (promisesNothingKept(answer.reply.code) && kept.contains(answer.what.id)) {
-                broken.emplace_back("REFUSED: " + answer.what.id + " is kept, though the answer was " + std::string(toString(answer.reply.code)));
+                broken.emplace_back("REFUSED: " + answer.what.id + " is kept, though the answer was "
+                                    + std::string(toString(answer.reply.code)));
             }
         }
     }
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -117,7 +117,8 @@
     /// Sends a statement as a client would; the id is made here.
     void send(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
     /// Sends and runs until it is answered, at most for `patience`.
-    client_reply ask(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
+    client_reply ask(
+        fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
     fake_database &primary();
     void promote(const database_name &name);
     /// A client of another instance writes at the primary and is told so.
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -49,12 +49,13 @@
 /// Identity of a file's present content, as far as the file system tells; empty when it can't be read.
 std::string stampOf(const std::string &path)
 {
-    struct stat status {};
+    struct stat status {
+    };
     if (::stat(path.c_str(), &status) != 0) {
         return {};
     }
     return std::to_string(status.st_mtim.tv_sec) + "." + std::to_string(status.st_mtim.tv_nsec) + "." + std::to_string(status.st_size) + "."
-        + std::to_string(status.st_ino);
+           + std::to_string(status.st_ino);
 }
 
 } // namespace
@@ -103,8 +104,9 @@
 
 bool edge_instance::run()
 {
-    m_log.write("start",
-                {{"data_centre", m_environment.dataCentre}, {"clients", m_environment.clientAddress}, {"store", m_environment.storeAddress}});
+    m_log.write(
+        "start",
+        {{"data_centre", m_environment.dataCentre}, {"clients", m_environment.clientAddress}, {"store", m_environment.storeAddress}});
     if (!listenForClients()) {
         m_log.write("start_failed", {{"why", "client address not available"}, {"address", m_environment.clientAddress}});
         return false;
@@ -388,18 +390,19 @@
 void edge_instance::carryOut(read_claim &action)
 {
     const group_name group = action.group;
-    orderChannel(group, m_environment.storeAddress)->call(platform::readClaimCall(group), [this, group](const platform::http_answer &answer) {
-        const platform::call_outcome outcome = platform::outcomeOf(answer.status);
-        if (outcome == platform::call_outcome::absent) {
-            onClaimRead(m_engine, group, 0, {}, now());
-        } else if (const auto object = outcome == platform::call_outcome::done ? platform::decodeObject(answer.body) : std::nullopt) {
-            const platform::promotion_claim claim = platform::decodeClaim(*object);
-            onClaimRead(m_engine, group, claim.revision, claim.term, now());
-        } else {
-            onClaimUnread(m_engine, group, now());
-        }
-        apply();
-    });
+    orderChannel(group, m_environment.storeAddress)
+        ->call(platform::readClaimCall(group), [this, group](const platform::http_answer &answer) {
+            const platform::call_outcome outcome = platform::outcomeOf(answer.status);
+            if (outcome == platform::call_outcome::absent) {
+                onClaimRead(m_engine, group, 0, {}, now());
+            } else if (const auto object = outcome == platform::call_outcome::done ? platform::decodeObject(answer.body) : std::nullopt) {
+                const platform::promotion_claim claim = platform::decodeClaim(*object);
+                onClaimRead(m_engine, group, claim.revision, claim.term, now());
+            } else {
+                onClaimUnread(m_engine, group, now());
+            }
+            apply();
+        });
 }
 
 void edge_instance::carryOut(write_claim &action)
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-object_watch::object_watch(asio::io_context &context, std::string address, std::string kind, duration gather, std::uint64_t seed, handlers callbacks)
+object_watch::object_watch(
+    asio::io_context &context, std::string address, std::string kind, duration gather, std::uint64_t seed, handlers callbacks)
     : m_context(context)
     , m_channel(std::make_shared<platform::http_channel>(context, std::move(address)))
     , m_timer(context)
@@ -101,9 +102,10 @@
     if (m_stopped) {
         return;
     }
-    m_channel->call(platform::watchCall(m_kind, m_revision, watchWait, watchPatience), [self = shared_from_this()](const platform::http_answer &answer) {
-        self->takeChanges(answer);
-    });
+    m_channel->call(platform::watchCall(m_kind, m_revision, watchWait, watchPatience),
+                    [self = shared_from_this()](const platform::http_answer &answer) {
+                        self->takeChanges(answer);
+                    });
 }
 
 void object_watch::takeChanges(const platform::http_answer &answer)
@@ -116,7 +118,8 @@
         list({});
         return;
     }
-    std::optional<platform::object_changes> changes = outcome == platform::call_outcome::done ? platform::decodeChanges(answer.body) : std::nullopt;
+    std::optional<platform::object_changes> changes =
+        outcome == platform::call_outcome::done ? platform::decodeChanges(answer.body) : std::nullopt;
     if (!changes) {
         pause();
         return;
--- a/mustardrouter/Operators/edge_command.cpp
+++ b/mustardrouter/Operators/edge_command.cpp
@@ -14,14 +14,16 @@
 exit_code runEdge(const arguments &given)
 {
     command_options command("edge", "[--settings FILE]");
-    command.options.add_options()("settings", po::value<std::string>(), "the platform's settings file; else the one that its variable names");
+    command.options.add_options()(
+        "settings", po::value<std::string>(), "the platform's settings file; else the one that its variable names");
     po::variables_map values;
     const parse_status status = parse(command, given, values);
     if (status != parse_status::parsed) {
         return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
     }
     const char *named = std::getenv(platform::settingsVariable);
-    const std::string file = values.contains("settings") ? values["settings"].as<std::string>() : std::string(named == nullptr ? "" : named);
+    const std::string file =
+        values.contains("settings") ? values["settings"].as<std::string>() : std::string(named == nullptr ? "" : named);
     return handled(
         [&]() -> result_of<exit_code> {
             BOOST_LEAF_AUTO(environment, platform::readSettingsFile(file));
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -358,7 +358,12 @@
     engine.unsettled.insert(group.name);
 }
 
-void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now)
+void noteLead(proxy_engine &engine,
+              group_state &group,
+              const database_name &name,
+              const std::optional<log_entry> &position,
+              time_point asked,
+              time_point now)
 {
     if (asked < group.leadProvedAt && group.lead != name) {
         return;
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -67,7 +67,11 @@
     engine.figures.retries += 1;
     tell(engine,
          "statement_retried",
-         {{"request", run.what.id}, {"from", from.value()}, {"why", why}, {"attempts", std::to_string(run.attempts)}, {"after_ms", inMillis(now - run.arrivedAt)}});
+         {{"request", run.what.id},
+          {"from", from.value()},
+          {"why", why},
+          {"attempts", std::to_string(run.attempts)},
+          {"after_ms", inMillis(now - run.arrivedAt)}});
     if (run.attempts >= maxAttempts) {
         refuseStatement(engine, session, reply_code::busy, why, now);
         return;
@@ -124,7 +128,8 @@
     smooth(group.workMicros);
 }
 
-void readSucceeded(proxy_engine &engine, group_state &group, database_link &link, client_session &session, database_reply reply, time_point now)
+void readSucceeded(
+    proxy_engine &engine, group_state &group, database_link &link, client_session &session, database_reply reply, time_point now)
 {
     running_statement &run = *session.current;
     if (!isFreshEnough(run, reply)) {
@@ -136,7 +141,8 @@
         noteReadTime(*database, now - run.sentAt, now);
         noteWork(engine, group, session, now - run.sentAt);
     }
-    const bool ownRolledBack = session.ownCommits && reply.position && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
+    const bool ownRolledBack =
+        session.ownCommits && reply.position && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
     if (run.needsProof && ownRolledBack) {
         // What the session had written beyond the log of a primary that leads is gone: its floor would block for ever.
         session.ownCommits = reply.position;
@@ -145,14 +151,16 @@
     answerStatement(engine, session, toClient(reply), now);
 }
 
-void writeSucceeded(proxy_engine &engine, group_state &group, const database_name &by, client_session &session, database_reply reply, time_point now)
+void writeSucceeded(
+    proxy_engine &engine, group_state &group, const database_name &by, client_session &session, const database_reply &reply, time_point now)
 {
     noteLead(engine, group, by, reply.position, session.current->sentAt, now);
     session.ownCommits = reply.position;
     answerStatement(engine, session, toClient(reply), now);
 }
 
-void singleRefused(proxy_engine &engine, group_state &group, database_link &link, client_session &session, const database_reply &reply, time_point now)
+void singleRefused(
+    proxy_engine &engine, group_state &group, database_link &link, client_session &session, const database_reply &reply, time_point now)
 {
     running_statement &run = *session.current;
     database_state *database = databaseOf(engine, link);
@@ -170,7 +178,10 @@
         }
         tell(engine,
              "replica_lags",
-             {{"request", run.what.id}, {"database", link.database.value()}, {"floor", textOf(run.floor)}, {"position", textOf(reply.position)}});
+             {{"request", run.what.id},
+              {"database", link.database.value()},
+              {"floor", textOf(run.floor)},
+              {"position", textOf(reply.position)}});
         run.avoid.push_back(link.database);
         retry(engine, session, link.database, "replica lags", {}, now);
         return;
@@ -298,7 +309,8 @@
         noteNotLead(engine, group, link.database, now);
     }
     const bool clientsFault = reply.code == reply_code::malformed || reply.code == reply_code::tooLarge;
-    refuseStatement(engine, session, saysNotRun(reply.code) || clientsFault ? reply.code : reply_code::aborted, "refused inside a transaction", now);
+    refuseStatement(
+        engine, session, saysNotRun(reply.code) || clientsFault ? reply.code : reply_code::aborted, "refused inside a transaction", now);
 }
 
 /// Everything that the packet asked for is answered.
@@ -333,7 +345,8 @@
     }
 }
 
-void proofAnswered(proxy_engine &engine, group_state &group, database_link &link, const database_reply &reply, time_point asked, time_point now)
+void proofAnswered(
+    proxy_engine &engine, group_state &group, database_link &link, const database_reply &reply, time_point asked, time_point now)
 {
     const bool leads = reply.code == reply_code::done && reply.state == transaction_state::open;
     client_session *session = sessionOf(engine, link);
@@ -398,7 +411,8 @@
         ask(engine, link, question{false, true, {}, false}, now);
     }
     const auto spread = static_cast<std::uint64_t>(engine.settings.connectionsFresh.count());
-    const duration next = due ? duration(static_cast<std::int64_t>(spread / 4 + engine.random() % spread)) : std::min(span - rested, engine.settings.connectionsValid);
+    const duration next = due ? duration(static_cast<std::int64_t>(spread / 4 + engine.random() % spread))
+                              : std::min(span - rested, engine.settings.connectionsValid);
     arm(engine, now + next, timer_kind::link, link.id.value());
 }
 
@@ -622,7 +636,8 @@
     return link;
 }
 
-void sendOn(proxy_engine &engine, database_link &link, std::vector<database_command> commands, const std::vector<reply_part> &parts, time_point now)
+void sendOn(
+    proxy_engine &engine, database_link &link, std::vector<database_command> commands, const std::vector<reply_part> &parts, time_point now)
 {
     assert(commands.size() == parts.size());
     for (const reply_part part : parts) {
@@ -685,7 +700,8 @@
     }
     client_session *session = sessionOf(engine, link);
     const bool sendAgain = link.state == link_state::held && link.expected.empty() && session != nullptr && session->current
-        && session->transaction && session->transaction->link == link.id && session->transaction->phase == transaction_phase::ready;
+                           && session->transaction && session->transaction->link == link.id
+                           && session->transaction->phase == transaction_phase::ready;
     if (sendAgain && now >= session->current->notBefore) {
         sendInTransaction(engine, *session, now);
     }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -63,7 +63,11 @@
 /// Opens a connection to the database.
 database_link &openLink(proxy_engine &engine, group_state &group, database_state &database, time_point now);
 /// Sends commands and notes what answers they owe.
-void sendOn(proxy_engine &engine, database_link &link, std::vector<database_command> commands, const std::vector<reply_part> &parts, time_point now);
+void sendOn(proxy_engine &engine,
+            database_link &link,
+            std::vector<database_command> commands,
+            const std::vector<reply_part> &parts,
+            time_point now);
 /// Gives the connection back, ending what is open on it.
 void releaseLink(proxy_engine &engine, link_id id, time_point now);
 /// Closes the connection and forgets it.
@@ -76,7 +80,12 @@
 // Groups (engine_groups.cpp)
 
 /// The database leads: it said so to a question sent at `asked`.
-void noteLead(proxy_engine &engine, group_state &group, const database_name &name, const std::optional<log_entry> &position, time_point asked, time_point now);
+void noteLead(proxy_engine &engine,
+              group_state &group,
+              const database_name &name,
+              const std::optional<log_entry> &position,
+              time_point asked,
+              time_point now);
 /// The group of this name; made when it is not known yet.
 group_state &groupNamed(proxy_engine &engine, const group_name &name);
 /// Sends what needs the primary there from now on: the database calls itself primary. Each use proves it.
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -111,7 +111,8 @@
 }
 
 /// An idle link of the database, or nothing; then one more is opened where that is allowed.
-database_link *takeOrOpen(proxy_engine &engine, group_state &group, const database_name &name, const client_session &session, time_point now)
+database_link *takeOrOpen(
+    proxy_engine &engine, group_state &group, const database_name &name, const client_session &session, time_point now)
 {
     const auto found = group.databases.find(name);
     if (found == group.databases.end()) {
@@ -140,7 +141,12 @@
     bool unknown = false;
 };
 
-read_need needOf(const proxy_engine &engine, const group_state &group, const client_session &session, const route &rules, time_point arrivedAt, time_point now)
+read_need needOf(const proxy_engine &engine,
+                 const group_state &group,
+                 const client_session &session,
+                 const route &rules,
+                 time_point arrivedAt,
+                 time_point now)
 {
     read_need need;
     if (rules.rule == read_rule::latest) {
@@ -176,7 +182,8 @@
         });
         database.inFlight = static_cast<std::uint32_t>(working);
     }
-    const std::vector<ranked_database> ranked = rankForRead({&group.databases, group.lead, &avoid, floor, true}, engine.settings, now, engine.random);
+    const std::vector<ranked_database> ranked =
+        rankForRead({&group.databases, group.lead, &avoid, floor, true}, engine.settings, now, engine.random);
     for (const ranked_database &candidate : ranked) {
         if (database_link *link = takeOrOpen(engine, group, candidate.database->listed.name, session, now)) {
             return link;
@@ -209,7 +216,8 @@
     if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
         refreshPosition(engine, group, now);
     }
-    const bool triedAll = rankForRead({&group.databases, group.lead, &run.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
+    const bool triedAll =
+        rankForRead({&group.databases, group.lead, &run.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
     if (need.lead || need.unknown || triedAll) {
         if (!group.lead || (need.unknown && !need.lead && !triedAll)) {
             return false;
@@ -257,7 +265,8 @@
         if (need.unknown) {
             return false;
         }
-        const bool triedAll = rankForRead({&group.databases, group.lead, &transaction.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
+        const bool triedAll =
+            rankForRead({&group.databases, group.lead, &transaction.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
         if (!need.lead && !triedAll) {
             database_link *link = takeForRead(engine, group, session, transaction.avoid, need.floor, now);
             if (link == nullptr) {
@@ -397,7 +406,7 @@
     std::deque<session_id> still;
     std::deque<session_id> waiting = std::exchange(group.waiting, {});
     // Urgent ones first, and those that only the primary can serve; within them the oldest.
-    std::ranges::stable_partition(waiting, [&](session_id id) {
+    std::stable_partition(waiting.begin(), waiting.end(), [&](session_id id) {
         return isUrgent(engine, id);
     });
     for (std::size_t at = 0; at < waiting.size(); ++at) {
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -413,7 +413,8 @@
         return;
     }
     const bool restedTooLong = session.transaction && now - session.restsSince >= engine.routes.idleInTransaction;
-    const bool stopping = session.transaction && engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.stopTransactions;
+    const bool stopping =
+        session.transaction && engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.stopTransactions;
     if (restedTooLong || stopping) {
         tell(engine, "transaction_ended", {{"database", session.database}, {"why", restedTooLong ? "rested too long" : "instance stops"}});
         dropTransaction(engine, session, transaction_state::failed, now);
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -63,7 +63,8 @@
     return reachable && !refused && !lacksFloor && !spared;
 }
 
-double expectedMicros(const read_choice &choice, const database_name &name, const database_state &database, const proxy_settings &settings, time_point now)
+double expectedMicros(
+    const read_choice &choice, const database_name &name, const database_state &database, const proxy_settings &settings, time_point now)
 {
     const double distance = distanceMicros(settings, database.listed.dataCentre);
     const auto unasked = static_cast<double>((now - database.readAt).count());
--- a/mustardrouter/Proxy/read_ranking.h
+++ b/mustardrouter/Proxy/read_ranking.h
@@ -32,7 +32,10 @@
 /// Databases that may serve a read, the one to try first in front. Near databases that have answered
 /// fast come first most often, and replicas before the primary, whose slots the writes need. The order
 /// is drawn, weighted by the expected time: instances that know the same must not all choose the same.
-std::vector<ranked_database> rankForRead(const read_choice &choice, const proxy_settings &settings, time_point now, std::mt19937_64 &random);
+std::vector<ranked_database> rankForRead(const read_choice &choice,
+                                         const proxy_settings &settings,
+                                         time_point now,
+                                         std::mt19937_64 &random);
 
 /// Notes how long a read took at a database; a refusal for want of room counts as a long one.
 void noteReadTime(database_state &database, duration took, time_point now);
