The gate stands before every full database of a group; a quarter of the objective is the longest wait there

Cause: where all databases of a group are short of room, reads were drawn among them, refused, and drawn again. Change: the share that each lets in weighs the draw, and where even the most open one is short, the gate decides.

--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -45,6 +45,11 @@
         CHECK_TRUE(world.ask(client, client_verb::write, "x", "2").code == reply_code::done);
         CHECK_TRUE(world.ask(client, client_verb::commit).state == transaction_state::none);
     }
+    // The near database is the primary, and far replicas are drawn now and then.
+    fake_client &reader = world.connect("age");
+    for (int reads = 0; reads < 60; ++reads) {
+        CHECK_TRUE(world.ask(reader, client_verb::read, "x").code == reply_code::done);
+    }
     check(world);
     CHECK_TRUE(world.engine.figures.replicaReads > 0);
 }
@@ -255,6 +260,20 @@
     check(world);
 }
 
+TEST(proxy_engine, aWriteWhoseConnectionIsResetIsInDoubtAndRunsOnce)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::write, "x", "1");
+    world.send(client, client_verb::write, "x", "2");
+    const std::string id = client.sent.id;
+    world.runFor(2ms);
+    world.resetConnections(world.primary());
+    CHECK_TRUE(client.answers.back().reply.code == reply_code::inDoubt);
+    world.runFor(3s);
+    CHECK_EQUAL(1, world.committed()[id]);
+}
+
 TEST(proxy_engine, aReadWhoseAnswerIsLostIsAskedElsewhere)
 {
     ready_world world;
--- a/UnitTests/Proxy/proxy_random_test.cpp
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -45,7 +45,7 @@
 void disturb(proxy_world &world)
 {
     fake_database &any = world.databases.at(database_name("db-" + std::to_string(world.random() % 3)));
-    switch (world.random() % 9) {
+    switch (world.random() % 10) {
     case 0:
         world.crash(any);
         break;
@@ -73,6 +73,9 @@
     case 8:
         world.promote(any.listed.name);
         break;
+    case 9:
+        world.resetConnections(any);
+        break;
     }
 }
 
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -214,6 +214,19 @@
     database.connections.clear();
 }
 
+void proxy_world::resetConnections(fake_database &database)
+{
+    std::vector<link_id> reset;
+    for (const auto &[link, connection] : database.connections) {
+        reset.push_back(link);
+    }
+    for (const link_id link : reset) {
+        database.deaf.insert(link);
+        onLinkClosed(engine, link, now);
+        carryOut();
+    }
+}
+
 void proxy_world::restart(fake_database &database)
 {
     if (!database.dark) {
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -124,6 +124,8 @@
     /// A client of another instance writes at the primary and is told so.
     void writeElsewhere();
     void crash(fake_database &database);
+    /// Resets all connections of a database; what was sent to it before still runs.
+    void resetConnections(fake_database &database);
     /// Starts a crashed database again; a replica copies what it missed.
     void restart(fake_database &database);
     /// Commits that the logs of databases hold, by id, with the number of times.
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -18,9 +18,9 @@
 /// which alone could hide a change of lead, take longer.
 constexpr duration proofValid = std::chrono::milliseconds(250);
 /// A read that the gate keeps out asks again after about this time, and is refused when this part of its
-/// objective, in tenths, has passed: what is left is enough for an attempt elsewhere.
+/// objective has passed: what is left is enough for an attempt elsewhere.
 constexpr duration gatePause = std::chrono::milliseconds(70);
-constexpr std::int64_t gateWaitTenths = 3;
+constexpr std::int64_t gateWaitPart = 4;
 /// A question for the position is due this long before the newest sample is too old.
 constexpr duration refreshAhead = std::chrono::milliseconds(400);
 
@@ -192,12 +192,16 @@
     return nullptr;
 }
 
-/// Whether a read that no replica can serve may go to the primary.
-bool passesGate(proxy_engine &engine, const group_state &group, client_session &session, const route &rules, time_point now)
+/// Whether a read may go to a database that is short of room.
+bool passesGate(proxy_engine &engine,
+                const group_state &group,
+                client_session &session,
+                const route &rules,
+                const database_state &database,
+                time_point now)
 {
     running_statement &run = *session.current;
-    const auto primary = group.databases.find(*group.lead);
-    if (primary == group.databases.end() || rules.rule == read_rule::latest || (run.admitted && run.fullRefusals == 0)) {
+    if (rules.rule == read_rule::latest || (run.admitted && run.fullRefusals == 0)) {
         return true;
     }
     gate_request request;
@@ -205,10 +209,32 @@
     request.workMicros = engine.workMicros[session.database];
     request.usualMicros = group.workMicros;
     request.refusals = run.fullRefusals;
-    run.admitted = std::uniform_real_distribution<double>(0, 1)(engine.random) < admissionShare(primary->second, request, now);
+    run.admitted = std::uniform_real_distribution<double>(0, 1)(engine.random) < admissionShare(database, request, now);
     return run.admitted;
 }
 
+/// Lets a read that was kept out ask again later, or refuses it; gives whether it no longer waits.
+bool keepOut(proxy_engine &engine, const group_state &group, client_session &session, const route &rules, const char *why, time_point now)
+{
+    running_statement &run = *session.current;
+    if (now - run.arrivedAt >= rules.objective / gateWaitPart) {
+        refuseStatement(engine, session, reply_code::busy, why, now);
+        return true;
+    }
+    run.notBefore = now + gatePause + duration(static_cast<std::int64_t>(engine.random() % gatePause.count()));
+    arm(engine, run.notBefore, timer_kind::pump, 0, group.name);
+    return false;
+}
+
+/// The database of the ranked ones that lets in most.
+const database_state *mostOpen(const std::vector<ranked_database> &ranked, time_point now)
+{
+    const auto best = std::ranges::max_element(ranked, {}, [&](const ranked_database &candidate) {
+        return readShare(*candidate.database, now);
+    });
+    return best == ranked.end() ? nullptr : best->database;
+}
+
 bool placeRead(proxy_engine &engine, group_state &group, client_session &session, const route &rules, time_point now)
 {
     running_statement &run = *session.current;
@@ -216,20 +242,16 @@
     if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
         refreshPosition(engine, group, now);
     }
-    const bool triedAll =
-        rankForRead({&group.databases, group.lead, &run.avoid, need.floor, true}, engine.settings, now, engine.random).empty();
+    const std::vector<ranked_database> ranked =
+        rankForRead({&group.databases, group.lead, &run.avoid, need.floor, true}, engine.settings, now, engine.random);
+    const bool triedAll = ranked.empty();
     if (need.lead || need.unknown || triedAll) {
         if (!group.lead || (need.unknown && !need.lead && !triedAll)) {
             return false;
         }
-        if (!passesGate(engine, group, session, rules, now)) {
-            if (now - run.arrivedAt >= rules.objective * gateWaitTenths / 10) {
-                refuseStatement(engine, session, reply_code::busy, "replicas lag and the primary is full", now);
-                return true;
-            }
-            run.notBefore = now + gatePause + duration(static_cast<std::int64_t>(engine.random() % gatePause.count()));
-            arm(engine, run.notBefore, timer_kind::pump, 0, group.name);
-            return false;
+        const auto primary = group.databases.find(*group.lead);
+        if (primary != group.databases.end() && !passesGate(engine, group, session, rules, primary->second, now)) {
+            return keepOut(engine, group, session, rules, "replicas lag and the primary is full", now);
         }
         database_link *link = takeOrOpen(engine, group, *group.lead, session, now);
         if (link == nullptr) {
@@ -243,6 +265,9 @@
         sendSingle(engine, session, *link, now);
         return true;
     }
+    if (!passesGate(engine, group, session, rules, *mostOpen(ranked, now), now)) {
+        return keepOut(engine, group, session, rules, "all databases of the group are full", now);
+    }
     database_link *link = takeForRead(engine, group, session, run.avoid, need.floor, now);
     if (link == nullptr) {
         return false;
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -115,7 +115,7 @@
         }
         const double expected = expectedMicros(choice, name, database, settings, now);
         // The least of exponential times with these rates is a draw with these weights.
-        const double weight = std::pow(nearMicros / expected, preference);
+        const double weight = std::pow(nearMicros / expected, preference) * readShare(database, now);
         all.push_back({{&database, expected}, -std::log(uniform(random)) / weight});
     }
     std::ranges::sort(all, {}, &drawn::key);
