--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -32,7 +32,7 @@
     /// Between two questions to a suspect database.
     duration probeInterval = std::chrono::milliseconds(200);
     /// A primary without a sign of life for so long, while replicas answer and receive nothing, is replaced.
-    duration failoverPatience = std::chrono::milliseconds(900);
+    duration failoverPatience = std::chrono::milliseconds(600);
     /// Instances start their orders at different times within this span.
     duration failoverSpread = std::chrono::milliseconds(400);
     /// For so long an order of another instance is given time to take effect.
