--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -274,6 +274,34 @@
     CHECK_EQUAL(1, world.committed()[id]);
 }
 
+TEST(proxy_engine, aCommitWhoseConnectionIsResetIsInDoubt)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::write, "x", "1");
+    world.send(client, client_verb::commit);
+    world.runFor(2ms);
+    world.resetConnections(world.primary());
+    CHECK_TRUE(client.answers.back().reply.code == reply_code::inDoubt);
+    CHECK_TRUE(client.answers.back().reply.state == transaction_state::none);
+}
+
+TEST(proxy_engine, aStatementWhoseConnectionIsResetAbortsItsTransaction)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.ask(client, client_verb::begin);
+    world.ask(client, client_verb::write, "x", "1");
+    world.send(client, client_verb::write, "x", "2");
+    world.runFor(2ms);
+    world.resetConnections(world.primary());
+    CHECK_TRUE(client.answers.back().reply.code == reply_code::aborted);
+    CHECK_TRUE(world.ask(client, client_verb::rollback).state == transaction_state::none);
+    CHECK_TRUE(world.ask(client, client_verb::read, "x").code == reply_code::done);
+    check(world);
+}
+
 TEST(proxy_engine, aReadWhoseAnswerIsLostIsAskedElsewhere)
 {
     ready_world world;
