--- /dev/null
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -0,0 +1,343 @@
+#include "mustardrouter/Edge/edge_instance.h"
+
+#include <asio/connect.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <thread>
+
+using namespace mustardrouter;
+using asio::ip::tcp;
+
+namespace
+{
+
+/// Serves each connection on a thread of its own until it is destroyed.
+class loopback_server
+{
+public:
+    explicit loopback_server(std::function<void(tcp::socket &)> serve)
+        : m_acceptor(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_serve(std::move(serve))
+        , m_thread([this] {
+            run();
+        })
+    {
+    }
+    ~loopback_server()
+    {
+        m_stop = true;
+        tcp::socket wake(m_context);
+        asio::error_code ignored;
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        for (tcp::socket &socket : m_sockets) {
+            socket.shutdown(tcp::socket::shutdown_both, ignored);
+        }
+        for (std::thread &thread : m_threads) {
+            thread.join();
+        }
+    }
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    void run()
+    {
+        while (true) {
+            asio::error_code problem;
+            tcp::socket socket = m_acceptor.accept(problem);
+            if (m_stop || problem) {
+                return;
+            }
+            m_sockets.push_back(std::move(socket));
+            tcp::socket &kept = m_sockets.back();
+            m_threads.emplace_back([this, &kept] {
+                m_serve(kept);
+            });
+        }
+    }
+
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::function<void(tcp::socket &)> m_serve;
+    std::atomic<bool> m_stop{false};
+    std::list<tcp::socket> m_sockets;
+    std::list<std::thread> m_threads;
+    std::thread m_thread;
+};
+
+/// Reads up to the mark and gives what came before it; empty at the end of the connection.
+std::string readTo(tcp::socket &socket, std::string &buffer, const char *mark)
+{
+    asio::error_code problem;
+    const std::size_t size = asio::read_until(socket, asio::dynamic_buffer(buffer), mark, problem);
+    if (problem) {
+        return {};
+    }
+    std::string text = buffer.substr(0, size - std::string(mark).size());
+    buffer.erase(0, size);
+    return text;
+}
+
+void send(tcp::socket &socket, const std::string &text)
+{
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(text), ignored);
+}
+
+/// A primary that keeps one value; it answers as the users' pages show.
+void serveDatabase(tcp::socket &socket)
+{
+    static std::atomic<int> number{0};
+    std::string buffer;
+    char state = 'I';
+    for (std::string line = readTo(socket, buffer, "\r\n"); !line.empty(); line = readTo(socket, buffer, "\r\n")) {
+        const auto ready = [&] {
+            return std::string("READY ") + state + " 1." + std::to_string(number.load()) + "\r\n";
+        };
+        const bool starts = line.starts_with("STARTUP ");
+        const std::size_t idEnd = line.find(' ', 6);
+        const std::string text = starts ? std::string() : line.substr(idEnd + 1);
+        const std::string id = starts ? std::string() : line.substr(6, idEnd - 6);
+        const std::string signature = "COMPLETE signed-" + id + "\r\n";
+        if (starts) {
+            send(socket, ready());
+        } else if (text.starts_with("BEGIN")) {
+            state = 'T';
+            send(socket, "COMPLETE -\r\n" + ready());
+        } else if (text == "ROLLBACK") {
+            state = 'I';
+            send(socket, "COMPLETE -\r\n" + ready());
+        } else if (text == "STATUS") {
+            send(socket, "DATAROW primary 1 1." + std::to_string(number.load()) + " 0 0 0 1\r\nCOMPLETE -\r\n" + ready());
+        } else if (text.starts_with("WRITE") || text == "COMMIT") {
+            ++number;
+            state = text == "COMMIT" ? 'I' : state;
+            send(socket, signature + ready());
+        } else if (text.find("READ ") != std::string::npos) {
+            send(socket, "DATAROW value\r\n" + signature + ready());
+        } else {
+            send(socket, "COMPLETE -\r\n" + ready());
+        }
+    }
+}
+
+/// The store: one configuration and one database; watches end without a change.
+class fake_store
+{
+public:
+    explicit fake_store(std::string database)
+        : m_database(std::move(database))
+        , m_server([this](tcp::socket &socket) {
+            serve(socket);
+        })
+    {
+    }
+    std::string address() const
+    {
+        return m_server.address();
+    }
+
+private:
+    void serve(tcp::socket &socket)
+    {
+        std::string buffer;
+        for (std::string head = readTo(socket, buffer, "\r\n\r\n"); !head.empty(); head = readTo(socket, buffer, "\r\n\r\n")) {
+            std::string body;
+            if (head.find("watch=") != std::string::npos) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                body = R"({"events":[],"as_of":5})";
+            } else if (head.find("/config") != std::string::npos) {
+                body =
+                    R"({"items":[{"meta":{"name":"main","revision":4},"spec":{"version":3,"routes":[{"name":"r","host":"shop","type":"primary",
+"timeout_ms":1000,"target_latency_ms":500,"priority":1,"service":"g"}],"services":[{"name":"g","max_conns":9,"sync_replicas":0}],
+"limits":{"tx_idle_ms":3000}}}],"has_more":false,"as_of":5})";
+            } else {
+                body = R"({"items":[{"meta":{"name":"i-1","revision":3},"spec":{"service":"g","address":")" + m_database
+                       + R"(","zone":"z","version":"v1","slots":3,"state":"ready","warmup_left_ms":0,"db_role":"primary","sequence":1}},
+{"meta":{"name":"i-2","revision":3},"spec":"someone else's"}],"has_more":false,"as_of":5})";
+            }
+            send(socket,
+                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        }
+    }
+
+    std::string m_database;
+    loopback_server m_server;
+};
+
+/// A client on its own connection.
+struct wire_client {
+    asio::io_context context;
+    tcp::socket socket{context};
+    std::string buffer;
+
+    explicit wire_client(const std::string &address)
+    {
+        const std::size_t colon = address.find(':');
+        socket.connect(
+            {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    }
+    std::string line()
+    {
+        return readTo(socket, buffer, "\r\n");
+    }
+    std::string ask(const std::string &text)
+    {
+        send(socket, text + "\r\n");
+        std::string all;
+        while (true) {
+            const std::string next = line();
+            all += next + "|";
+            if (next.empty() || next.starts_with("READY")) {
+                return all;
+            }
+        }
+    }
+};
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// An instance with its store and database, on loopback.
+struct running_edge {
+    loopback_server database{serveDatabase};
+    fake_store store{database.address()};
+    platform::instance_environment environment;
+    int ends[2];
+    std::unique_ptr<event_log> log;
+    std::unique_ptr<edge_instance> instance;
+    std::thread thread;
+    std::atomic<bool> served{false};
+
+    running_edge()
+    {
+        CHECK_EQUAL(0, ::pipe(ends));
+        environment.instance = "edge-1";
+        environment.dataCentre = "z";
+        environment.regions = {{"z", "r"}};
+        environment.clientAddress = freeAddress();
+        environment.readinessAddress = freeAddress();
+        environment.storeAddress = store.address();
+        environment.orderAddress = store.address();
+        log = std::make_unique<event_log>("edge-1", ends[1]);
+        instance = std::make_unique<edge_instance>("/nonexistent", environment, *log);
+        thread = std::thread([this] {
+            served = instance->run();
+        });
+        waitUntilReady();
+    }
+    ~running_edge()
+    {
+        if (thread.joinable()) {
+            stop();
+        }
+        ::close(ends[0]);
+        log.reset();
+        ::close(ends[1]);
+    }
+    void stop()
+    {
+        instance->requestStop();
+        thread.join();
+        instance.reset();
+    }
+    void waitUntilReady() const
+    {
+        for (int tries = 0; tries < 200; ++tries) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            try {
+                wire_client probe(environment.readinessAddress);
+                send(probe.socket, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+                if (readTo(probe.socket, probe.buffer, "\r\n\r\n").find(" 200 ") != std::string::npos) {
+                    return;
+                }
+            } catch (const std::exception &) {
+                // It does not listen yet.
+            }
+        }
+        FAIL("the instance did not become ready");
+    }
+};
+
+} // namespace
+
+TEST_GROUP(edge_loopback){};
+
+TEST(edge_loopback, aSessionReadsWritesAndCommitsThroughTheWholePath)
+{
+    running_edge edge;
+    wire_client client(edge.environment.clientAddress);
+    CHECK_EQUAL(std::string("READY I -|"), client.ask("STARTUP shop someone"));
+    CHECK_TRUE(client.ask("QUERY a1 WRITE x 1").starts_with("COMPLETE signed-a1|READY I 1."));
+    CHECK_TRUE(client.ask("QUERY a2 READ x").starts_with("DATAROW value|COMPLETE signed-a2|READY I 1."));
+    CHECK_EQUAL(std::string("COMPLETE -|READY I -|"), client.ask("QUERY a3 SET zone here"));
+    CHECK_EQUAL(std::string("COMPLETE -|READY I -|"), client.ask("QUERY a4 PREPARE s READ shape"));
+    CHECK_EQUAL(std::string("COMPLETE -|READY T -|"), client.ask("QUERY a5 BEGIN"));
+    CHECK_TRUE(client.ask("QUERY a6 WRITE x 2").starts_with("COMPLETE signed-a6|READY T"));
+    CHECK_TRUE(client.ask("QUERY a7 COMMIT").starts_with("COMPLETE signed-a7|READY I"));
+    CHECK_TRUE(client.ask("QUERY a8 nonsense").starts_with("ERROR MALFORMED"));
+    send(client.socket, "TERMINATE\r\n");
+    CHECK_EQUAL(std::string(), client.line());
+}
+
+TEST(edge_loopback, whatIsNotOfTheProtocolIsRefusedAndClosed)
+{
+    running_edge edge;
+    wire_client unknown(edge.environment.clientAddress);
+    send(unknown.socket, "STARTUP nobody someone\r\n");
+    CHECK_TRUE(unknown.line().starts_with("ERROR NODB"));
+    CHECK_EQUAL(std::string(), unknown.line());
+    wire_client web(edge.environment.clientAddress);
+    send(web.socket, "GET / HTTP/1.1\r\n\r\n");
+    CHECK_TRUE(web.line().starts_with("ERROR MALFORMED"));
+    wire_client endless(edge.environment.clientAddress);
+    send(endless.socket, std::string(platform::longestLine + 10, 'x'));
+    CHECK_TRUE(endless.line().starts_with("ERROR TOOLARGE"));
+}
+
+TEST(edge_loopback, statementsSentTogetherAreAnsweredInOrder)
+{
+    running_edge edge;
+    wire_client client(edge.environment.clientAddress);
+    client.ask("STARTUP shop someone");
+    send(client.socket, "QUERY b1 WRITE x 1\r\nQUERY b2 READ x\r\nQUERY b3 SET n v\r\n");
+    CHECK_EQUAL(std::string("COMPLETE signed-b1"), client.line());
+    client.line();
+    client.line();
+    CHECK_EQUAL(std::string("COMPLETE signed-b2"), client.line());
+    client.line();
+    CHECK_EQUAL(std::string("COMPLETE -"), client.line());
+}
+
+TEST(edge_loopback, atTheRequestToStopAnOpenTransactionEndsAndRestingSessionsAreClosed)
+{
+    running_edge edge;
+    wire_client resting(edge.environment.clientAddress);
+    resting.ask("STARTUP shop someone");
+    wire_client working(edge.environment.clientAddress);
+    working.ask("STARTUP shop someone");
+    working.ask("QUERY c1 BEGIN");
+    edge.instance->requestStop();
+    CHECK_TRUE(working.ask("QUERY c2 WRITE x 1").starts_with("COMPLETE signed-c2|READY T"));
+    CHECK_TRUE(working.ask("QUERY c3 COMMIT").starts_with("COMPLETE signed-c3|READY I"));
+    CHECK_EQUAL(std::string(), resting.line());
+    CHECK_EQUAL(std::string(), working.line());
+    edge.thread.join();
+    edge.instance.reset();
+    CHECK_TRUE(edge.served);
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -127,6 +127,13 @@
     return true;
 }
 
+void edge_instance::requestStop()
+{
+    asio::post(m_context, [this] {
+        stop();
+    });
+}
+
 bool edge_instance::listenForClients()
 {
     const asio::ip::tcp::endpoint endpoint = toEndpoint(m_environment.clientAddress);
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -31,6 +31,8 @@
 
     /// Serves until the instance has been told to stop and has stopped; false when it can't start.
     bool run();
+    /// Tells the instance to stop, as a signal would; from any thread.
+    void requestStop();
 
 private:
     struct database_stream {
