--- a/UnitTests/PlatformAdapter/settings_file_test.cpp
+++ b/UnitTests/PlatformAdapter/settings_file_test.cpp
@@ -14,7 +14,7 @@
 {
 
 const char *const whole = R"({"node_name":"edge-1","role":"edge","ip":"10.1.0.8","zone":"z","zones":{"z":"r","y":"q"},
-"bind_addrs":{"frontend":"10.1.0.8:8784","readiness":"10.1.0.8:8785"},"internal_ports":[7440,7455],"bounds":{"grace_s":6},
+"bind_addrs":{"frontend":"10.1.0.8:8784","readiness":"10.1.0.8:8785"},"internal_ports":[7440,7455],"bounds":{"grace_s":6},"bootstrap":true,
 "platform":{"address":"10.200.1.7:8783"},"provider_api":{"address":"10.200.0.160:8783"},"something_new":[1]})";
 
 /// Writes the text to a file of its own and reads it; the text of the error, or empty when it could be read.
@@ -47,6 +47,7 @@
     CHECK_EQUAL(std::string("q"), environment.regions.at("y"));
     CHECK_EQUAL(std::string("10.1.0.8:7440"), environment.metricsAddress);
     CHECK_EQUAL(6000, environment.stopMillis);
+    CHECK_TRUE(environment.firstStart);
 }
 
 TEST(settings_file, aFileThatCannotServeIsRefusedWithItsField)
--- a/UnitTests/Proxy/link_budget_test.cpp
+++ b/UnitTests/Proxy/link_budget_test.cpp
@@ -35,3 +35,8 @@
     }
     CHECK_TRUE(before < std::chrono::seconds(1));
 }
+
+TEST(link_budget, aFullDatabaseDoesNotPayForAConnectionThatIsClosedAndOpenedAgain)
+{
+    CHECK_TRUE(idleTimeoutOf({1, 0, 8, 100, 100, true}) > idleTimeoutOf({1, 0, 8, 100, 100, false}));
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -42,6 +42,7 @@
     settings.instance = environment.instance;
     settings.dataCentre = environment.dataCentre;
     settings.regions = environment.regions;
+    settings.warmsUp = environment.firstStart;
     settings.seed = std::hash<std::string>{}(environment.instance + environment.clientAddress);
     return settings;
 }
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -93,7 +93,7 @@
 /// Plans the first connections, once, when databases and limits are known.
 void planWarmUp(proxy_engine &engine, time_point now)
 {
-    if (engine.warmedUp || !engine.configured || engine.groups.empty()) {
+    if (engine.warmedUp || !engine.settings.warmsUp || !engine.configured || engine.groups.empty()) {
         return;
     }
     engine.warmedUp = true;
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -141,12 +141,7 @@
     bool unknown = false;
 };
 
-read_need needOf(const proxy_engine &engine,
-                 const group_state &group,
-                 const client_session &session,
-                 const route &rules,
-                 time_point arrivedAt,
-                 time_point now)
+read_need needOf(const group_state &group, const client_session &session, const route &rules, time_point arrivedAt)
 {
     read_need need;
     if (rules.rule == read_rule::latest) {
@@ -163,8 +158,6 @@
     if (rules.rule == read_rule::session && session.ownCommits) {
         need.floor = need.floor ? std::max(*need.floor, *session.ownCommits) : need.floor;
     }
-    (void)engine;
-    (void)now;
     return need;
 }
 
@@ -238,7 +231,7 @@
 bool placeRead(proxy_engine &engine, group_state &group, client_session &session, const route &rules, time_point now)
 {
     running_statement &run = *session.current;
-    const read_need need = needOf(engine, group, session, rules, run.arrivedAt, now);
+    const read_need need = needOf(group, session, rules, run.arrivedAt);
     if (rules.rule != read_rule::latest && now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
         refreshPosition(engine, group, now);
     }
@@ -283,7 +276,7 @@
     client_transaction &transaction = *session.transaction;
     const route &rules = transaction.rules;
     if (transaction.readOnly && rules.rule != read_rule::latest) {
-        const read_need need = needOf(engine, group, session, rules, transaction.beganAt, now);
+        const read_need need = needOf(group, session, rules, transaction.beganAt);
         if (now + refreshAhead - newestQuestion(group.samples) > rules.maxAge) {
             refreshPosition(engine, group, now);
         }
--- a/mustardrouter/Proxy/link_budget.cpp
+++ b/mustardrouter/Proxy/link_budget.cpp
@@ -9,16 +9,20 @@
 /// Connections that a statement may add at a database which is full: transactions hold theirs while they rest.
 constexpr std::uint32_t linksWhenSaturated = 2;
 
+/// Idle timeout at a database that is full.
+constexpr duration timeoutWhenSaturated = std::chrono::seconds(3);
+
 struct idle_step {
     /// Up to this share of the database's connections taken.
     double share;
     duration timeout;
 };
 
-/// The closer to the limit, the shorter; a connection costs 10 to 30 ms of a slot to open again.
-constexpr idle_step idleSteps[] = {{0.5, std::chrono::seconds(20)},
-                                   {0.7, std::chrono::seconds(3)},
-                                   {0.85, std::chrono::milliseconds(1000)},
+/// The closer to the limit, the shorter; a connection costs 10 to 30 ms of a slot to open again. A part stays
+/// free: connections of instances that lose power all at once still count for 3 s, and those that are back need some.
+constexpr idle_step idleSteps[] = {{0.45, std::chrono::seconds(20)},
+                                   {0.6, std::chrono::seconds(3)},
+                                   {0.75, std::chrono::milliseconds(1000)},
                                    {2.0, std::chrono::milliseconds(400)}};
 
 } // namespace
@@ -36,6 +40,10 @@
 
 duration idleTimeoutOf(const link_budget &budget)
 {
+    if (budget.saturated) {
+        // Opening it again would cost a slot of a database that has none to spare.
+        return timeoutWhenSaturated;
+    }
     const double share = budget.limit == 0 ? 1.0 : static_cast<double>(budget.taken) / static_cast<double>(budget.limit);
     for (const idle_step &step : idleSteps) {
         if (share <= step.share) {
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -48,6 +48,9 @@
     duration connectionsValid = std::chrono::seconds(3);
     /// A connection is closed for scarcity only by what the database said within this time.
     duration connectionsFresh = std::chrono::milliseconds(500);
+    /// Opens first connections ahead of demand. Only where the whole system starts for the first time: later, other
+    /// instances need the connections more.
+    bool warmsUp = true;
     /// The first connections are opened at random times within this span after the start.
     duration warmUpSpread = std::chrono::seconds(4);
     /// A leaving database gets no new work after this time; the bound for it is 7 s.
