--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -222,7 +222,7 @@
     if (reply.code != reply_code::done) {
         singleRefused(engine, group, link, session, reply, now);
     } else if (run.writes) {
-        writeSucceeded(engine, group, link.database, session, std::move(reply), now);
+        writeSucceeded(engine, group, link.database, session, reply, now);
     } else {
         readSucceeded(engine, group, link, session, std::move(reply), now);
     }
