--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace mustardrouter;
 using namespace std::chrono_literals;
 
@@ -302,6 +304,30 @@
     check(world);
 }
 
+TEST(proxy_engine, anUnsignedAnswerIsNeverGivenToAReadAndItsConnectionIsClosed)
+{
+    ready_world world;
+    fake_client &client = world.connect("age");
+    world.ask(client, client_verb::read, "x");
+    world.send(client, client_verb::read, "x");
+    const session_id reader = client.id;
+    const auto used = std::ranges::find_if(world.engine.links, [&](const auto &link) {
+        return link.second.session == reader;
+    });
+    CHECK_TRUE(used != world.engine.links.end());
+    const link_id link = used->first;
+    // The answer to the read is lost, and that to a later command of the instance's own comes in its place.
+    database_reply late;
+    late.position = log_entry{term_number(1), log_position(9)};
+    onDatabaseReply(world.engine, link, late, world.now);
+    world.carryOut();
+    CHECK_FALSE(world.engine.links.contains(link));
+    world.runFor(500ms);
+    CHECK_EQUAL(2, client.answers.size());
+    CHECK_TRUE(client.answers.back().reply.code == reply_code::done);
+    check(world);
+}
+
 TEST(proxy_engine, aReadWhoseAnswerIsLostIsAskedElsewhere)
 {
     ready_world world;
