--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -171,7 +171,6 @@
     }
     watch.successor = *successor;
     watch.phase = failover_phase::reading;
-    watch.phaseSince = now;
     engine.actions.emplace_back(read_claim{group.name});
 }
 
@@ -280,7 +279,6 @@
         return;
     }
     watch.phase = failover_phase::claiming;
-    watch.phaseSince = now;
     engine.actions.emplace_back(write_claim{name, revision, present, watch.successor});
 }
 
@@ -305,7 +303,6 @@
         return;
     }
     group->failover.phase = failover_phase::ordering;
-    group->failover.phaseSince = now;
     engine.figures.orders += 1;
     tell(engine,
          "promotion_ordered",
--- a/mustardrouter/Proxy/failover_watch.h
+++ b/mustardrouter/Proxy/failover_watch.h
@@ -26,8 +26,6 @@
     failover_cause cause = failover_cause::none;
     /// Before this instant nothing is ordered from here.
     time_point notBefore{};
-    /// When the present phase began.
-    time_point phaseSince{};
     database_name successor;
     /// Last claim seen and when it was seen first.
     std::uint64_t claimRevision = 0;
