A session that starts long after the request to stop leaves as soon as it rests

Such a session drew its time to leave anew (0.3 to 2.5 s from its start), so it could still be open when the instance ends at nine tenths of its time to stop; its read was cut. Ruled out: the database (it was still at work, as usual), the wait for open transactions. Now: late sessions leave with the others, 0.3 s after their start at the earliest; statements outside of a transaction that come after seven tenths of the time to stop are refused with advice, and the instance accepts no connections any more. The times follow the time to stop of the settings. Two tests that failed before.

--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -431,6 +431,34 @@
     CHECK_TRUE(working.closed);
 }
 
+TEST(proxy_engine, aSessionThatStartsLongAfterTheRequestToStopLeavesAsSoonAsItRests)
+{
+    ready_world world;
+    onStop(world.engine, world.now);
+    world.carryOut();
+    world.runFor(3200ms);
+    fake_client &late = world.connect("age");
+    CHECK_TRUE(world.ask(late, client_verb::read, "x").code == reply_code::done);
+    world.runFor(400ms);
+    CHECK_TRUE(late.closed);
+    check(world);
+}
+
+TEST(proxy_engine, aStatementThatCannotEndBeforeTheInstanceDoesIsRefusedAtOnce)
+{
+    ready_world world;
+    onStop(world.engine, world.now);
+    world.carryOut();
+    world.runFor(4200ms);
+    fake_client &late = world.connect("age");
+    CHECK_TRUE(late.accepted);
+    CHECK_TRUE(world.ask(late, client_verb::read, "x").code == reply_code::busy);
+    CHECK_TRUE(late.answers.back().reply.retryAfter > 0ms);
+    world.runFor(400ms);
+    CHECK_TRUE(late.closed);
+    check(world);
+}
+
 TEST(proxy_engine, aDatabaseThatVanishesFromTheListStaysUsableForAWhile)
 {
     ready_world world;
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -29,6 +29,9 @@
 constexpr auto stopInterval = std::chrono::milliseconds(50);
 /// Share of the time to stop after which the instance ends, whatever is open, in tenths.
 constexpr std::int64_t stopTenths = 9;
+/// Shares of the time to stop, in tenths: sessions leave over this span, and statements are accepted for so long.
+constexpr std::int64_t leaveTenths = 4;
+constexpr std::int64_t statementTenths = 7;
 /// Changes of databases and of the configuration that come together are taken together; both spans
 /// are small against the bounds for them (7 s and 3 s).
 constexpr duration gatherDatabases = std::chrono::milliseconds(900);
@@ -44,6 +47,10 @@
     settings.regions = environment.regions;
     settings.warmsUp = environment.firstStart;
     settings.seed = std::hash<std::string>{}(environment.instance + environment.clientAddress);
+    const duration grace = std::chrono::milliseconds(environment.stopMillis);
+    settings.leaveSpread = std::min(settings.leaveSpread, grace * leaveTenths / 10);
+    settings.stopTransactions = grace / 2;
+    settings.stopStatements = grace * statementTenths / 10;
     return settings;
 }
 
@@ -584,6 +591,10 @@
 {
     const duration passed = now() - m_stopSince;
     const duration grace = std::chrono::milliseconds(m_environment.stopMillis);
+    if (passed >= m_engine.settings.stopStatements && m_acceptor.is_open()) {
+        asio::error_code ignored;
+        m_acceptor.close(ignored);
+    }
     const bool quiet = m_clients.empty() && passed >= stopAccepting;
     if (quiet || passed >= grace * stopTenths / 10) {
         m_context.stop();
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -170,6 +170,11 @@
     run.deadline = now + rules->timeout;
     session.current = std::move(run);
     arm(engine, session.current->deadline, timer_kind::session, session.id.value());
+    const bool stopsSoon = engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.stopStatements;
+    if (stopsSoon && !session.transaction) {
+        refuseStatement(engine, session, reply_code::busy, "the instance stops", now);
+        return;
+    }
     if (session.transaction && session.transaction->readOnly && session.current->writes) {
         refuseStatement(engine, session, reply_code::readOnly, "write in a transaction for reading", now);
         return;
@@ -209,7 +214,10 @@
 void planLeave(proxy_engine &engine, client_session &session, time_point now)
 {
     const auto spread = static_cast<std::uint64_t>(engine.settings.leaveSpread.count());
-    session.leaveAt = now + engine.settings.leaveAfter + duration(static_cast<std::int64_t>(engine.random() % spread));
+    const time_point drawn = now + engine.settings.leaveAfter + duration(static_cast<std::int64_t>(engine.random() % spread));
+    // Clients may be sent here long after the request to stop: they leave as soon as they rest.
+    const time_point last = engine.stoppingSince + engine.settings.leaveAfter + engine.settings.leaveSpread;
+    session.leaveAt = std::min(drawn, std::max(last, now + engine.settings.leaveAfter));
     arm(engine, session.leaveAt, timer_kind::session, session.id.value());
     if (session.transaction) {
         arm(engine, now + engine.settings.stopTransactions, timer_kind::session, session.id.value());
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -62,6 +62,8 @@
     duration leaveSpread = std::chrono::milliseconds(2200);
     /// Open transactions have so long to end after the request to stop.
     duration stopTransactions = std::chrono::milliseconds(3000);
+    /// Statements that come later than this after the request to stop are refused: those that run need the time that is left.
+    duration stopStatements = std::chrono::milliseconds(4000);
     std::uint64_t seed = 1;
 };
 
