--- a/.ci/check_core.sh
+++ b/.ci/check_core.sh
@@ -12,7 +12,7 @@
     fi
 done
 # Modules include only those above them in this order.
-order="Core Schema Ownership Sessions Admission Configuration Membership Routing Proxy Runtime Network Platform Instance StandIn Load Edge Operators"
+order="Core Schema Ownership Sessions Admission Configuration Membership Routing Proxy Runtime Network Platform Instance StandIn Load Edge PlatformStandIn Soak Operators"
 seen=""
 for module in $order; do
     seen="$seen|$module"
@@ -22,9 +22,10 @@
         bad=1
     fi
 done
-# The platform's names stay in its folder: outside, only Edge and the command that starts it may use the adapter.
-if grep -lE '#include "platform/' mustardrouter/*/* | grep -vE '^mustardrouter/(Edge/|Operators/edge_command.cpp)'; then
-    echo "core check: only Edge may use platform/" >&2
+# The platform's names stay in its folder: outside, only Edge, the command that starts it, the stand-in of the platform and
+# the soak that plays its clients may use the adapter.
+if grep -lE '#include "platform/' mustardrouter/*/* | grep -vE '^mustardrouter/(Edge/|PlatformStandIn/|Soak/|Operators/edge_command.cpp)'; then
+    echo "core check: only Edge and the stand-ins may use platform/" >&2
     bad=1
 fi
 if grep -nE 'Fencing-Token|Duty-Holder|warmup_left_ms|db_role|allow_stale|marked_for_deletion|max_staleness_ms|tx_idle_ms|MISROUTED|STEPDOWN|DATAROW|sync_replicas|max_conns|node_name|bind_addrs' mustardrouter/{Proxy,Edge,Operators,Runtime,Network}/*; then
--- /dev/null
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -0,0 +1,44 @@
+#include "mustardrouter/Soak/fault_plan.h"
+
+#include <algorithm>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+TEST_GROUP(fault_plan){};
+
+TEST(fault_plan, aSeedRepeatsItsPlanAndAnotherGivesAnother)
+{
+    CHECK_EQUAL(describe(makePlan(5, 60s)), describe(makePlan(5, 60s)));
+    CHECK_FALSE(describe(makePlan(5, 60s)) == describe(makePlan(6, 60s)));
+}
+
+TEST(fault_plan, allFaultsEndBeforeTheCalm)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const soak_plan plan = makePlan(seed, 60s);
+        CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
+        for (const planned_fault &fault : plan.faults) {
+            const auto round = std::ranges::find_if(plan.rounds, [&](const soak_round &one) {
+                return fault.at >= one.troubleFrom && fault.at < one.end;
+            });
+            CHECK_TRUE(round != plan.rounds.end());
+            const bool planned = fault.at >= round->calmFrom;
+            CHECK_TRUE(planned ? fault.length == duration{} : fault.length > duration{} && fault.at + fault.length <= round->calmFrom);
+        }
+    }
+}
+
+TEST(fault_plan, everyKindOfFaultIsDrawn)
+{
+    std::set<soak_fault> seen;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        for (const planned_fault &fault : makePlan(seed, 25s).faults) {
+            seen.insert(fault.kind);
+        }
+    }
+    CHECK_EQUAL(static_cast<std::size_t>(soak_fault::count), seen.size());
+}
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -34,6 +34,8 @@
 exit_code runDrain(const arguments &given);
 /// Measures a deployment on loopback under a load profile, or compares two reports.
 exit_code runLoad(const arguments &given);
+/// Runs instances on the users' platform under random faults and checks the promises to their callers.
+exit_code runSoak(const arguments &given);
 /// Runs a stand-in of the platform or of a database.
 exit_code runStandIn(const arguments &given);
 
--- /dev/null
+++ b/mustardrouter/Operators/soak_command.cpp
@@ -0,0 +1,105 @@
+#include "mustardrouter/Operators/commands.h"
+#include "mustardrouter/Soak/soak_run.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace mustardrouter
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+struct soak_options {
+    std::uint64_t seed = 1;
+    std::uint64_t seeds = 1;
+    double minutes = 0.4;
+    std::size_t instances = 0;
+    std::size_t clients = 4;
+    std::string folder;
+    std::vector<std::size_t> only;
+    bool planOnly = false;
+    bool keeps = false;
+};
+
+/// Plays one seed; a failed one leaves its folder with plan, logs and what was broken.
+bool playSeed(const soak_options &options, std::uint64_t seed)
+{
+    soak_settings settings;
+    settings.seed = seed;
+    settings.length = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::ratio<60>>(options.minutes));
+    settings.instances = options.instances;
+    settings.clientsPerInstance = options.clients;
+    // Also when the file has been replaced meanwhile.
+    settings.program = "/proc/self/exe";
+    settings.folder = options.folder + "/soak-" + std::to_string(seed);
+    settings.only.insert(options.only.begin(), options.only.end());
+    std::filesystem::remove_all(settings.folder);
+    std::filesystem::create_directories(settings.folder);
+    const soak_report report = soak_run(settings).run();
+    std::cout << "seed " << seed << ": " << (report.broken.empty() ? "kept" : "BROKEN") << '\n' << report.summary;
+    std::ofstream file(settings.folder + "/report.txt");
+    file << report.summary;
+    constexpr std::size_t mostShown = 20;
+    for (std::size_t index = 0; index < report.broken.size(); ++index) {
+        file << report.broken[index] << '\n';
+        if (index < mostShown) {
+            std::cout << "  " << report.broken[index] << '\n';
+        }
+    }
+    if (report.broken.empty() && !options.keeps) {
+        std::filesystem::remove_all(settings.folder);
+    } else {
+        std::cout << "  plan, logs and all that was broken: " << settings.folder << '\n';
+    }
+    std::cout << std::flush;
+    return report.broken.empty();
+}
+
+} // namespace
+
+exit_code runSoak(const arguments &given)
+{
+    soak_options options;
+    command_options command("soak", "[--seed N] [--seeds COUNT] [--minutes M] [--instances N] [--faults 1 2 ..] [--plan]");
+    command.options.add_options()("seed", po::value(&options.seed)->default_value(options.seed), "seed of the plan of faults");
+    command.options.add_options()("seeds", po::value(&options.seeds)->default_value(options.seeds), "seeds to play, from that one on");
+    command.options.add_options()(
+        "minutes", po::value(&options.minutes)->default_value(options.minutes), "length of each, rounded to whole rounds");
+    command.options.add_options()("instances", po::value(&options.instances)->default_value(0), "processes; 0: drawn from the seed");
+    command.options.add_options()("clients", po::value(&options.clients)->default_value(options.clients), "clients for each instance");
+    command.options.add_options()("folder", po::value(&options.folder)->default_value("."), "where logs of failed seeds are left");
+    command.options.add_options()(
+        "faults", po::value(&options.only)->multitoken(), "numbers of the plan's faults to play, in place of all");
+    command.options.add_options()("plan", po::bool_switch(&options.planOnly), "print the plan and end");
+    command.options.add_options()("keep", po::bool_switch(&options.keeps), "leave the logs of seeds that kept all promises, too");
+    po::variables_map values;
+    const parse_status status = parse(command, given, values);
+    if (status != parse_status::parsed) {
+        return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
+    }
+    if (options.minutes <= 0 || options.seeds == 0 || options.clients == 0) {
+        std::cerr << "usage: mustardrouter soak " << command.usage << '\n';
+        return exit_code::usage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    std::uint64_t broken = 0;
+    for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
+        if (options.planOnly) {
+            const auto length = std::chrono::duration<double, std::ratio<60>>(options.minutes);
+            std::cout << "seed " << seed << '\n' << describe(makePlan(seed, std::chrono::duration_cast<duration>(length)));
+            continue;
+        }
+        broken += playSeed(options, seed) ? 0 : 1;
+    }
+    if (!options.planOnly) {
+        std::cout << options.seeds << " seeds, " << broken << " broken\n";
+    }
+    return broken == 0 ? exit_code::done : exit_code::failed;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_database.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "mustardrouter/Edge/line_stream.h"
+#include "mustardrouter/PlatformStandIn/standin_group.h"
+#include "mustardrouter/PlatformStandIn/statement_run.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// The sockets of one stand-in database: speaks the users' wire, with slots, work and lost answers.
+/// All on the thread of its context.
+class standin_database
+{
+public:
+    /// Gives the present time on the clock of the group's model.
+    using clock = std::function<time_point()>;
+
+    standin_database(
+        asio::io_context &context, standin_group &group, database_name name, database_observer observer, clock now, std::uint64_t seed);
+
+    /// Listens on a free port, or on the one that it had before; false when that is not possible.
+    bool listen();
+    /// IP:PORT.
+    std::string address() const;
+    /// Ends all connections with a reset and stops to listen.
+    void crash();
+    /// Ends all connections with a reset.
+    void resetConnections();
+    /// Goes on after its machine was dark.
+    void wake();
+    /// Out of a hundred answers to clients' statements so many are lost, with all later ones on the connection.
+    void loseAnswers(unsigned percent);
+    std::size_t connectionCount() const;
+
+private:
+    struct connection {
+        std::uint64_t number = 0;
+        std::shared_ptr<line_stream> stream;
+        std::deque<std::string> lines;
+        asio::steady_timer timer;
+        bool started = false;
+        bool working = false;
+        bool ended = false;
+        bool muted = false;
+        bool inTransaction = false;
+        bool plain = false;
+        bool failed = false;
+        term_number begunIn;
+        std::vector<std::string> writes;
+        std::map<std::string, std::string> values;
+        std::map<std::string, std::string> prepared;
+
+        explicit connection(asio::io_context &context)
+            : timer(context)
+        {
+        }
+    };
+    using connection_ref = std::shared_ptr<connection>;
+    /// One query, taken apart.
+    struct query {
+        std::string id;
+        std::string verb;
+        std::string rest;
+        std::string text;
+        std::optional<log_entry> floor;
+        bool malformed = false;
+    };
+
+    standin_member &self();
+    const standin_member &self() const;
+    void accept();
+    void add(asio::ip::tcp::socket socket);
+    void step(const connection_ref &from);
+    void work(const connection_ref &from, bool takesSlot, std::function<void()> then);
+    void start(const connection_ref &from, const std::string &line);
+    void carryOut(const connection_ref &from, const query &what);
+    void runOwn(const connection_ref &from, const query &what);
+    void runForClient(const connection_ref &from, const query &what);
+    void commit(const connection_ref &from, const std::string &id, const std::string &answer);
+    void acknowledge(const connection_ref &from, std::size_t index, const std::string &answer);
+    void refuse(const connection_ref &from, const char *code);
+    void reply(const connection_ref &from, const std::string &lines);
+    std::string ready(const connection &from) const;
+    std::string statusRow() const;
+    void done(const connection_ref &from);
+    void remove(const connection_ref &from);
+    static query parse(const std::string &line);
+
+    asio::io_context &m_context;
+    standin_group &m_group;
+    database_name m_name;
+    database_observer m_observer;
+    clock m_now;
+    std::mt19937_64 m_random;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::map<std::uint64_t, connection_ref> m_connections;
+    std::deque<std::pair<connection_ref, std::function<void()>>> m_waiting;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_nextConnection = 1;
+    unsigned m_percentLost = 0;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_group.cpp
@@ -0,0 +1,146 @@
+#include "mustardrouter/PlatformStandIn/standin_group.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+log_entry endAt(const standin_member &member, std::size_t count)
+{
+    const term_number term = count == 0 ? term_number(1) : member.log[count - 1].term;
+    return {term, log_position(count)};
+}
+
+/// Length of what two logs share; logs that agree at a position agree before it.
+std::size_t sharedLength(const std::vector<standin_commit> &left, const std::vector<standin_commit> &right)
+{
+    std::size_t length = std::min(left.size(), right.size());
+    while (length > 0 && (left[length - 1].id != right[length - 1].id || left[length - 1].term != right[length - 1].term)) {
+        --length;
+    }
+    return length;
+}
+
+void cutTo(standin_member &member, std::size_t length)
+{
+    if (member.log.size() > length) {
+        member.log.resize(length);
+    }
+    member.applied = std::min(member.applied, length);
+    while (member.applyAt.size() > member.log.size() - member.applied) {
+        member.applyAt.pop_back();
+    }
+}
+
+void receive(standin_member &replica, const standin_member &primary, time_point now)
+{
+    cutTo(replica, sharedLength(replica.log, primary.log));
+    for (std::size_t index = replica.log.size(); index < primary.log.size(); ++index) {
+        replica.log.push_back(primary.log[index]);
+        const time_point before = replica.applyAt.empty() ? now : replica.applyAt.back();
+        replica.applyAt.push_back(std::max(before, now + replica.lag));
+    }
+    replica.term = std::max(replica.term, primary.term);
+}
+
+} // namespace
+
+standin_member *primaryOf(standin_group &group)
+{
+    for (auto &[name, member] : group.members) {
+        if (member.primary) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+log_entry appliedEnd(const standin_member &member)
+{
+    return endAt(member, member.applied);
+}
+
+log_entry receivedEnd(const standin_member &member)
+{
+    return endAt(member, member.log.size());
+}
+
+void replicate(standin_group &group, time_point now)
+{
+    const standin_member *primary = primaryOf(group);
+    const bool sends = primary != nullptr && primary->running && !primary->dark && !group.replicasCut;
+    for (auto &[name, member] : group.members) {
+        if (member.primary || !member.running || member.dark) {
+            continue;
+        }
+        if (sends && !member.deaf && member.held == term_number{}) {
+            receive(member, *primary, now);
+        }
+        while (!member.applyAt.empty() && member.applyAt.front() <= now) {
+            member.applyAt.pop_front();
+            member.applied += 1;
+        }
+    }
+}
+
+std::size_t appendCommit(standin_member &primary, const std::string &id)
+{
+    primary.log.push_back({primary.term, id});
+    primary.applied = primary.log.size();
+    return primary.log.size() - 1;
+}
+
+bool isReplicated(const standin_group &group, const standin_member &primary, std::size_t index)
+{
+    const auto holds = std::ranges::count_if(group.members, [&](const auto &entry) {
+        const standin_member &member = entry.second;
+        return !member.primary && member.log.size() > index && member.log[index].id == primary.log[index].id;
+    });
+    return static_cast<std::uint32_t>(holds) >= group.syncReplicas;
+}
+
+std::optional<standin_promotion> promoteMember(standin_group &group, const database_name &name)
+{
+    const auto found = group.members.find(name);
+    if (found == group.members.end() || !found->second.running || found->second.dark || found->second.primary) {
+        return std::nullopt;
+    }
+    standin_member &chosen = found->second;
+    standin_promotion result;
+    result.shared = chosen.log.size();
+    term_number highest;
+    for (auto &[other, member] : group.members) {
+        highest = std::max({highest, member.term, member.held});
+        if (member.primary) {
+            result.shared = sharedLength(member.log, chosen.log);
+            for (std::size_t index = result.shared; index < member.log.size(); ++index) {
+                result.dropped.push_back(member.log[index].id);
+            }
+        }
+        member.primary = false;
+        member.held = term_number{};
+    }
+    for (std::size_t index = result.shared; index < chosen.log.size(); ++index) {
+        result.restored.push_back(chosen.log[index].id);
+    }
+    chosen.primary = true;
+    chosen.term = term_number(highest.value() + 1);
+    chosen.applied = chosen.log.size();
+    chosen.applyAt.clear();
+    return result;
+}
+
+void forgetEverything(standin_member &member)
+{
+    member.log.clear();
+    member.applied = 0;
+    member.applyAt.clear();
+    member.term = term_number(1);
+    member.held = term_number{};
+    member.life += 1;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_http.cpp
@@ -0,0 +1,156 @@
+#include "mustardrouter/PlatformStandIn/standin_http.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t readSize = 4096;
+
+standin_request toRequest(const http::request<http::string_body> &raw)
+{
+    standin_request request;
+    request.method = std::string(raw.method_string());
+    request.body = raw.body();
+    std::string target(raw.target());
+    const std::size_t mark = target.find('?');
+    request.path = target.substr(0, mark);
+    std::string query = mark == std::string::npos ? std::string() : target.substr(mark + 1);
+    while (!query.empty()) {
+        const std::size_t end = query.find('&');
+        const std::string pair = query.substr(0, end);
+        query.erase(0, end == std::string::npos ? query.size() : end + 1);
+        const std::size_t equals = pair.find('=');
+        request.parameters[pair.substr(0, equals)] = equals == std::string::npos ? std::string() : pair.substr(equals + 1);
+    }
+    for (const auto &field : raw) {
+        request.headers[std::string(field.name_string())] = std::string(field.value());
+    }
+    return request;
+}
+
+/// One caller's connection.
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+    http_connection(asio::ip::tcp::socket socket, const standin_http::handler &handle)
+        : m_socket(std::move(socket))
+        , m_handle(handle)
+    {
+    }
+
+    void receive()
+    {
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &problem, std::size_t size) {
+            if (!problem) {
+                self->m_pending.append(self->m_buffer.data(), size);
+                self->take();
+            }
+        });
+    }
+
+private:
+    void take()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.eager(true);
+        boost::system::error_code wrong;
+        const std::size_t used = parser.put(boost::asio::const_buffer(m_pending.data(), m_pending.size()), wrong);
+        if (wrong && wrong != http::error::need_more) {
+            return;
+        }
+        if (!parser.is_done()) {
+            receive();
+            return;
+        }
+        m_pending.erase(0, used);
+        m_handle(toRequest(parser.get()), [self = shared_from_this()](standin_answer answer) {
+            self->answer(std::move(answer));
+        });
+    }
+
+    void answer(standin_answer what)
+    {
+        asio::error_code ignored;
+        if (what.closes) {
+            m_socket.close(ignored);
+            return;
+        }
+        if (what.silent) {
+            // Kept open until the caller goes.
+            m_pending.clear();
+            receive();
+            return;
+        }
+        m_out = "HTTP/1.1 " + std::to_string(what.status)
+                + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(what.body.size()) + "\r\n\r\n" + what.body;
+        asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const asio::error_code &problem, std::size_t) {
+            if (!problem) {
+                self->receive();
+            }
+        });
+    }
+
+    asio::ip::tcp::socket m_socket;
+    const standin_http::handler &m_handle;
+    std::array<char, readSize> m_buffer{};
+    std::string m_pending;
+    std::string m_out;
+};
+
+} // namespace
+
+standin_http::standin_http(asio::io_context &context, handler handle)
+    : m_acceptor(context)
+    , m_handle(std::move(handle))
+{
+}
+
+bool standin_http::listen()
+{
+    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    asio::error_code problem;
+    m_acceptor.open(any.protocol(), problem);
+    m_acceptor.bind(any, problem);
+    if (!problem) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
+    }
+    if (problem) {
+        return false;
+    }
+    accept();
+    return true;
+}
+
+std::string standin_http::address() const
+{
+    asio::error_code ignored;
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint(ignored).port());
+}
+
+void standin_http::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &problem, asio::ip::tcp::socket socket) {
+        if (problem == asio::error::operation_aborted) {
+            return;
+        }
+        if (!problem) {
+            std::make_shared<http_connection>(std::move(socket), m_handle)->receive();
+        }
+        accept();
+    });
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_http.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace mustardrouter
+{
+
+/// One HTTP request as it came.
+struct standin_request {
+    std::string method;
+    /// Path without the query.
+    std::string path;
+    std::map<std::string, std::string> parameters;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/// How a request is answered.
+struct standin_answer {
+    unsigned status = 200;
+    std::string body;
+    /// Nothing more is said on the connection, which stays open.
+    bool silent = false;
+    /// The connection is closed without an answer.
+    bool closes = false;
+};
+
+/// A listener for HTTP requests whose answers may come later. On the thread of its context.
+class standin_http
+{
+public:
+    using responder = std::function<void(standin_answer)>;
+    using handler = std::function<void(const standin_request &, responder)>;
+
+    standin_http(asio::io_context &context, handler handle);
+
+    /// Listens on a free port of loopback; false when that is not possible.
+    bool listen();
+    /// IP:PORT.
+    std::string address() const;
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    handler m_handle;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_objects.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// One object of the stand-in's store.
+struct standin_object {
+    std::uint64_t revision = 0;
+    Json::Value spec;
+};
+
+/// One change that a watch may tell.
+struct standin_change {
+    std::uint64_t revision = 0;
+    std::string kind;
+    std::string name;
+    Json::Value spec;
+    bool removed = false;
+};
+
+/// How a write ended.
+enum class write_result : std::uint8_t { done, conflict, absent };
+
+/// The objects of the platform's store with their revisions and history, without sockets.
+class standin_objects
+{
+public:
+    using named = std::map<std::string, standin_object>;
+
+    std::uint64_t revision() const;
+    const named &ofKind(const std::string &kind) const;
+    std::optional<standin_object> find(const std::string &kind, const std::string &name) const;
+
+    /// Creates an object; conflict when there is one.
+    write_result create(const std::string &kind, const std::string &name, const Json::Value &spec);
+    /// Replaces the content under a condition; `expected` 0 sets none. What changes nothing is no change.
+    write_result replace(const std::string &kind, const std::string &name, const Json::Value &spec, std::uint64_t expected);
+    /// Creates or replaces.
+    void put(const std::string &kind, const std::string &name, const Json::Value &spec);
+    void remove(const std::string &kind, const std::string &name);
+
+    /// Changes of a kind after a revision; nothing when that history is gone.
+    std::optional<std::vector<standin_change>> changesSince(const std::string &kind, std::uint64_t since) const;
+    void dropHistory();
+
+private:
+    void note(const std::string &kind, const std::string &name, const Json::Value &spec, bool removed);
+
+    std::uint64_t m_revision = 10;
+    std::uint64_t m_historyFrom = 10;
+    std::map<std::string, named> m_objects;
+    std::deque<standin_change> m_history;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/fault_injector.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "mustardrouter/Soak/fault_plan.h"
+#include "mustardrouter/Soak/soak_deployment.h"
+#include "mustardrouter/Soak/soak_instance.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// Carries out the faults of a plan, and ends them.
+class fault_injector
+{
+public:
+    using clock = std::function<time_point()>;
+
+    fault_injector(soak_deployment &deployment, std::vector<std::unique_ptr<soak_instance>> &instances, clock now);
+
+    /// Begins a fault; gives what ends it, or nothing when it ends by itself.
+    std::function<void()> begin(const planned_fault &fault);
+
+private:
+    std::function<void()> harmLinks(const planned_fault &fault);
+    std::function<void()> harmInstance(const planned_fault &fault);
+    std::function<void()> harmStore(const planned_fault &fault);
+    std::function<void()> harmDatabase(const planned_fault &fault);
+    std::vector<fault_relay *> chooseRelays(const planned_fault &fault);
+    void stopInstance(soak_instance &instance);
+    void killInstance(soak_instance &instance, duration startsAfter);
+
+    soak_deployment &m_deployment;
+    std::vector<std::unique_ptr<soak_instance>> &m_instances;
+    clock m_now;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -0,0 +1,172 @@
+#include "mustardrouter/Soak/fault_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <random>
+#include <sstream>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Instances start and clients connect.
+constexpr duration leadTime = 2500ms;
+constexpr duration troubleTime = 8s;
+/// Long enough for what was planned in it to be due: 5 s until machines count as calm, 7 s for a database that leaves,
+/// and a moment to see that the service is back (bounds of the users' deployments).
+constexpr duration calmTime = 14s;
+/// In the calm: when a planned change comes.
+constexpr duration plannedAfter = 5500ms;
+constexpr std::uint32_t leastFaults = 2;
+constexpr std::uint32_t faultSpread = 5;
+constexpr duration shortestFault = 200ms;
+constexpr std::uint32_t percentTwins = 25;
+constexpr std::uint32_t percentAtEnds = 25;
+constexpr std::uint32_t percent = 100;
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
+    "link delay",
+    "link reset",
+    "link holds requests",
+    "link holds answers",
+    "link silent for good",
+    "link trickles",
+    "link refuses",
+    "instance stop",
+    "instance kill",
+    "instance pause",
+    "all instances killed",
+    "settings reload",
+    "settings broken",
+    "store down",
+    "store slow",
+    "store refuses some",
+    "store loses answers",
+    "store writes late",
+    "store forgets",
+    "orders late",
+    "database dark",
+    "database crash",
+    "database reborn",
+    "database leaves",
+    "database reset",
+    "replica lag",
+    "replica deaf",
+    "answers lost",
+    "primary cut from replicas",
+    "primary cut from some",
+    "configuration change",
+};
+
+class plan_maker
+{
+public:
+    explicit plan_maker(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    void addTrouble(soak_plan &plan, const soak_round &round)
+    {
+        const std::uint32_t count = leastFaults + draw(faultSpread);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            planned_fault fault = drawFault(round);
+            plan.faults.push_back(fault);
+            if (draw(percent) < percentTwins) {
+                // The same again within a second.
+                fault.at = std::min(fault.at + duration(draw(1'000'000)), round.calmFrom - shortestFault);
+                fault.length = std::min(fault.length, round.calmFrom - fault.at);
+                plan.faults.push_back(fault);
+            }
+            if (draw(percent) < percentAtEnds) {
+                planned_fault next = drawFault(round);
+                next.at = std::min(fault.at + fault.length, round.calmFrom - shortestFault);
+                next.length = std::min(next.length, round.calmFrom - next.at);
+                plan.faults.push_back(next);
+            }
+        }
+    }
+
+    void addPlannedWork(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::array<soak_fault, 4> planned{
+            soak_fault::configurationChange, soak_fault::instanceStop, soak_fault::settingsReload, soak_fault::databaseLeaves};
+        planned_fault change;
+        change.at = round.calmFrom + plannedAfter;
+        change.kind = soak_fault::configurationChange;
+        plan.faults.push_back(change);
+        planned_fault other = change;
+        other.kind = planned[1 + draw(planned.size() - 1)];
+        other.at += duration(draw(500'000));
+        other.target = draw(1000);
+        other.variant = draw(1000);
+        plan.faults.push_back(other);
+    }
+
+private:
+    std::uint32_t draw(std::size_t below)
+    {
+        return static_cast<std::uint32_t>(m_random() % below);
+    }
+
+    planned_fault drawFault(const soak_round &round)
+    {
+        const duration span = round.calmFrom - round.troubleFrom;
+        planned_fault fault;
+        fault.at = round.troubleFrom + duration(draw(static_cast<std::size_t>((span - shortestFault).count())));
+        const duration left = round.calmFrom - fault.at;
+        fault.length = shortestFault + duration(draw(static_cast<std::size_t>((left - shortestFault).count()) + 1));
+        fault.kind = static_cast<soak_fault>(draw(static_cast<std::size_t>(soak_fault::count)));
+        fault.target = draw(1000);
+        fault.variant = draw(1000);
+        return fault;
+    }
+
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+std::string_view toString(soak_fault kind)
+{
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+soak_plan makePlan(std::uint64_t seed, duration length)
+{
+    plan_maker maker(seed);
+    soak_plan plan;
+    duration at = leadTime;
+    do {
+        const soak_round round{at, at + troubleTime, at + troubleTime + calmTime};
+        plan.rounds.push_back(round);
+        maker.addTrouble(plan, round);
+        maker.addPlannedWork(plan, round);
+        at = round.end;
+    } while (at + troubleTime + calmTime <= length);
+    plan.length = at;
+    std::ranges::stable_sort(plan.faults, {}, &planned_fault::at);
+    return plan;
+}
+
+std::string describe(const soak_plan &plan)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3);
+    const auto seconds = [](duration span) {
+        return std::chrono::duration<double>(span).count();
+    };
+    for (std::size_t index = 0; index < plan.faults.size(); ++index) {
+        const planned_fault &fault = plan.faults[index];
+        text << index << "  at " << seconds(fault.at) << " s for " << seconds(fault.length) << " s: " << toString(fault.kind) << " (target "
+             << fault.target << ", variant " << fault.variant << ")\n";
+    }
+    return text.str();
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/soak_client.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "mustardrouter/Edge/line_stream.h"
+#include "mustardrouter/Soak/soak_history.h"
+#include "mustardrouter/Soak/soak_route.h"
+#include "mustardrouter/Soak/soak_tally.h"
+#include "platform/line_codec.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// One client: keeps a session open, runs operations on it one after the other, and connects anew when it is closed.
+class soak_client : public std::enable_shared_from_this<soak_client>
+{
+public:
+    struct surroundings {
+        asio::io_context *context = nullptr;
+        soak_history *history = nullptr;
+        soak_tally *tally = nullptr;
+        const std::vector<soak_route> *routes = nullptr;
+        std::function<time_point()> now;
+        /// Chooses an instance and gives the address at which this client reaches it.
+        std::function<std::size_t()> chooseInstance;
+        std::function<std::string(std::size_t)> addressOf;
+    };
+
+    soak_client(surroundings around, std::string name, std::uint64_t seed);
+
+    void start();
+    /// Begins no further operation, and closes when the present one has ended.
+    void stop();
+    bool isDone() const;
+
+private:
+    void connect();
+    void reconnect();
+    void onLine(std::string_view line);
+    void onEnd();
+    void think();
+    void beginOperation();
+    std::vector<client_statement> makeOperation();
+    client_statement make(client_verb verb, const std::string &rest = {});
+    void send();
+    void answered(const database_reply &reply);
+    void endOperation(bool served);
+    void armPatience();
+    void later(duration wait, void (soak_client::*then)());
+    bool isOpenTransaction() const;
+
+    surroundings m_around;
+    std::string m_name;
+    std::mt19937_64 m_random;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_patience;
+    std::shared_ptr<line_stream> m_stream;
+    platform::reply_assembler m_assembler;
+    std::size_t m_instance = 0;
+    soak_route m_route;
+    std::uint64_t m_session = 0;
+    std::uint64_t m_attempt = 0;
+    std::uint64_t m_nextStatement = 1;
+    std::map<std::string, std::string> m_shapes;
+    std::vector<client_statement> m_steps;
+    std::size_t m_step = 0;
+    sent_statement m_sent;
+    time_point m_operationBegunAt{};
+    time_point m_transactionBegunAt{};
+    bool m_started = false;
+    bool m_waits = false;
+    bool m_inTransaction = false;
+    bool m_wrote = false;
+    bool m_failed = false;
+    bool m_stopping = false;
+    bool m_done = false;
+};
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -0,0 +1,341 @@
+#include "mustardrouter/Soak/soak_deployment.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Replication and entries are looked at this often; entries once in so many looks.
+constexpr duration tickInterval = 2ms;
+constexpr std::uint64_t ticksPerEntry = 40;
+/// An entry goes when its database has been silent for three heartbeats of 1,200 ms.
+constexpr duration entryLife = 3600ms;
+/// An order takes effect after this time.
+constexpr duration promotionTime = 300ms;
+/// A database that leaves serves for 7 s, and a little longer.
+constexpr duration leaveTime = 8000ms;
+/// Entries that were lost are back within this time.
+constexpr std::uint64_t entriesBackMicros = 1'800'000;
+constexpr std::size_t databasesPerGroup = 3;
+constexpr std::uint64_t firstVersion = 10;
+
+const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
+
+const char *typeOf(read_rule rule)
+{
+    switch (rule) {
+    case read_rule::latest:
+        return "primary";
+    case read_rule::age:
+        return "bounded_staleness";
+    case read_rule::session:
+        return "read_your_writes";
+    }
+    return "";
+}
+
+Json::Int64 inMillis(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace
+
+soak_deployment::soak_deployment(asio::io_context &context, soak_history &history, clock now, address_map addressFor, std::uint64_t seed)
+    : m_context(context)
+    , m_history(history)
+    , m_now(std::move(now))
+    , m_random(seed)
+    , m_store(context,
+              {std::move(addressFor),
+               [this](const standin_order &order) {
+                   return promote(order);
+               }},
+              seed)
+    , m_timer(context)
+{
+}
+
+bool soak_deployment::start(std::size_t groupCount, std::size_t instanceCount)
+{
+    constexpr std::uint32_t leastSlots = 3;
+    constexpr std::uint64_t slotSpread = 3;
+    for (std::size_t index = 0; index < groupCount; ++index) {
+        auto group = std::make_unique<standin_group>();
+        group->name = group_name("group" + std::to_string(index + 1));
+        group->slots = leastSlots + static_cast<std::uint32_t>(m_random() % slotSpread);
+        // From fewer connections than every instance could want, up to plenty.
+        group->connections = static_cast<std::uint32_t>(instanceCount * (2 + m_random() % 4) + 4);
+        group->syncReplicas = static_cast<std::uint32_t>(m_random() % 2);
+        const std::string suffix = "-" + std::to_string(index + 1);
+        m_routes.push_back({"latest" + suffix, {group->name, read_rule::latest, 0ms, 1000ms, 600ms, 1}});
+        m_routes.push_back({"session" + suffix, {group->name, read_rule::session, 2500ms, 1000ms, 600ms, 2}});
+        m_routes.push_back({"age" + suffix, {group->name, read_rule::age, 1500ms, 1000ms, 600ms, 2}});
+        m_groups.push_back(std::move(group));
+        for (std::size_t place = 0; place < databasesPerGroup; ++place) {
+            addDatabase(*m_groups.back(), "db" + std::to_string(m_nextDatabase++), dataCentres[place], place == 0);
+        }
+    }
+    publishConfiguration();
+    tick();
+    return !m_failed;
+}
+
+standin_store &soak_deployment::store()
+{
+    return m_store;
+}
+
+std::vector<std::unique_ptr<standin_group>> &soak_deployment::groups()
+{
+    return m_groups;
+}
+
+const std::vector<soak_route> &soak_deployment::routes() const
+{
+    return m_routes;
+}
+
+const std::vector<published_version> &soak_deployment::versions() const
+{
+    return m_versions;
+}
+
+const std::vector<leaving_database> &soak_deployment::leaving() const
+{
+    return m_leaving;
+}
+
+std::vector<std::string> soak_deployment::addresses() const
+{
+    std::vector<std::string> all;
+    for (const auto &[name, sockets] : m_sockets) {
+        all.push_back(sockets->address());
+    }
+    return all;
+}
+
+standin_database &soak_deployment::socketsOf(const database_name &name)
+{
+    return *m_sockets.at(name);
+}
+
+void soak_deployment::addDatabase(standin_group &group, const std::string &name, const std::string &dataCentre, bool primary)
+{
+    standin_member member;
+    member.name = database_name(name);
+    member.dataCentre = dataCentre;
+    member.primary = primary;
+    database_observer observer;
+    observer.onRun = [this](const statement_run &run) {
+        const auto left = std::ranges::find(m_leaving, run.database, &leaving_database::name);
+        constexpr duration drainTime = 7000ms;
+        if (left != m_leaving.end() && !run.inTransaction && m_now() - left->since > drainTime) {
+            m_history.onLateAtLeaving(run, left->since, m_now());
+        }
+        return m_history.onRun(run);
+    };
+    observer.onCommit = [this](const group_name &of, const std::string &id, std::size_t index) {
+        m_history.onCommit(of, id, index);
+    };
+    observer.onMisuse = [this](const std::string &what) {
+        m_history.breakPromise("UNASKED: " + what);
+    };
+    auto sockets = std::make_unique<standin_database>(m_context, group, member.name, std::move(observer), m_now, m_random());
+    m_failed = !sockets->listen() || m_failed;
+    member.address = sockets->address();
+    m_sockets[member.name] = std::move(sockets);
+    group.members[member.name] = std::move(member);
+}
+
+void soak_deployment::later(duration wait, std::function<void()> then)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, wait);
+    timer->async_wait([timer, then = std::move(then)](const asio::error_code &problem) {
+        if (!problem) {
+            then();
+        }
+    });
+}
+
+bool soak_deployment::promote(const standin_order &order)
+{
+    m_history.onOrder(order.group, order.fence, order.holder, order.successor);
+    const auto group = std::ranges::find_if(m_groups, [&](const auto &one) {
+        return one->name.value() == order.group;
+    });
+    if (group == m_groups.end()) {
+        return false;
+    }
+    const auto member = (*group)->members.find(database_name(order.successor));
+    if (member == (*group)->members.end() || !member->second.running || member->second.dark) {
+        return false;
+    }
+    later(promotionTime, [this, &chosen = **group, name = database_name(order.successor)] {
+        if (const std::optional<standin_promotion> result = promoteMember(chosen, name)) {
+            m_history.onPromoted(chosen.name, *result, chosen.syncReplicas);
+            publishEntries();
+        }
+    });
+    return true;
+}
+
+void soak_deployment::tick()
+{
+    const time_point now = m_now();
+    for (const auto &group : m_groups) {
+        replicate(*group, now);
+    }
+    if (m_ticks++ % ticksPerEntry == 0) {
+        publishEntries();
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &problem) {
+        if (!problem) {
+            tick();
+        }
+    });
+}
+
+void soak_deployment::publishEntries()
+{
+    if (m_store.faults().down != store_failure::none) {
+        return;
+    }
+    const time_point now = m_now();
+    for (const auto &group : m_groups) {
+        for (const auto &[name, member] : group->members) {
+            if (!member.running || member.dark) {
+                const time_point since = m_silentSince.try_emplace(name, now).first->second;
+                const bool left = member.leaving && !member.running;
+                if (left || now - since > entryLife) {
+                    m_store.objects().remove("servers", name.value());
+                }
+                continue;
+            }
+            m_silentSince.erase(name);
+            if (now < m_publishFrom[name]) {
+                continue;
+            }
+            Json::Value entry;
+            entry["service"] = group->name.value();
+            entry["address"] = member.address;
+            entry["zone"] = member.dataCentre;
+            entry["version"] = "1";
+            entry["slots"] = group->slots;
+            entry["state"] = member.leaving ? "draining" : "ready";
+            entry["warmup_left_ms"] = 0;
+            entry["sequence"] = 1;
+            entry["db_role"] = member.primary ? "primary" : "replica";
+            entry["born"] = Json::UInt64(member.life);
+            m_store.objects().put("servers", name.value(), entry);
+        }
+    }
+    m_store.wakeWatches();
+}
+
+void soak_deployment::publishConfiguration()
+{
+    constexpr std::uint64_t versionSpread = 5;
+    published_version next;
+    next.version = m_versions.empty() ? firstVersion : m_versions.back().version + 1 + m_random() % versionSpread;
+    next.at = m_now();
+    next.added = "extra-" + std::to_string(next.version);
+    next.dropped = m_versions.empty() ? std::string() : m_versions.back().added;
+    std::vector<soak_route> routes = m_routes;
+    routes.push_back({next.added, m_routes.front().rules});
+    Json::Value root;
+    root["version"] = Json::UInt64(next.version);
+    for (const soak_route &one : routes) {
+        Json::Value item;
+        item["name"] = "r-" + one.name;
+        item["host"] = one.name;
+        item["type"] = typeOf(one.rules.rule);
+        item["service"] = one.rules.group.value();
+        item["timeout_ms"] = inMillis(one.rules.timeout);
+        item["target_latency_ms"] = inMillis(one.rules.objective);
+        item["priority"] = one.rules.priority;
+        if (one.rules.rule != read_rule::latest) {
+            item["max_staleness_ms"] = inMillis(one.rules.maxAge);
+        }
+        root["routes"].append(item);
+    }
+    for (const auto &group : m_groups) {
+        Json::Value item;
+        item["name"] = group->name.value();
+        item["max_conns"] = group->connections;
+        item["sync_replicas"] = group->syncReplicas;
+        root["services"].append(item);
+    }
+    root["limits"]["tx_idle_ms"] = 3000;
+    m_store.objects().put("config", "main", root);
+    m_versions.push_back(next);
+    m_store.wakeWatches();
+}
+
+void soak_deployment::crash(standin_group &group, const database_name &name)
+{
+    group.members.at(name).running = false;
+    socketsOf(name).crash();
+}
+
+void soak_deployment::restart(standin_group &group, const database_name &name)
+{
+    standin_member &member = group.members.at(name);
+    if (member.running || member.leaving) {
+        return;
+    }
+    member.running = true;
+    member.life += 1;
+    if (!socketsOf(name).listen()) {
+        m_history.breakPromise("the soak itself: " + name.value() + " can't listen again");
+    }
+}
+
+void soak_deployment::darken(standin_group &group, const database_name &name)
+{
+    group.members.at(name).dark = true;
+}
+
+void soak_deployment::lighten(standin_group &group, const database_name &name)
+{
+    group.members.at(name).dark = false;
+    socketsOf(name).wake();
+}
+
+void soak_deployment::leave(standin_group &group, const database_name &name)
+{
+    standin_member &member = group.members.at(name);
+    if (member.leaving || !member.running || m_store.faults().down != store_failure::none) {
+        return;
+    }
+    const database_name fresh("db" + std::to_string(m_nextDatabase++));
+    addDatabase(group, fresh.value(), member.dataCentre, false);
+    member.leaving = true;
+    m_leaving.push_back({name, m_now()});
+    publishEntries();
+    later(leaveTime, [this, &group, name] {
+        crash(group, name);
+        publishEntries();
+    });
+}
+
+void soak_deployment::loseEntries()
+{
+    for (const auto &group : m_groups) {
+        for (const auto &[name, member] : group->members) {
+            m_store.objects().remove("servers", name.value());
+            m_publishFrom[name] = m_now() + duration(static_cast<std::int64_t>(m_random() % entriesBackMicros));
+        }
+    }
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -0,0 +1,149 @@
+#include "mustardrouter/Soak/soak_instance.h"
+
+#include "platform/probe_server.h"
+
+#include <json/json.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <random>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Below the ports that the system gives to outgoing connections, so that a restart finds its port free.
+constexpr unsigned firstPort = 10'000;
+constexpr unsigned portSpread = 20'000;
+/// Instances out of rotation after so many misses.
+constexpr unsigned mostMisses = 2;
+
+/// An address of loopback that nobody listens on.
+std::string freeAddress(asio::io_context &context)
+{
+    static std::mt19937 random(static_cast<unsigned>(::getpid()));
+    for (int tries = 0; tries < 200; ++tries) {
+        const auto port = static_cast<std::uint16_t>(firstPort + random() % portSpread);
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
+        asio::ip::tcp::acceptor acceptor(context);
+        asio::error_code problem;
+        acceptor.open(endpoint.protocol(), problem);
+        acceptor.bind(endpoint, problem);
+        if (!problem) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+soak_instance::soak_instance(asio::io_context &context, places where)
+    : clients(context, "")
+    , store(context, where.store)
+    , m_context(context)
+    , m_where(std::move(where))
+{
+}
+
+bool soak_instance::start(bool firstStart)
+{
+    if (!process) {
+        m_clientAddress = freeAddress(m_context);
+        m_readinessAddress = freeAddress(m_context);
+        clients.moveTo(m_clientAddress);
+        m_probe = std::make_shared<platform::http_channel>(m_context, m_readinessAddress);
+        const std::string base = m_where.folder + "/" + m_where.name;
+        process = std::make_unique<edge_process>(m_where.program, base + ".json", base + ".log");
+        if (m_clientAddress.empty() || m_readinessAddress.empty() || !clients.listen() || !store.listen()) {
+            return false;
+        }
+    }
+    m_firstStart = firstStart;
+    writeSettings(false);
+    starts += 1;
+    ready = false;
+    misses = mostMisses;
+    stopSince = {};
+    disturbed = false;
+    startAgainAt = {};
+    paused = false;
+    seenVersion = 0;
+    return process->start();
+}
+
+void soak_instance::writeSettings(bool broken)
+{
+    Json::Value root;
+    root["node_name"] = m_where.name;
+    root["role"] = "edge";
+    root["ip"] = "127.0.0.1";
+    root["zone"] = m_where.dataCentre;
+    for (const char *place : {"dc-a", "dc-b", "dc-c"}) {
+        root["zones"][place] = std::string("region-of-") + place;
+    }
+    root["bind_addrs"]["frontend"] = m_clientAddress;
+    root["bind_addrs"]["readiness"] = m_readinessAddress;
+    root["bootstrap"] = m_firstStart;
+    root["bounds"]["grace_s"] = 6;
+    root["platform"]["address"] = store.address();
+    root["provider_api"]["address"] = store.address();
+    root["note"] = starts;
+    const std::string text = root.toStyledString();
+    std::ofstream file(m_where.folder + "/" + m_where.name + ".json");
+    file << (broken ? text.substr(0, text.size() / 2) : text);
+}
+
+fault_relay &soak_instance::relayTo(const std::string &database)
+{
+    std::unique_ptr<fault_relay> &relay = m_databases[database];
+    if (!relay) {
+        relay = std::make_unique<fault_relay>(m_context, database);
+        relay->listen();
+    }
+    return *relay;
+}
+
+std::vector<fault_relay *> soak_instance::databaseRelays()
+{
+    std::vector<fault_relay *> all;
+    for (const auto &[address, relay] : m_databases) {
+        all.push_back(relay.get());
+    }
+    return all;
+}
+
+std::vector<fault_relay *> soak_instance::allRelays()
+{
+    std::vector<fault_relay *> all = databaseRelays();
+    all.push_back(&clients);
+    all.push_back(&store);
+    return all;
+}
+
+std::string soak_instance::clientAddress() const
+{
+    return clients.address();
+}
+
+std::string soak_instance::directAddress() const
+{
+    return m_clientAddress;
+}
+
+void soak_instance::askReadiness()
+{
+    platform::http_call call;
+    call.target = platform::readinessPath;
+    call.patience = std::chrono::milliseconds(450);
+    m_probe->call(std::move(call), [this](const platform::http_answer &answer) {
+        constexpr unsigned good = 200;
+        misses = answer.status == good ? 0 : misses + 1;
+        ready = misses < mostMisses && process->runs();
+    });
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -0,0 +1,408 @@
+#include "mustardrouter/Soak/soak_run.h"
+
+#include "mustardrouter/Soak/route_probe.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <sstream>
+#include <sys/wait.h>
+#include <utility>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration tickInterval = 50ms;
+constexpr std::uint64_t ticksPerProbe = 20;
+/// Clients that are sent to an instance whether it is ready or not, as when most of a data centre's are not.
+constexpr unsigned percentAnywhere = 15;
+constexpr std::uint64_t ticksPerRouteProbe = 6;
+/// Bounds of the users' deployments (SYSTEM.md): machines count as calm after this time, a configuration is in force,
+/// a process has stopped, and what an instance may take of memory and descriptors.
+constexpr duration stableWindow = 5000ms;
+constexpr duration configurationTime = 4000ms;
+constexpr duration downgradeTime = 2000ms;
+constexpr duration graceTime = 6000ms;
+constexpr duration lossSlack = 200ms;
+constexpr std::uint64_t memoryLimit = 182ULL << 20;
+constexpr std::size_t descriptorLimit = 3010;
+/// The end of a process is looked for at these intervals, and may be seen late by this much.
+constexpr duration endSlack = 500ms;
+/// Share of the operations that are served in calm times, and how many there are at least.
+constexpr double servedInCalm = 0.9;
+constexpr std::size_t fewestInCalm = 20;
+/// A process that stopped starts again after this time.
+constexpr duration restartTime = 400ms;
+constexpr unsigned stopTries = 160;
+
+const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
+
+} // namespace
+
+soak_run::soak_run(soak_settings settings)
+    : m_settings(std::move(settings))
+    , m_plan(makePlan(m_settings.seed, m_settings.length))
+    , m_random(m_settings.seed)
+    , m_timer(m_context)
+    , m_deployment(
+          m_context,
+          m_history,
+          [this] {
+              return now();
+          },
+          [this](std::size_t instance, const std::string &address) {
+              return m_instances.at(instance)->relayTo(address).address();
+          },
+          m_settings.seed + 1)
+    , m_injector(m_deployment, m_instances, [this] {
+        return now();
+    })
+{
+}
+
+time_point soak_run::now() const
+{
+    timespec value{};
+    ::clock_gettime(CLOCK_MONOTONIC, &value);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+void soak_run::later(duration wait, std::function<void()> then)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, wait);
+    timer->async_wait([timer, then = std::move(then)](const asio::error_code &problem) {
+        if (!problem) {
+            then();
+        }
+    });
+}
+
+bool soak_run::start()
+{
+    constexpr std::size_t leastInstances = 3;
+    constexpr std::size_t instanceSpread = 4;
+    const std::size_t count = m_settings.instances > 0 ? m_settings.instances : leastInstances + m_random() % instanceSpread;
+    for (std::size_t index = 0; index < count; ++index) {
+        soak_instance::places places;
+        places.program = m_settings.program;
+        places.folder = m_settings.folder;
+        places.name = "instance-" + std::to_string(index + 1);
+        places.dataCentre = dataCentres[index % std::size(dataCentres)];
+        places.store = m_deployment.store().addInstance();
+        m_instances.push_back(std::make_unique<soak_instance>(m_context, std::move(places)));
+    }
+    if (!m_deployment.start(1 + m_random() % 2, count)) {
+        return false;
+    }
+    return std::ranges::all_of(m_instances, [](const auto &instance) {
+        return instance->start(true);
+    });
+}
+
+soak_report soak_run::run()
+{
+    m_begunAt = now();
+    {
+        std::ofstream plan(m_settings.folder + "/plan.txt");
+        plan << describe(m_plan);
+    }
+    if (!start()) {
+        return {{"the soak itself: a port or a process could not be had"}, {}};
+    }
+    addClients();
+    playFaults();
+    for (const soak_round &round : m_plan.rounds) {
+        later(round.calmFrom + stableWindow + configurationTime + 900ms, [this, round] {
+            checkConfiguration(round);
+        });
+        later(round.end - 10ms, [this, round] {
+            checkCalm(round);
+        });
+    }
+    later(m_plan.length, [this] {
+        stopAll();
+    });
+    tick();
+    m_context.run();
+    return {m_history.broken(), summary()};
+}
+
+std::size_t soak_run::chooseInstance()
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        if (m_instances[index]->ready) {
+            ready.push_back(index);
+        }
+    }
+    const bool anywhere = ready.empty() || m_random() % 100 < percentAnywhere;
+    return anywhere ? m_random() % m_instances.size() : ready[m_random() % ready.size()];
+}
+
+void soak_run::addClients()
+{
+    soak_client::surroundings around;
+    around.context = &m_context;
+    around.history = &m_history;
+    around.tally = &m_tally;
+    around.routes = &m_deployment.routes();
+    around.now = [this] {
+        return now();
+    };
+    around.chooseInstance = [this] {
+        return chooseInstance();
+    };
+    around.addressOf = [this](std::size_t index) {
+        return m_instances[index]->clientAddress();
+    };
+    for (std::size_t index = 0; index < m_instances.size() * m_settings.clientsPerInstance; ++index) {
+        m_clients.push_back(std::make_shared<soak_client>(around, "c" + std::to_string(index + 1), m_random()));
+        later(1200ms + duration(static_cast<std::int64_t>(m_random() % 800'000)), [client = m_clients.back()] {
+            client->start();
+        });
+    }
+}
+
+void soak_run::playFaults()
+{
+    for (std::size_t index = 0; index < m_plan.faults.size(); ++index) {
+        if (!m_settings.only.empty() && !m_settings.only.contains(index)) {
+            continue;
+        }
+        const planned_fault &fault = m_plan.faults[index];
+        later(fault.at, [this, index, &fault] {
+            std::function<void()> end = m_injector.begin(fault);
+            if (!end) {
+                return;
+            }
+            m_openFaults[index] = std::move(end);
+            later(fault.length, [this, index] {
+                m_openFaults.at(index)();
+                m_openFaults.erase(index);
+            });
+        });
+    }
+}
+
+void soak_run::tick()
+{
+    const bool asks = m_ticks % ticksPerProbe == 0;
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        soak_instance &instance = *m_instances[index];
+        watchProcess(instance);
+        if (asks && !m_stopping) {
+            instance.askReadiness();
+            checkResources(instance, "instance-" + std::to_string(index + 1));
+        }
+    }
+    if (m_ticks % ticksPerRouteProbe == 0 && !m_stopping) {
+        probeNewest();
+    }
+    m_ticks += 1;
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &problem) {
+        if (!problem) {
+            tick();
+        }
+    });
+}
+
+void soak_run::watchProcess(soak_instance &instance)
+{
+    if (const std::optional<int> status = instance.process->takeEnd()) {
+        noteEnd(instance, *status);
+    }
+    const bool isLate = instance.process->runs() && instance.stopSince != time_point{} && !instance.disturbed
+                        && now() - instance.stopSince > graceTime + endSlack;
+    if (isLate) {
+        m_history.breakPromise("EXIT: an instance still runs " + std::to_string((now() - instance.stopSince).count() / 1000)
+                               + " ms after the request to stop");
+        instance.process->signal(SIGKILL);
+        instance.disturbed = true;
+    }
+    const bool startsAgain = instance.startAgainAt != time_point{} && now() >= instance.startAgainAt && !instance.process->runs();
+    if (startsAgain && !m_stopping) {
+        instance.start(false);
+    }
+}
+
+void soak_run::noteEnd(soak_instance &instance, int status)
+{
+    instance.ready = false;
+    const bool stopped = instance.stopSince != time_point{};
+    const bool clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!instance.disturbed && !(stopped && clean)) {
+        std::ostringstream text;
+        text << "EXIT: an instance ended " << (stopped ? "badly after the request to stop" : "by itself") << ", wait status " << status;
+        m_history.breakPromise(text.str());
+    }
+    if (instance.startAgainAt == time_point{}) {
+        instance.startAgainAt = now() + restartTime;
+    }
+}
+
+void soak_run::checkResources(const soak_instance &instance, const std::string &name)
+{
+    const std::uint64_t memory = instance.process->memoryBytes();
+    const std::size_t descriptors = instance.process->descriptors();
+    m_mostMemory = std::max(m_mostMemory, memory);
+    m_mostDescriptors = std::max(m_mostDescriptors, descriptors);
+    if (memory > memoryLimit) {
+        m_history.breakPromise("MEMORY: " + name + " takes more than " + std::to_string(memoryLimit >> 20) + " MiB");
+    }
+    if (descriptors > descriptorLimit) {
+        m_history.breakPromise("DESCRIPTORS: " + name + " has more than " + std::to_string(descriptorLimit) + " open");
+    }
+}
+
+void soak_run::probeNewest()
+{
+    soak_instance &instance = *m_instances[m_random() % m_instances.size()];
+    if (!instance.process->runs() || instance.paused) {
+        return;
+    }
+    const published_version newest = m_deployment.versions().back();
+    const time_point asked = now();
+    const unsigned life = instance.starts;
+    probeRoute(m_context, instance.directAddress(), newest.added, [this, &instance, newest, asked, life](std::optional<reply_code> code) {
+        if (!code || instance.starts != life) {
+            return;
+        }
+        const bool seen = *code == reply_code::done;
+        if (seen && newest.version > instance.seenVersion) {
+            instance.seenVersion = newest.version;
+            instance.seenAt = now();
+            return;
+        }
+        const bool droppedSince = m_deployment.versions().back().version != newest.version;
+        const bool backwards =
+            *code == reply_code::unknownDatabase && instance.seenVersion >= newest.version && asked > instance.seenAt + downgradeTime;
+        if (backwards && !droppedSince) {
+            m_history.breakPromise("CONFIG: an instance went back behind version " + std::to_string(newest.version));
+        }
+    });
+}
+
+void soak_run::checkConfiguration(const soak_round &round)
+{
+    const published_version newest = m_deployment.versions().back();
+    const time_point from = m_begunAt + round.calmFrom + stableWindow;
+    // What was published while instances were not calm has a later bound than this check.
+    const bool due = newest.at >= from && now() - newest.at >= configurationTime;
+    if (!due) {
+        return;
+    }
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        soak_instance &instance = *m_instances[index];
+        if (!instance.process->runs() || instance.stopSince != time_point{}) {
+            continue;
+        }
+        const std::string name = "instance-" + std::to_string(index + 1);
+        const auto check = [this, name, newest, life = instance.starts, &instance](const std::string &route, reply_code expected) {
+            probeRoute(m_context, instance.directAddress(), route, [=, this, &instance](std::optional<reply_code> code) {
+                const bool same = instance.starts == life && instance.stopSince == time_point{};
+                if (same && code != expected) {
+                    m_history.breakPromise("CONFIG: " + name + " answers " + std::string(code ? toString(*code) : "nothing") + " for "
+                                           + route + " of version " + std::to_string(newest.version));
+                }
+            });
+        };
+        check(newest.added, reply_code::done);
+        check(newest.dropped, reply_code::unknownDatabase);
+    }
+}
+
+void soak_run::checkCalm(const soak_round &round)
+{
+    checkWithin(round, m_begunAt + round.calmFrom + stableWindow, m_begunAt + round.end);
+}
+
+void soak_run::checkWithin(const soak_round &round, time_point from, time_point to)
+{
+    std::size_t begun = 0;
+    std::size_t served = 0;
+    for (const operation_end &operation : m_tally.operations) {
+        if (operation.begunAt >= from && operation.begunAt < to) {
+            begun += 1;
+            served += operation.served ? 1 : 0;
+        }
+    }
+    const auto at = std::chrono::duration_cast<std::chrono::seconds>(round.calmFrom).count();
+    const double share = begun == 0 ? 0.0 : static_cast<double>(served) / static_cast<double>(begun);
+    m_calm += "calm from " + std::to_string(at) + " s: " + std::to_string(served) + " of " + std::to_string(begun) + " served\n";
+    if (begun < fewestInCalm || share < servedInCalm) {
+        m_history.breakPromise("BACK: in the calm from " + std::to_string(at) + " s on, " + std::to_string(served) + " of "
+                               + std::to_string(begun) + " operations were served");
+    }
+    for (const cut_statement &cut : m_tally.cuts) {
+        const bool counts = cut.sentAt >= from && cut.sentAt < to;
+        if (counts && (m_history.hasRun(cut.id) || cut.cutAt - cut.sentAt > lossSlack)) {
+            m_history.breakPromise("CUT: " + cut.id + " on instance-" + std::to_string(cut.instance + 1) + " was cut off");
+        }
+    }
+    for (const cut_statement &statement : m_tally.unanswered) {
+        if (statement.sentAt >= from && statement.sentAt < to) {
+            m_history.breakPromise("SILENT: " + statement.id + " on instance-" + std::to_string(statement.instance + 1) + " has no answer");
+        }
+    }
+    for (const late_run &late : m_history.lateAtLeaving()) {
+        if (late.announcedAt >= from && late.ranAt < to) {
+            m_history.breakPromise(late.what);
+        }
+    }
+}
+
+void soak_run::stopAll()
+{
+    m_stopping = true;
+    for (const auto &client : m_clients) {
+        client->stop();
+    }
+    constexpr duration clientsEnd = 300ms;
+    later(clientsEnd, [this] {
+        for (const auto &instance : m_instances) {
+            if (instance->process->runs() && instance->stopSince == time_point{}) {
+                instance->stopSince = now();
+                instance->process->signal(SIGTERM);
+            }
+        }
+        checkStopped(stopTries);
+    });
+}
+
+void soak_run::checkStopped(unsigned tries)
+{
+    const bool runs = std::ranges::any_of(m_instances, [](const auto &instance) {
+        return instance->process->runs();
+    });
+    if (!runs || tries == 0) {
+        m_context.stop();
+        return;
+    }
+    later(tickInterval, [this, tries] {
+        checkStopped(tries - 1);
+    });
+}
+
+std::string soak_run::summary() const
+{
+    std::ostringstream text;
+    text << m_instances.size() << " instances, " << m_deployment.leaving().size() << " databases left, " << m_plan.faults.size()
+         << " faults planned, " << m_deployment.versions().size() << " versions\n"
+         << m_history.statementCount() << " statements sent, " << m_history.runCount() << " run, " << m_history.commitCount()
+         << " commits; answers:";
+    for (const auto &[code, count] : m_tally.answers) {
+        text << ' ' << code << ' ' << count;
+    }
+    text << "; cut " << m_tally.cuts.size() << ", unanswered " << m_tally.unanswered.size() << "\n"
+         << m_calm << "most memory " << (m_mostMemory >> 20) << " MiB, most descriptors " << m_mostDescriptors << '\n';
+    return text.str();
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Soak/soak_run.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "mustardrouter/Soak/fault_injector.h"
+#include "mustardrouter/Soak/fault_plan.h"
+#include "mustardrouter/Soak/soak_client.h"
+#include "mustardrouter/Soak/soak_deployment.h"
+#include "mustardrouter/Soak/soak_history.h"
+#include "mustardrouter/Soak/soak_instance.h"
+#include "mustardrouter/Soak/soak_tally.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardrouter
+{
+
+/// What a soak is to do.
+struct soak_settings {
+    std::uint64_t seed = 1;
+    duration length = std::chrono::seconds(25);
+    /// Zero: drawn from the seed.
+    std::size_t instances = 0;
+    std::size_t clientsPerInstance = 4;
+    /// The executable whose `edge` is run, and a folder for settings, logs and the plan.
+    std::string program;
+    std::string folder;
+    /// Numbers of the plan's faults that are played; all when empty.
+    std::set<std::size_t> only;
+};
+
+/// What came of a soak.
+struct soak_report {
+    std::vector<std::string> broken;
+    std::string summary;
+};
+
+/// One soak: instances as processes, stand-ins of the platform, clients, and a plan of faults, on one thread.
+class soak_run
+{
+public:
+    explicit soak_run(soak_settings settings);
+
+    /// Plays the plan and checks what clients and databases saw.
+    soak_report run();
+
+private:
+    time_point now() const;
+    bool start();
+    void addClients();
+    void playFaults();
+    void endFault(std::function<void()> end);
+    void tick();
+    void watchProcess(soak_instance &instance);
+    void noteEnd(soak_instance &instance, int status);
+    void checkResources(const soak_instance &instance, const std::string &name);
+    void probeNewest();
+    void checkConfiguration(const soak_round &round);
+    void checkCalm(const soak_round &round);
+    void checkWithin(const soak_round &round, time_point from, time_point to);
+    void stopAll();
+    void checkStopped(unsigned tries);
+    void finish();
+    std::size_t chooseInstance();
+    void later(duration wait, std::function<void()> then);
+    std::string summary() const;
+
+    soak_settings m_settings;
+    soak_plan m_plan;
+    std::mt19937_64 m_random;
+    time_point m_begunAt{};
+    asio::io_context m_context;
+    asio::steady_timer m_timer;
+    soak_history m_history;
+    soak_tally m_tally;
+    std::vector<std::unique_ptr<soak_instance>> m_instances;
+    soak_deployment m_deployment;
+    fault_injector m_injector;
+    std::vector<std::shared_ptr<soak_client>> m_clients;
+    std::map<std::size_t, std::function<void()>> m_openFaults;
+    std::uint64_t m_ticks = 0;
+    std::uint64_t m_mostMemory = 0;
+    std::size_t m_mostDescriptors = 0;
+    bool m_stopping = false;
+    std::string m_calm;
+};
+
+} // namespace mustardrouter
--- a/mustardrouter/main.cpp
+++ b/mustardrouter/main.cpp
@@ -52,6 +52,7 @@
         {"trace", {runTrace, "show live requests hop by hop"}},
         {"failover", {runFailover, "move a group's primary"}},
         {"drain", {runDrain, "hand over an instance's groups"}},
+        {"soak", {runSoak, "run instances under random faults, and check what is promised"}},
         {"standin", {runStandIn, "run a stand-in of the platform or a database"}},
     };
     return all;
--- /dev/null
+++ b/tests.d/soak.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# The fault soak, short: instances as processes of their own under faults from outside. Seeds that failed once stay here.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+folder=build/logs/soak
+mkdir -p "$folder"
+# Seed and why it is here.
+seeds=(
+    "11 databases leave while links are harmed"
+    "12 answers without an end, held links"
+)
+pids=()
+for entry in "${seeds[@]}"; do
+    seed=${entry%% *}
+    ./build/mustardrouter soak --seed "$seed" --minutes 0.4 --folder "$folder" >"$folder/$seed.txt" 2>&1 &
+    pids+=($!)
+done
+result=0
+for pid in "${pids[@]}"; do
+    wait "$pid" || result=1
+done
+for entry in "${seeds[@]}"; do
+    cat "$folder/${entry%% *}.txt"
+done
+exit "$result"
