--- /dev/null
+++ b/UnitTests/PlatformAdapter/http_channel_test.cpp
@@ -0,0 +1,43 @@
+#include "platform/http_channel.h"
+
+#include <asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <list>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+TEST_GROUP(http_channel){};
+
+TEST(http_channel, aConnectionThatDoesNotComeAboutEndsTheCallLongBeforeItsPatience)
+{
+    // A listener that takes nobody off its queue: what comes when it is full is dropped without a word.
+    asio::io_context context;
+    tcp::acceptor full(context);
+    full.open(tcp::v4());
+    full.bind({asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::list<tcp::socket> waiting;
+    for (int count = 0; count < 4; ++count) {
+        waiting.emplace_back(context).async_connect(full.local_endpoint(), [](const asio::error_code &) {
+        });
+    }
+    context.poll();
+    const auto channel = std::make_shared<platform::http_channel>(context, "127.0.0.1:" + std::to_string(full.local_endpoint().port()));
+    platform::http_call call;
+    call.target = "/";
+    call.patience = 30s;
+    unsigned status = 1;
+    const auto begun = std::chrono::steady_clock::now();
+    channel->call(std::move(call), [&](const platform::http_answer &answer) {
+        status = answer.status;
+        context.stop();
+    });
+    context.run_for(10s);
+    CHECK_EQUAL(0U, status);
+    CHECK_TRUE(std::chrono::steady_clock::now() - begun < 3s);
+}
