--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Proxy/engine_parts.h"
 #include "mustardrouter/Proxy/link_budget.h"
+#include "mustardrouter/Proxy/link_choice.h"
 #include "mustardrouter/Proxy/link_setup.h"
 #include "mustardrouter/Proxy/overload_gate.h"
 #include "mustardrouter/Proxy/read_ranking.h"
@@ -110,19 +111,21 @@
     sendOn(engine, link, std::move(commands), parts, now);
 }
 
+/// Whether statements may go to the database: one that leaves gets none after a while.
+bool takesWork(const proxy_engine &engine, const database_state &database, time_point now)
+{
+    return !database.listed.leaving || now - database.leavingSince < engine.settings.leavingPatience;
+}
+
 /// An idle link of the database, or nothing; then one more is opened where that is allowed.
 database_link *takeOrOpen(
     proxy_engine &engine, group_state &group, const database_name &name, const client_session &session, time_point now)
 {
     const auto found = group.databases.find(name);
-    if (found == group.databases.end()) {
+    if (found == group.databases.end() || !takesWork(engine, found->second, now)) {
         return nullptr;
     }
     database_state &database = found->second;
-    const bool leavesSoon = database.listed.leaving && now - database.leavingSince >= engine.settings.leavingPatience;
-    if (leavesSoon) {
-        return nullptr;
-    }
     if (database_link *idle = findIdle(engine, database, session.values)) {
         return idle;
     }
@@ -132,6 +135,23 @@
     return nullptr;
 }
 
+link_option optionOf(const proxy_engine &engine, const group_state &group, const ranked_database &candidate, time_point now)
+{
+    const database_state &database = *candidate.database;
+    link_option option;
+    option.expectedMicros = candidate.expectedMicros;
+    option.mayOpen = now >= database.openAfter && mayOpenLink(budgetOf(engine, group, database, now));
+    for (const link_id id : database.links) {
+        const database_link &link = engine.links.at(id);
+        option.idle = option.idle || link.state == link_state::idle;
+        if (link.state == link_state::opening) {
+            option.opening = true;
+            option.openingFor = std::max(option.openingFor, now - link.since);
+        }
+    }
+    return option;
+}
+
 /// What a read of this session must see.
 struct read_need {
     std::optional<log_entry> floor;
@@ -161,7 +181,7 @@
     return need;
 }
 
-/// The first link of the ranked databases that is idle. Where the best has none, one is opened there.
+/// A free link to one of the ranked databases; where that serves better, one is opened.
 database_link *takeForRead(proxy_engine &engine,
                            group_state &group,
                            const client_session &session,
@@ -177,12 +197,20 @@
     }
     const std::vector<ranked_database> ranked =
         rankForRead({&group.databases, group.lead, &avoid, floor, true}, engine.settings, now, engine.random);
+    std::vector<link_option> options;
+    options.reserve(ranked.size());
     for (const ranked_database &candidate : ranked) {
-        if (database_link *link = takeOrOpen(engine, group, candidate.database->listed.name, session, now)) {
-            return link;
-        }
+        options.push_back(optionOf(engine, group, candidate, now));
     }
-    return nullptr;
+    const link_choice choice = chooseLink(options);
+    if (choice.open < ranked.size()) {
+        openLink(engine, group, group.databases.at(ranked[choice.open].database->listed.name), now);
+    }
+    if (choice.take == ranked.size() && choice.open == ranked.size()) {
+        // What is being opened may not come about.
+        arm(engine, now + openingTime, timer_kind::pump, 0, group.name);
+    }
+    return choice.take < ranked.size() ? findIdle(engine, *ranked[choice.take].database, session.values) : nullptr;
 }
 
 /// Whether a read may go to a database that is short of room.
--- /dev/null
+++ b/mustardrouter/Proxy/link_choice.cpp
@@ -0,0 +1,40 @@
+#include "mustardrouter/Proxy/link_choice.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// A free connection serves though a better database has none, unless that one is faster by this factor.
+constexpr double muchBetter = 0.8;
+
+} // namespace
+
+link_choice chooseLink(const std::vector<link_option> &options)
+{
+    const std::size_t none = options.size();
+    link_choice choice{none, none};
+    const auto idle = std::ranges::find_if(options, &link_option::idle);
+    const auto opening = std::ranges::find_if(options, [](const link_option &option) {
+        return option.opening && option.openingFor < openingTime;
+    });
+    if (idle != options.end()) {
+        choice.take = static_cast<std::size_t>(idle - options.begin());
+    }
+    if (opening != options.end()) {
+        return choice;
+    }
+    for (std::size_t index = 0; index < std::min(choice.take, none); ++index) {
+        const bool isWorthIt = idle == options.end() || options[index].expectedMicros < muchBetter * idle->expectedMicros;
+        if (options[index].mayOpen && isWorthIt) {
+            choice.open = index;
+            break;
+        }
+    }
+    return choice;
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -21,18 +21,19 @@
 /// Instances out of rotation after so many misses.
 constexpr unsigned mostMisses = 2;
 
-/// An address of loopback that nobody listens on.
-std::string freeAddress(asio::io_context &context)
+/// An address of loopback that nobody has. The socket keeps other soaks from taking it, and lets the instance listen there.
+std::string reserveAddress(asio::ip::tcp::acceptor &reserved)
 {
     static std::mt19937 random(static_cast<unsigned>(::getpid()));
     for (int tries = 0; tries < 200; ++tries) {
         const auto port = static_cast<std::uint16_t>(firstPort + random() % portSpread);
         const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
-        asio::ip::tcp::acceptor acceptor(context);
         asio::error_code problem;
-        acceptor.open(endpoint.protocol(), problem);
-        acceptor.bind(endpoint, problem);
+        reserved.close(problem);
+        reserved.open(endpoint.protocol(), problem);
+        reserved.bind(endpoint, problem);
         if (!problem) {
+            reserved.set_option(asio::socket_base::reuse_address(true), problem);
             return "127.0.0.1:" + std::to_string(port);
         }
     }
@@ -45,6 +46,8 @@
     : clients(context, "")
     , store(context, where.store)
     , m_context(context)
+    , m_clientPort(context)
+    , m_readinessPort(context)
     , m_where(std::move(where))
 {
 }
@@ -52,8 +55,8 @@
 bool soak_instance::start(bool firstStart)
 {
     if (!process) {
-        m_clientAddress = freeAddress(m_context);
-        m_readinessAddress = freeAddress(m_context);
+        m_clientAddress = reserveAddress(m_clientPort);
+        m_readinessAddress = reserveAddress(m_readinessPort);
         clients.moveTo(m_clientAddress);
         m_probe = std::make_shared<platform::http_channel>(m_context, m_readinessAddress);
         const std::string base = m_where.folder + "/" + m_where.name;
--- a/mustardrouter/Soak/soak_instance.h
+++ b/mustardrouter/Soak/soak_instance.h
@@ -62,6 +62,8 @@
 
 private:
     asio::io_context &m_context;
+    asio::ip::tcp::acceptor m_clientPort;
+    asio::ip::tcp::acceptor m_readinessPort;
     places m_where;
     std::string m_clientAddress;
     std::string m_readinessAddress;
