--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -206,9 +206,10 @@
     if (choice.open < ranked.size()) {
         openLink(engine, group, group.databases.at(ranked[choice.open].database->listed.name), now);
     }
-    if (choice.take == ranked.size() && choice.open == ranked.size()) {
+    if (choice.take == ranked.size() && choice.open == ranked.size() && group.pumpAt <= now) {
         // What is being opened may not come about.
-        arm(engine, now + openingTime, timer_kind::pump, 0, group.name);
+        group.pumpAt = now + openingTime;
+        arm(engine, group.pumpAt, timer_kind::pump, 0, group.name);
     }
     return choice.take < ranked.size() ? findIdle(engine, *ranked[choice.take].database, session.values) : nullptr;
 }
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -39,6 +39,8 @@
     failover_watch failover;
     /// Instant of the check that is armed; the epoch when none is.
     time_point checkAt{};
+    /// Instant at which those that wait are looked at again at the latest.
+    time_point pumpAt{};
 };
 
 /// What a timer is for.
