--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -36,6 +36,10 @@
 /// are small against the bounds for them (7 s and 3 s).
 constexpr duration gatherDatabases = std::chrono::milliseconds(900);
 constexpr duration gatherConfiguration = std::chrono::milliseconds(400);
+/// Longest pauses of the two watches while the store does not answer. One finds out soon that it is back, and makes the
+/// other ask at once: after a loss of power nothing can be served before both have answered.
+constexpr duration leaderPause = std::chrono::milliseconds(400);
+constexpr duration followerPause = std::chrono::milliseconds(1600);
 /// New clients may come for so long after the request to stop, until the platform has noticed.
 constexpr duration stopAccepting = std::chrono::milliseconds(2600);
 
@@ -458,26 +462,31 @@
     const auto onReachable = [this](const char *kind) {
         return [this, kind](bool reachable) {
             m_log.write(reachable ? "store_regained" : "store_lost", {{"kind", kind}});
+            if (reachable) {
+                m_databaseWatch->askNow();
+                m_configurationWatch->askNow();
+            }
         };
     };
     const std::uint64_t seed = m_engine.settings.seed;
     // What databases say late is within the bound for those that leave (7 s); a configuration's bound is shorter.
     m_databaseWatch = std::make_shared<object_watch>(m_context,
                                                      m_environment.storeAddress,
-                                                     object_watch::subject{platform::databaseKind, gatherDatabases, true},
+                                                     object_watch::subject{platform::databaseKind, gatherDatabases, true, followerPause},
                                                      seed,
                                                      object_watch::handlers{[this](const object_watch::objects &objects) {
                                                                                 takeDatabases(objects);
                                                                             },
                                                                             onReachable("databases")});
-    m_configurationWatch = std::make_shared<object_watch>(m_context,
-                                                          m_environment.storeAddress,
-                                                          object_watch::subject{platform::configurationKind, gatherConfiguration, false},
-                                                          seed + 1,
-                                                          object_watch::handlers{[this](const object_watch::objects &objects) {
-                                                                                     takeConfiguration(objects);
-                                                                                 },
-                                                                                 onReachable("configuration")});
+    m_configurationWatch =
+        std::make_shared<object_watch>(m_context,
+                                       m_environment.storeAddress,
+                                       object_watch::subject{platform::configurationKind, gatherConfiguration, false, leaderPause},
+                                       seed + 1,
+                                       object_watch::handlers{[this](const object_watch::objects &objects) {
+                                                                  takeConfiguration(objects);
+                                                              },
+                                                              onReachable("configuration")});
     m_databaseWatch->start();
     m_configurationWatch->start();
 }
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -16,9 +16,8 @@
 constexpr duration watchWait = std::chrono::milliseconds(30'000);
 /// For the way and a slow store, beyond the time that it was asked to wait.
 constexpr duration watchPatience = watchWait + std::chrono::milliseconds(1000);
-/// Pause after a failure, doubled with each further one, up to the longest; a random half is added.
+/// Pause after a failure, doubled with each further one, up to the watch's longest.
 constexpr std::uint64_t shortestPauseMillis = 100;
-constexpr std::uint64_t longestPauseMillis = 800;
 constexpr std::uint32_t mostDoublings = 3;
 
 } // namespace
@@ -50,6 +49,7 @@
     m_channel->close();
     m_channel = std::make_shared<platform::http_channel>(m_context, address);
     m_timer.cancel();
+    m_pausing = false;
     list({});
 }
 
@@ -153,21 +153,32 @@
 {
     noteReachable(false);
     m_failures += 1;
-    const std::uint64_t base = std::min(longestPauseMillis, shortestPauseMillis << std::min(m_failures - 1, mostDoublings));
+    const auto longest = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_subject.longestPause).count());
+    const std::uint64_t base = std::min(longest, shortestPauseMillis << std::min(m_failures - 1, mostDoublings));
     const std::uint64_t millis = base + m_random() % (base / 2 + 1);
+    m_pausing = true;
     m_timer.expires_after(std::chrono::milliseconds(millis));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
-        if (problem || self->m_stopped) {
-            return;
-        }
-        if (self->m_listed) {
-            self->watch();
-        } else {
-            self->list({});
+        if (!problem) {
+            self->askNow();
         }
     });
 }
 
+void object_watch::askNow()
+{
+    if (m_stopped || !m_pausing) {
+        return;
+    }
+    m_pausing = false;
+    m_timer.cancel();
+    if (m_listed) {
+        watch();
+    } else {
+        list({});
+    }
+}
+
 void object_watch::noteReachable(bool reachable)
 {
     if (reachable) {
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -35,6 +35,8 @@
         duration gather{};
         /// Changes may be told seconds late, for a tenth of the price; lists never are.
         bool mayBeLate = false;
+        /// Longest pause between failed calls; a random half is added.
+        duration longestPause{};
     };
 
     object_watch(asio::io_context &context, std::string address, subject what, std::uint64_t seed, handlers callbacks);
@@ -43,6 +45,8 @@
     void stop();
     /// Goes on at another address.
     void moveTo(const std::string &address);
+    /// Asks at once if it pauses after a failure: another watch has seen the store answer.
+    void askNow();
 
 private:
     void list(const std::string &after);
@@ -65,6 +69,7 @@
     std::uint32_t m_failures = 0;
     bool m_listed = false;
     bool m_reachable = true;
+    bool m_pausing = false;
     bool m_stopped = false;
 };
 
