--- a/UnitTests/Proxy/overload_gate_test.cpp
+++ b/UnitTests/Proxy/overload_gate_test.cpp
@@ -123,37 +123,3 @@
     CHECK_TRUE(all(gated) >= all(naive) * 95 / 100);
     CHECK_TRUE(gated.refusedByDatabase < naive.refusedByDatabase / 4);
 }
-
-namespace
-{
-
-/// Callers that were cut off come back over half a second to databases that have room only after `fullFor`; each has three
-/// attempts and pauses 150 ms between them. Gives how many get an answer.
-int servedAfterReturn(duration fullFor, duration sinceStart)
-{
-    constexpr duration objective = 1000ms;
-    constexpr int callers = 500;
-    constexpr int attempts = 3;
-    int served = 0;
-    for (int caller = 0; caller < callers; ++caller) {
-        time_point arrival = time_point{} + 1ms * caller;
-        for (int attempt = 0; attempt < attempts; ++attempt) {
-            const time_point givenUp = arrival + gateWait(objective, sinceStart);
-            if (givenUp > time_point{} + fullFor) {
-                served += 1;
-                break;
-            }
-            arrival = givenUp + 150ms;
-        }
-    }
-    return served;
-}
-
-} // namespace
-
-TEST(overload_gate, afterAReturnOfAllInstancesCallersAreServedWithinTheirAttempts)
-{
-    CHECK_EQUAL(500, servedAfterReturn(1800ms, 200ms));
-    // With the wait of an overload that lasts, those who came first have used up their attempts.
-    CHECK_TRUE(servedAfterReturn(1800ms, 10s) < 100);
-}
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -242,10 +242,7 @@
 
 void onListing(proxy_engine &engine, const database_listing &listing, time_point now)
 {
-    if (!engine.listed && !listing.empty()) {
-        engine.listedAt = now;
-    }
-    engine.listed = engine.listed || !listing.empty();
+    engine.listed = true;
     std::set<database_name> seen;
     for (const listed_database &listed : listing) {
         group_state &group = groupNamed(engine, listed.group);
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -87,7 +87,7 @@
 /// Pause before a database that is full is asked again: none at first when another may have room.
 duration pauseWhenFull(const proxy_engine &engine, const running_statement &run)
 {
-    constexpr std::uint32_t mostDoublings = 3;
+    constexpr std::uint32_t mostDoublings = 2;
     if (!run.writes && !run.needsProof && run.fullRefusals <= 1) {
         return {};
     }
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -18,8 +18,10 @@
 /// A proof of the lead that is younger than this spares the one before a read: two promotions,
 /// which alone could hide a change of lead, take longer.
 constexpr duration proofValid = std::chrono::milliseconds(250);
-/// A read that the gate keeps out asks again after about this time.
+/// A read that the gate keeps out asks again after about this time, and is refused when this part of its
+/// objective, in tenths, has passed: what is left is enough for an attempt elsewhere.
 constexpr duration gatePause = std::chrono::milliseconds(70);
+constexpr std::int64_t gateWaitTenths = 3;
 /// A question for the position is due this long before the newest sample is too old.
 constexpr duration refreshAhead = std::chrono::milliseconds(400);
 
@@ -237,7 +239,7 @@
 bool keepOut(proxy_engine &engine, const group_state &group, client_session &session, const route &rules, const char *why, time_point now)
 {
     running_statement &run = *session.current;
-    if (now - run.arrivedAt >= gateWait(rules.objective, now - engine.listedAt)) {
+    if (now - run.arrivedAt >= rules.objective * gateWaitTenths / 10) {
         refuseStatement(engine, session, reply_code::busy, why, now);
         return true;
     }
--- a/mustardrouter/Proxy/overload_gate.cpp
+++ b/mustardrouter/Proxy/overload_gate.cpp
@@ -20,12 +20,6 @@
 /// Bounds of the work's weight.
 constexpr double leastWeight = 0.5;
 constexpr double mostWeight = 2.0;
-/// Parts of the objective, in tenths: in an overload that lasts, and while the instance is new.
-constexpr std::int64_t waitTenths = 3;
-constexpr std::int64_t waitTenthsWhenNew = 8;
-/// Connections of all instances are open again after about this time: 139 at 27 ms, 6 at a time, and as much again for
-/// what has waited meanwhile.
-constexpr duration newTime = std::chrono::milliseconds(3000);
 
 } // namespace
 
@@ -46,9 +40,4 @@
     return std::max(leastShare, std::pow(open, weight));
 }
 
-duration gateWait(duration objective, duration sinceStart)
-{
-    return objective * (sinceStart < newTime ? waitTenthsWhenNew : waitTenths) / 10;
-}
-
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/overload_gate.h
+++ b/mustardrouter/Proxy/overload_gate.h
@@ -26,11 +26,4 @@
 /// primary can run: longer reads stay out first, since each keeps out more than one caller.
 double admissionShare(const database_state &primary, const gate_request &request, time_point now);
 
-/// For how long after its arrival a read that is kept out asks again, before it is refused. In an overload that lasts, what
-/// is left of its objective is enough for an attempt elsewhere. The other load this answers: all instances have lost power
-/// and are back at once; connections are opened everywhere, and callers who were cut off come together. What is full then
-/// has room a second later, and each refusal takes one of a caller's few attempts: so they wait nearly to the objective.
-/// `sinceStart` is the time since the instance first knew of databases.
-duration gateWait(duration objective, duration sinceStart);
-
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -69,8 +69,6 @@
     route_table routes;
     bool configured = false;
     bool listed = false;
-    /// When databases were first listed.
-    time_point listedAt{};
     std::map<group_name, group_state> groups;
     std::unordered_map<session_id, client_session> sessions;
     std::unordered_map<link_id, database_link> links;
