--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -476,7 +476,9 @@
     link.since = now;
     if (database_state *database = databaseOf(engine, link)) {
         database->answeredAt = now;
-        if (now - database->connectionsAt > engine.settings.connectionsValid) {
+        // An instance that opens many is the one that has to know how many are taken.
+        const duration valid = database->links.size() > 2 ? engine.settings.connectionsFresh : engine.settings.connectionsValid;
+        if (now - database->connectionsAt > valid) {
             ask(engine, link, question{false, true, {}, false}, now);
         }
     }
