--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -476,9 +476,7 @@
     link.since = now;
     if (database_state *database = databaseOf(engine, link)) {
         database->answeredAt = now;
-        // An instance that opens many is the one that has to know how many are taken.
-        const duration valid = database->links.size() > 2 ? engine.settings.connectionsFresh : engine.settings.connectionsValid;
-        if (now - database->connectionsAt > valid) {
+        if (now - database->connectionsAt > engine.settings.connectionsValid) {
             ask(engine, link, question{false, true, {}, false}, now);
         }
     }
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -462,29 +462,8 @@
 
 } // namespace
 
-namespace
-{
-
-/// Closes free connections to databases that have none left for other instances.
-void giveBack(proxy_engine &engine, group_state &group, time_point now)
-{
-    for (auto &[name, database] : group.databases) {
-        if (!mustGiveBack(budgetOf(engine, group, database, now))) {
-            continue;
-        }
-        if (const database_link *idle = findIdle(engine, database, {})) {
-            discardLink(engine, idle->id);
-            // All that know of the shortage give back one at a time, until they have heard anew.
-            database.connectionsTaken -= 1;
-        }
-    }
-}
-
-} // namespace
-
 void pump(proxy_engine &engine, group_state &group, time_point now)
 {
-    giveBack(engine, group, now);
     std::deque<session_id> still;
     std::deque<session_id> waiting = std::exchange(group.waiting, {});
     // Urgent ones first, and those that only the primary can serve; within them the oldest.
--- a/mustardrouter/Proxy/link_budget.cpp
+++ b/mustardrouter/Proxy/link_budget.cpp
@@ -6,12 +6,8 @@
 namespace
 {
 
-/// Connections that an instance takes of a database which is full or crowded: transactions hold theirs while they rest.
+/// Connections that a statement may add at a database which is full: transactions hold theirs while they rest.
 constexpr std::uint32_t linksWhenSaturated = 2;
-/// A database is crowded when this part of its connections is taken, in tenths; the rest is for instances without any.
-constexpr std::uint64_t crowdedTenths = 7;
-/// From this part on, in hundredths, instances with more than two give back.
-constexpr std::uint64_t shedHundredths = 95;
 
 /// Idle timeout at a database that is full.
 constexpr duration timeoutWhenSaturated = std::chrono::seconds(3);
@@ -39,14 +35,7 @@
     if (budget.opening > 0 || budget.links >= budget.most) {
         return false;
     }
-    const bool crowded = std::uint64_t(budget.taken) * 10 >= budget.limit * crowdedTenths;
-    return (!budget.saturated && !crowded) || budget.links < linksWhenSaturated;
-}
-
-bool mustGiveBack(const link_budget &budget)
-{
-    constexpr std::uint64_t whole = 100;
-    return budget.links > linksWhenSaturated && std::uint64_t(budget.taken) * whole >= budget.limit * shedHundredths;
+    return !budget.saturated || budget.links < linksWhenSaturated;
 }
 
 duration idleTimeoutOf(const link_budget &budget)
--- a/mustardrouter/Proxy/link_budget.h
+++ b/mustardrouter/Proxy/link_budget.h
@@ -26,11 +26,6 @@
 /// Whether one more connection may be opened for a statement that waits.
 bool mayOpenLink(const link_budget &budget);
 
-/// Whether a connection that has become free is given back at once. The load this answers: after a failure of the primary
-/// all callers come to it, their transactions hold connections longer the more of them there are, and some instances
-/// have eight connections while others have none.
-bool mustGiveBack(const link_budget &budget);
-
 /// How long a connection may stay idle before it is closed.
 duration idleTimeoutOf(const link_budget &budget);
 
