`mustardrouter explain`: from an id to its cause, from the logs of several instances; refusals over time

`explain ID FILE...` orders the lines of all files and prints what was decided on a request, with what its instance came to believe of the databases in question shortly before; for a group, database or instance all that names it.

--- /dev/null
+++ b/UnitTests/Operators/log_story_test.cpp
@@ -0,0 +1,67 @@
+#include "mustardrouter/Operators/log_story.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+std::vector<log_line> linesOf(const std::string &text)
+{
+    std::istringstream in(text);
+    std::size_t skipped = 0;
+    std::vector<log_line> lines = readLog(in, skipped);
+    sortByTime(lines);
+    return lines;
+}
+
+const char *const crash = R"({"at":9000,"instance":"e1","event":"database_suspected","database":"d1","why":"connection lost"}
+not a line of the log
+  3.2 e1 {"at":9700,"instance":"e1","event":"promotion_wanted","group":"g","cause":"primary silent","lead":"d1"}
+{"at":9100,"instance":"e2","event":"database_suspected","database":"d1","why":"connection lost"}
+{"at":9800,"instance":"e1","event":"database_suspected","database":"other","why":"connection lost"}
+{"at":9900,"instance":"e1","event":"statement_refused","request":"r1","group":"g","lead":"d1","why":"no connection in time","waited_ms":"1000"}
+{"at":9950,"instance":"e1","event":"statement_refused","request":"r2","group":"g","lead":"d1","why":"no connection in time","waited_ms":"1000"}
+{"at":11000,"instance":"e1","event":"lead_changed","group":"g","from":"d1","to":"d2"}
+{"at":1000,"instance":"e1","event":"lead_changed","group":"g","from":"d0","to":"d1"}
+)";
+
+} // namespace
+
+TEST_GROUP(log_story){};
+
+TEST(log_story, linesAreReadWhateverStandsBeforeThemAndOthersAreCounted)
+{
+    std::istringstream in(crash);
+    std::size_t skipped = 0;
+    CHECK_EQUAL(8U, readLog(in, skipped).size());
+    CHECK_EQUAL(1U, skipped);
+}
+
+TEST(log_story, aRequestsStoryHoldsWhatItsInstanceBelievedOfItsDatabases)
+{
+    const std::vector<log_line> story = storyOf(linesOf(crash), "r1");
+    CHECK_EQUAL(3U, story.size());
+    CHECK_EQUAL(std::string("database_suspected"), story[0].event);
+    CHECK_EQUAL(std::string("promotion_wanted"), story[1].event);
+    CHECK_EQUAL(std::string("statement_refused"), story[2].event);
+    CHECK_TRUE(toText(story).find("900 ms  e1  statement_refused") != std::string::npos);
+}
+
+TEST(log_story, aDatabasesStoryIsToldByAllInstances)
+{
+    const std::vector<log_line> story = storyOf(linesOf(crash), "d1");
+    CHECK_EQUAL(7U, story.size());
+    CHECK_EQUAL(std::string("lead_changed"), story.front().event);
+    CHECK_TRUE(storyOf(linesOf(crash), "unknown").empty());
+}
+
+TEST(log_story, refusalsAreCountedBySecondAndCause)
+{
+    const std::string table = tableOfRefusals(linesOf(crash));
+    CHECK_TRUE(table.find("8 s   2 x no connection in time") != std::string::npos);
+    CHECK_TRUE(tableOfRefusals({}).starts_with("no statement"));
+}
--- a/mustardrouter/Operators/commands.h
+++ b/mustardrouter/Operators/commands.h
@@ -36,6 +36,8 @@
 exit_code runLoad(const arguments &given);
 /// Runs instances on the users' platform under random faults and checks the promises to their callers.
 exit_code runSoak(const arguments &given);
+/// Tells from the logs of instances what became of a request, or why statements were refused.
+exit_code runExplain(const arguments &given);
 /// Runs a stand-in of the platform or of a database.
 exit_code runStandIn(const arguments &given);
 
--- /dev/null
+++ b/mustardrouter/Operators/explain_command.cpp
@@ -0,0 +1,66 @@
+#include "mustardrouter/Operators/commands.h"
+#include "mustardrouter/Operators/log_story.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace mustardrouter
+{
+
+namespace po = boost::program_options;
+
+exit_code runExplain(const arguments &given)
+{
+    command_options command("explain", "ID FILE... | --why-refused FILE...");
+    command.examples = {"explain 3d394d277d59bee1 edge-1.log edge-2.log", "explain --why-refused edge-*.log"};
+    command.options.add_options()("why-refused", "a table of what statements were refused for, over time");
+    command.options.add_options()(
+        "words", po::value<std::vector<std::string>>()->composing(), "a request, group, database or instance; log files");
+    command.positional.add("words", -1);
+    po::variables_map values;
+    const parse_status status = parse(command, given, values);
+    if (status != parse_status::parsed) {
+        return status == parse_status::helpShown ? exit_code::done : exit_code::usage;
+    }
+    std::vector<std::string> files = values.contains("words") ? values["words"].as<std::vector<std::string>>() : std::vector<std::string>();
+    const bool asTable = values.contains("why-refused");
+    std::string subject;
+    if (!asTable && !files.empty()) {
+        subject = files.front();
+        files.erase(files.begin());
+    }
+    if (files.empty()) {
+        std::cerr << "usage: mustardrouter explain " << command.usage << '\n';
+        return exit_code::usage;
+    }
+    std::vector<log_line> lines;
+    std::size_t skipped = 0;
+    for (const std::string &name : files) {
+        std::ifstream file(name);
+        if (!file) {
+            std::cerr << "mustardrouter explain: " << name << ": cannot be read\n";
+            return exit_code::usage;
+        }
+        std::vector<log_line> more = readLog(file, skipped);
+        std::move(more.begin(), more.end(), std::back_inserter(lines));
+    }
+    sortByTime(lines);
+    if (skipped > 0) {
+        std::cerr << "mustardrouter explain: " << skipped << " lines are not of the log\n";
+    }
+    if (asTable) {
+        std::cout << tableOfRefusals(lines);
+        return exit_code::done;
+    }
+    const std::vector<log_line> story = storyOf(lines, subject);
+    if (story.empty()) {
+        std::cerr << "mustardrouter explain: the logs do not name " << subject
+                  << "; a statement that was served at once leaves no line, and lines beyond an instance's budget are dropped\n";
+        return exit_code::failed;
+    }
+    std::cout << toText(story);
+    return exit_code::done;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Operators/log_story.cpp
@@ -0,0 +1,179 @@
+#include "mustardrouter/Operators/log_story.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <iomanip>
+#include <istream>
+#include <memory>
+#include <set>
+#include <sstream>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+/// Beliefs that are older than this before a request's first line are left out, in milliseconds: a failover takes about 3 s.
+constexpr std::int64_t contextMillis = 5000;
+constexpr std::int64_t millisPerSecond = 1000;
+
+bool parseLine(const std::string &text, Json::CharReader &reader, log_line &line)
+{
+    const std::size_t begin = text.find('{');
+    Json::Value value;
+    const bool isObject =
+        begin != std::string::npos && reader.parse(text.data() + begin, text.data() + text.size(), &value, nullptr) && value.isObject();
+    if (!isObject || !value["at"].isInt64() || !value["event"].isString() || !value["instance"].isString()) {
+        return false;
+    }
+    line.at = value["at"].asInt64();
+    line.instance = value["instance"].asString();
+    line.event = value["event"].asString();
+    for (const std::string &name : value.getMemberNames()) {
+        if (name != "at" && name != "event" && name != "instance") {
+            line.fields[name] = value[name].asString();
+        }
+    }
+    return true;
+}
+
+bool names(const log_line &line, const std::string &value)
+{
+    return std::ranges::any_of(line.fields, [&](const auto &field) {
+        return field.second == value;
+    });
+}
+
+std::string fieldOf(const log_line &line, const char *name)
+{
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? std::string() : found->second;
+}
+
+/// Whether the line tells of the instance as a whole, whatever the group.
+bool concernsAll(const log_line &line)
+{
+    static const std::set<std::string> events{
+        "start", "stop", "stopping", "reload", "reload_failed", "store_lost", "store_regained", "configuration_adopted"};
+    return events.contains(line.event);
+}
+
+bool isDecision(const log_line &line)
+{
+    return line.fields.contains("request");
+}
+
+} // namespace
+
+std::vector<log_line> readLog(std::istream &in, std::size_t &skipped)
+{
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    std::vector<log_line> lines;
+    for (std::string text; std::getline(in, text);) {
+        log_line line;
+        if (parseLine(text, *reader, line)) {
+            lines.push_back(std::move(line));
+        } else {
+            skipped += text.empty() ? 0 : 1;
+        }
+    }
+    return lines;
+}
+
+void sortByTime(std::vector<log_line> &lines)
+{
+    std::ranges::stable_sort(lines, {}, &log_line::at);
+}
+
+std::vector<log_line> storyOf(const std::vector<log_line> &sorted, const std::string &subject)
+{
+    std::vector<log_line> own;
+    std::ranges::copy_if(sorted, std::back_inserter(own), [&](const log_line &line) {
+        return names(line, subject) || line.instance == subject;
+    });
+    const bool isRequest = !own.empty() && std::ranges::all_of(own, [&](const log_line &line) {
+        return fieldOf(line, "request") == subject;
+    });
+    if (!isRequest) {
+        return own;
+    }
+    std::set<std::string> instances;
+    std::set<std::string> concerned;
+    std::int64_t from = own.front().at;
+    for (const log_line &line : own) {
+        instances.insert(line.instance);
+        for (const char *name : {"group", "from", "lead", "database"}) {
+            concerned.insert(fieldOf(line, name));
+        }
+        // The statement came before the first line that was written of it.
+        const std::string waited = fieldOf(line, "waited_ms") + fieldOf(line, "after_ms");
+        from = std::min(from, line.at - static_cast<std::int64_t>(std::atoll(waited.c_str())));
+    }
+    concerned.erase("");
+    concerned.erase("none");
+    const std::int64_t to = own.back().at;
+    std::vector<log_line> story;
+    for (const log_line &line : sorted) {
+        const bool isOwn = fieldOf(line, "request") == subject;
+        const bool inTime = line.at >= from - contextMillis && line.at <= to;
+        const bool isContext = inTime && !isDecision(line) && instances.contains(line.instance)
+                               && (concernsAll(line) || std::ranges::any_of(concerned, [&](const std::string &name) {
+                                       return names(line, name);
+                                   }));
+        if (isOwn || isContext) {
+            story.push_back(line);
+        }
+    }
+    return story;
+}
+
+std::string toText(const std::vector<log_line> &story)
+{
+    std::ostringstream text;
+    for (const log_line &line : story) {
+        const std::int64_t after = line.at - story.front().at;
+        text << std::setw(8) << after << " ms  " << line.instance << "  " << line.event;
+        for (const auto &[name, value] : line.fields) {
+            text << "  " << name << '=' << value;
+        }
+        text << '\n';
+    }
+    return text.str();
+}
+
+std::string tableOfRefusals(const std::vector<log_line> &sorted)
+{
+    std::map<std::int64_t, std::map<std::string, std::uint64_t>> bySecond;
+    std::map<std::string, std::uint64_t> totals;
+    for (const log_line &line : sorted) {
+        const bool refused = line.event == "statement_refused";
+        if (!refused && line.event != "statement_in_doubt") {
+            continue;
+        }
+        const std::string cause = (refused ? "" : "in doubt: ") + fieldOf(line, "why");
+        const std::int64_t second = (line.at - sorted.front().at) / millisPerSecond;
+        bySecond[second][cause] += 1;
+        totals[cause] += 1;
+    }
+    std::ostringstream text;
+    if (totals.empty()) {
+        return "no statement was refused or left in doubt\n";
+    }
+    text << "by second from the first line on, and cause:\n";
+    for (const auto &[second, causes] : bySecond) {
+        text << std::setw(6) << second << " s ";
+        for (const auto &[cause, count] : causes) {
+            text << "  " << count << " x " << cause << ';';
+        }
+        text << '\n';
+    }
+    text << "in all:\n";
+    for (const auto &[cause, count] : totals) {
+        text << std::setw(8) << count << "  " << cause << '\n';
+    }
+    return text.str();
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -54,6 +54,8 @@
 /// A client's open transaction.
 struct client_transaction {
     route rules;
+    /// The client's name of the statement that began it.
+    std::string begunBy;
     /// The client began it for reading only.
     bool readOnly = false;
     bool wrote = false;
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -94,10 +94,10 @@
     return engine.settings.fullPause * (1 << std::min(run.fullRefusals - 1, mostDoublings));
 }
 
-void inDoubt(proxy_engine &engine, client_session &session, const char *why, time_point now)
+void inDoubt(proxy_engine &engine, client_session &session, const database_name &from, const char *why, time_point now)
 {
     engine.figures.inDoubt += 1;
-    tell(engine, "statement_in_doubt", {{"request", session.current->what.id}, {"database", session.database}, {"why", why}});
+    tellInDoubt(engine, session, from, why);
     if (session.transaction) {
         dropTransaction(engine, session, transaction_state::none, now);
     }
@@ -275,7 +275,7 @@
         noteNotLead(engine, group, link.database, now);
     }
     if (wrote && !saysNotRun(reply.code)) {
-        inDoubt(engine, session, "the commit failed", now);
+        inDoubt(engine, session, link.database, "the commit failed", now);
         return;
     }
     refuseStatement(engine, session, reply.code == reply_code::readOnly ? reply.code : reply_code::aborted, "the commit was refused", now);
@@ -434,7 +434,7 @@
             return;
         }
         if (session.current->what.verb == client_verb::commit && session.transaction->wrote) {
-            inDoubt(engine, session, "connection lost at the commit", now);
+            inDoubt(engine, session, gone.database, "connection lost at the commit", now);
             return;
         }
         refuseStatement(engine, session, reply_code::aborted, "connection lost inside a transaction", now);
@@ -445,7 +445,7 @@
     }
     session.current->link = link_id{};
     if (session.current->writes) {
-        inDoubt(engine, session, "connection lost after the write was sent", now);
+        inDoubt(engine, session, gone.database, "connection lost after the write was sent", now);
         return;
     }
     retry(engine, session, gone.database, "connection lost", {}, now);
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -24,6 +24,8 @@
 void answerStatement(proxy_engine &engine, client_session &session, client_reply reply, time_point now);
 /// Refuses the statement truthfully: nothing of the attempt is kept.
 void refuseStatement(proxy_engine &engine, client_session &session, reply_code code, const char *why, time_point now);
+/// Tells the log that nobody knows whether the session's statement is kept.
+void tellInDoubt(proxy_engine &engine, const client_session &session, const database_name &from, const char *why);
 /// Ends the session's transaction; the database rolls back what is open. The session is left failed or without one.
 void dropTransaction(proxy_engine &engine, client_session &session, transaction_state left, time_point now);
 /// Looks at deadlines, rests and the wish to stop.
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -322,6 +322,7 @@
          "statement_refused",
          {{"request", run.what.id},
           {"database", session.database},
+          {"group", group == nullptr ? std::string("-") : group->name.value()},
           {"code", std::string(toString(code))},
           {"why", why},
           {"waited_ms", inMillis(now - run.arrivedAt)},
@@ -335,6 +336,13 @@
     answerStatement(engine, session, std::move(reply), now);
 }
 
+void tellInDoubt(proxy_engine &engine, const client_session &session, const database_name &from, const char *why)
+{
+    tell(engine,
+         "statement_in_doubt",
+         {{"request", session.current->what.id}, {"database", session.database}, {"from", from.value()}, {"why", why}});
+}
+
 void dropTransaction(proxy_engine &engine, client_session &session, transaction_state left, time_point now)
 {
     if (session.transaction && session.transaction->link != link_id{}) {
@@ -364,7 +372,8 @@
         return;
     }
     engine.figures.inDoubt += 1;
-    tell(engine, "statement_in_doubt", {{"request", run.what.id}, {"database", session.database}, {"why", "no answer in time"}});
+    const auto link = engine.links.find(run.link);
+    tellInDoubt(engine, session, link == engine.links.end() ? database_name() : link->second.database, "no answer in time");
     if (session.transaction) {
         dropTransaction(engine, session, transaction_state::none, now);
     } else {
--- a/mustardrouter/main.cpp
+++ b/mustardrouter/main.cpp
@@ -53,6 +53,7 @@
         {"failover", {runFailover, "move a group's primary"}},
         {"drain", {runDrain, "hand over an instance's groups"}},
         {"soak", {runSoak, "run instances under random faults, and check what is promised"}},
+        {"explain", {runExplain, "tell from logs what became of a request"}},
         {"standin", {runStandIn, "run a stand-in of the platform or a database"}},
     };
     return all;
