--- a/UnitTests/Operators/log_story_test.cpp
+++ b/UnitTests/Operators/log_story_test.cpp
@@ -51,6 +51,15 @@
     CHECK_TRUE(toText(story).find("900 ms  e1  statement_refused") != std::string::npos);
 }
 
+TEST(log_story, aStatementInATransactionIsFoundByTheOneThatBeganIt)
+{
+    const std::vector<log_line> story = storyOf(
+        linesOf(R"({"at":5,"instance":"e1","event":"statement_refused","request":"r2","transaction":"r1","why":"no answer in time"})"),
+        "r1");
+    CHECK_EQUAL(1U, story.size());
+    CHECK_EQUAL(std::string("r2"), story.front().fields.at("request"));
+}
+
 TEST(log_story, aDatabasesStoryIsToldByAllInstances)
 {
     const std::vector<log_line> story = storyOf(linesOf(crash), "d1");
--- a/mustardrouter/Operators/log_story.cpp
+++ b/mustardrouter/Operators/log_story.cpp
@@ -60,6 +60,12 @@
     return events.contains(line.event);
 }
 
+/// Whether the line tells of the statement, or of one in the transaction that it began.
+bool isAbout(const log_line &line, const std::string &request)
+{
+    return fieldOf(line, "request") == request || fieldOf(line, "transaction") == request;
+}
+
 bool isDecision(const log_line &line)
 {
     return line.fields.contains("request");
@@ -94,7 +100,7 @@
         return names(line, subject) || line.instance == subject;
     });
     const bool isRequest = !own.empty() && std::ranges::all_of(own, [&](const log_line &line) {
-        return fieldOf(line, "request") == subject;
+        return isAbout(line, subject);
     });
     if (!isRequest) {
         return own;
@@ -116,7 +122,7 @@
     const std::int64_t to = own.back().at;
     std::vector<log_line> story;
     for (const log_line &line : sorted) {
-        const bool isOwn = fieldOf(line, "request") == subject;
+        const bool isOwn = isAbout(line, subject);
         const bool inTime = line.at >= from - contextMillis && line.at <= to;
         const bool isContext = inTime && !isDecision(line) && instances.contains(line.instance)
                                && (concernsAll(line) || std::ranges::any_of(concerned, [&](const std::string &name) {
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -58,7 +58,7 @@
 }
 
 /// Begins a transaction for the client; the database hears of it as soon as there is a connection.
-void beginTransaction(proxy_engine &engine, client_session &session, bool readOnly, time_point now)
+void beginTransaction(proxy_engine &engine, client_session &session, const client_statement &what, time_point now)
 {
     const route *rules = findRoute(engine, session);
     if (rules == nullptr) {
@@ -67,7 +67,8 @@
     }
     client_transaction transaction;
     transaction.rules = *rules;
-    transaction.readOnly = readOnly;
+    transaction.begunBy = what.id;
+    transaction.readOnly = what.verb == client_verb::beginRead;
     transaction.beganAt = now;
     session.transaction = std::move(transaction);
     session.state = transaction_state::open;
@@ -106,7 +107,7 @@
         if (session.state == transaction_state::open) {
             sendLocal(engine, session, localReply(session, reply_code::malformed, "a transaction is open already"));
         } else {
-            beginTransaction(engine, session, what.verb == client_verb::beginRead, now);
+            beginTransaction(engine, session, what, now);
         }
         return true;
     case client_verb::rollback:
@@ -321,6 +322,7 @@
     tell(engine,
          "statement_refused",
          {{"request", run.what.id},
+          {"transaction", session.transaction ? session.transaction->begunBy : std::string("-")},
           {"database", session.database},
           {"group", group == nullptr ? std::string("-") : group->name.value()},
           {"code", std::string(toString(code))},
@@ -340,7 +342,11 @@
 {
     tell(engine,
          "statement_in_doubt",
-         {{"request", session.current->what.id}, {"database", session.database}, {"from", from.value()}, {"why", why}});
+         {{"request", session.current->what.id},
+          {"transaction", session.transaction ? session.transaction->begunBy : std::string("-")},
+          {"database", session.database},
+          {"from", from.value()},
+          {"why", why}});
 }
 
 void dropTransaction(proxy_engine &engine, client_session &session, transaction_state left, time_point now)
@@ -433,7 +439,11 @@
     const bool stopping =
         session.transaction && engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.stopTransactions;
     if (restedTooLong || stopping) {
-        tell(engine, "transaction_ended", {{"database", session.database}, {"why", restedTooLong ? "rested too long" : "instance stops"}});
+        tell(engine,
+             "transaction_ended",
+             {{"transaction", session.transaction->begunBy},
+              {"database", session.database},
+              {"why", restedTooLong ? "rested too long" : "instance stops"}});
         dropTransaction(engine, session, transaction_state::failed, now);
         return;
     }
