--- /dev/null
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -0,0 +1,39 @@
+#include "mustardrouter/Edge/edge_metrics.h"
+
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+TEST_GROUP(edge_metrics){};
+
+TEST(edge_metrics, thePageOfOperationsListsEveryMetricAndNoOther)
+{
+    proxy_engine engine{proxy_settings{}};
+    engine.figures.refusalsByCause["the instance stops"] = 3;
+    edge_metrics metrics;
+    metrics.noteStatement(reply_code::done, 0.01);
+    const std::string text = metrics.text(engine, 1, 2);
+    std::ifstream file(std::string(MUSTARDROUTER_SOURCE) + "/docs/OPERATIONS.md");
+    const std::string page{std::istreambuf_iterator<char>(file), {}};
+    std::set<std::string> exposed;
+    for (std::size_t at = text.find("# TYPE "); at != std::string::npos; at = text.find("# TYPE ", at + 1)) {
+        const std::size_t begin = at + 7;
+        const std::size_t end = text.find(' ', begin);
+        const std::string name = text.substr(begin, end - begin);
+        const std::string type = text.substr(end + 1, text.find('\n', end) - end - 1);
+        const std::string row = "| `" + name + "` | " + type + " |";
+        CHECK_TEXT(page.find(row) != std::string::npos, row.c_str());
+        exposed.insert(name);
+    }
+    std::size_t rows = 0;
+    for (std::size_t at = page.find("| `mustardrouter_"); at != std::string::npos; at = page.find("| `mustardrouter_", at + 1)) {
+        rows += 1;
+    }
+    CHECK_EQUAL(exposed.size(), rows);
+    CHECK_TRUE(text.find("mustardrouter_refusals_by_cause_total{cause=\"the instance stops\"} 3") != std::string::npos);
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -623,7 +623,7 @@
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
-        return {200, m_figures.text(m_engine.figures, m_clients.size(), m_log.dropped())};
+        return {200, m_figures.text(m_engine, m_clients.size(), m_log.dropped())};
     }
     return {404, {}};
 }
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -43,17 +43,26 @@
     histogram->Observe(seconds);
 }
 
-std::string edge_metrics::text(const proxy_figures &figures, std::size_t sessions, std::uint64_t linesDropped) const
+std::string edge_metrics::text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped) const
 {
+    const proxy_figures &figures = engine.figures;
     std::string text;
-    const auto add = [&](const char *name, const char *type, std::uint64_t value) {
+    const auto describe = [&](const char *name, const char *type) {
         const std::string full = std::string("mustardrouter_") + name;
-        text += "# TYPE " + full + " " + type + "\n" + full + " " + std::to_string(value) + "\n";
+        text += "# TYPE " + full + " " + type + "\n";
+        return full;
+    };
+    const auto add = [&](const char *name, const char *type, std::uint64_t value) {
+        text += describe(name, type) + " " + std::to_string(value) + "\n";
     };
     add("statements_total", "counter", figures.statements);
     add("replica_reads_total", "counter", figures.replicaReads);
     add("primary_reads_total", "counter", figures.primaryReads);
     add("refusals_total", "counter", figures.refusals);
+    const std::string byCause = describe("refusals_by_cause_total", "counter");
+    for (const auto &[cause, count] : figures.refusalsByCause) {
+        text += byCause + "{cause=\"" + std::string(cause) + "\"} " + std::to_string(count) + "\n";
+    }
     add("in_doubt_total", "counter", figures.inDoubt);
     add("retries_total", "counter", figures.retries);
     add("connections_opened_total", "counter", figures.linksOpened);
@@ -63,6 +72,16 @@
     add("lead_changes_total", "counter", figures.leadChanges);
     add("log_lines_dropped_total", "counter", linesDropped);
     add("sessions", "gauge", sessions);
+    add("connections", "gauge", engine.links.size());
+    std::size_t waiting = 0;
+    std::size_t withoutLead = 0;
+    for (const auto &[name, group] : engine.groups) {
+        waiting += group.waiting.size();
+        withoutLead += group.lead ? 0 : 1;
+    }
+    add("waiting_sessions", "gauge", waiting);
+    add("groups_without_lead", "gauge", withoutLead);
+    add("configuration_version", "gauge", engine.routes.version.value());
     return text + prometheus::TextSerializer().Serialize(m_parts->registry.Collect());
 }
 
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "mustardrouter/Proxy/proxy_figures.h"
+#include "mustardrouter/Proxy/proxy_engine.h"
 #include "mustardrouter/Proxy/reply_code.h"
 
 #include <memory>
@@ -10,7 +10,7 @@
 {
 
 /// Counters and latency histograms of an instance on the users' platform, as text in Prometheus form.
-/// Labels are bounded: outcomes come from an enumeration.
+/// Labels are bounded: outcomes come from an enumeration, causes of refusals are texts of the program.
 class edge_metrics
 {
 public:
@@ -22,7 +22,7 @@
     /// Notes a statement's time from its arrival to its answer, in seconds.
     void noteStatement(reply_code outcome, double seconds);
     /// All figures; `sessions` are those that are open, `linesDropped` log lines that had no room.
-    std::string text(const proxy_figures &figures, std::size_t sessions, std::uint64_t linesDropped) const;
+    std::string text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped) const;
 
 private:
     struct parts;
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -319,6 +319,7 @@
     reply.detail = why;
     reply.retryAfter = hasLead ? comeBackSoon : comeBackAfterFailover;
     engine.figures.refusals += 1;
+    engine.figures.refusalsByCause[why] += 1;
     tell(engine,
          "statement_refused",
          {{"request", run.what.id},
--- a/mustardrouter/Proxy/proxy_figures.h
+++ b/mustardrouter/Proxy/proxy_figures.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string_view>
 
 namespace mustardrouter
 {
@@ -11,6 +13,8 @@
     std::uint64_t replicaReads = 0;
     std::uint64_t primaryReads = 0;
     std::uint64_t refusals = 0;
+    /// The same by cause; causes are texts of the program, so there are few.
+    std::map<std::string_view, std::uint64_t> refusalsByCause;
     std::uint64_t inDoubt = 0;
     std::uint64_t retries = 0;
     std::uint64_t linksOpened = 0;
