--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -161,6 +161,7 @@
              {{"group", group.name.value()},
               {"cause", cause == failover_cause::leaving ? "primary leaves" : "primary silent"},
               {"lead", group.lead ? group.lead->value() : std::string("none")}});
+        watchGroup(engine, group, watch.notBefore);
     }
     if (watch.phase != failover_phase::watching || now < watch.notBefore) {
         return;
