--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -42,8 +42,9 @@
     std::uint32_t attempts = 0;
     /// How often a database had no room for it.
     std::uint32_t fullRefusals = 0;
-    /// It was let in at the primary.
+    /// It was let in at the primary, and when.
     bool admitted = false;
+    time_point admittedAt{};
     /// Not tried again before.
     time_point notBefore{};
 };
--- a/mustardrouter/Proxy/engine_links.cpp
+++ b/mustardrouter/Proxy/engine_links.cpp
@@ -138,7 +138,9 @@
         return;
     }
     if (database_state *database = databaseOf(engine, link)) {
-        noteReadTime(*database, now - run.sentAt, now);
+        // What was let in may have waited here for a connection: the database has no room for it either way.
+        const bool waited = group.lead == link.database && run.admittedAt != time_point{};
+        noteReadTime(*database, now - (waited ? run.admittedAt : run.sentAt), now);
         noteWork(engine, group, session, now - run.sentAt);
     }
     const bool ownRolledBack =
--- a/mustardrouter/Proxy/engine_placement.cpp
+++ b/mustardrouter/Proxy/engine_placement.cpp
@@ -237,6 +237,7 @@
     request.usualMicros = group.workMicros;
     request.refusals = run.fullRefusals;
     run.admitted = std::uniform_real_distribution<double>(0, 1)(engine.random) < admissionShare(database, request, now);
+    run.admittedAt = run.admitted ? now : time_point{};
     return run.admitted;
 }
 
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/read_ranking.h"
 
 #include <algorithm>
 #include <cassert>
@@ -368,11 +369,26 @@
 namespace
 {
 
+/// A statement that was let in and found no connection in its time tells that the primary has no room.
+void noteNoRoom(proxy_engine &engine, const client_session &session, time_point now)
+{
+    group_state *group = groupOf(engine, session);
+    const bool letIn = session.current->admitted || (session.transaction && session.transaction->admitted);
+    if (!letIn || group == nullptr || !group->lead) {
+        return;
+    }
+    const auto primary = group->databases.find(*group->lead);
+    if (primary != group->databases.end()) {
+        noteFull(primary->second, now);
+    }
+}
+
 void statementExpired(proxy_engine &engine, client_session &session, time_point now)
 {
     running_statement &run = *session.current;
     const bool sent = run.link != link_id{};
     if (!sent) {
+        noteNoRoom(engine, session, now);
         refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "no connection in time", now);
         return;
     }
