The stand-in's documents and listeners stand in one place; platform names leave the soak

Read as a newcomer: entries, configuration and settings of the users' platform were written in Soak, two listeners were twins. They are in PlatformStandIn now, and the core check refuses the platform's names in Soak too. One linter finding in edge_metrics. No behaviour of an instance changes.

--- a/.ci/check_core.sh
+++ b/.ci/check_core.sh
@@ -28,7 +28,7 @@
     echo "core check: only Edge and the stand-ins may use platform/" >&2
     bad=1
 fi
-if grep -nE 'Fencing-Token|Duty-Holder|warmup_left_ms|db_role|allow_stale|marked_for_deletion|max_staleness_ms|tx_idle_ms|MISROUTED|STEPDOWN|DATAROW|sync_replicas|max_conns|node_name|bind_addrs' mustardrouter/{Proxy,Edge,Operators,Runtime,Network}/*; then
+if grep -nE 'Fencing-Token|Duty-Holder|warmup_left_ms|db_role|allow_stale|marked_for_deletion|max_staleness_ms|tx_idle_ms|MISROUTED|STEPDOWN|DATAROW|sync_replicas|max_conns|node_name|bind_addrs' mustardrouter/{Proxy,Edge,Operators,Runtime,Network,Soak}/*; then
     echo "core check: a name of the users' platform outside of platform/" >&2
     bad=1
 fi
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -48,7 +48,7 @@
     const proxy_figures &figures = engine.figures;
     std::string text;
     const auto describe = [&](const char *name, const char *type) {
-        const std::string full = std::string("mustardrouter_") + name;
+        std::string full = std::string("mustardrouter_") + name;
         text += "# TYPE " + full + " " + type + "\n";
         return full;
     };
--- a/mustardrouter/PlatformStandIn/standin_database.cpp
+++ b/mustardrouter/PlatformStandIn/standin_database.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/PlatformStandIn/standin_database.h"
 
+#include "mustardrouter/PlatformStandIn/loopback_listener.h"
 #include "platform/line_codec.h"
 
 #include <asio/post.hpp>
@@ -63,7 +64,6 @@
     , m_now(std::move(now))
     , m_random(seed)
     , m_acceptor(context)
-    , m_endpoint(asio::ip::make_address("127.0.0.1"), 0)
 {
 }
 
@@ -79,24 +79,17 @@
 
 bool standin_database::listen()
 {
-    asio::error_code problem;
-    m_acceptor.open(m_endpoint.protocol(), problem);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
-    m_acceptor.bind(m_endpoint, problem);
-    if (!problem) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
-    }
-    if (problem) {
+    if (!listenOnLoopback(m_acceptor, m_port)) {
         return false;
     }
-    m_endpoint = m_acceptor.local_endpoint();
+    m_port = m_acceptor.local_endpoint().port();
     accept();
     return true;
 }
 
 std::string standin_database::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_endpoint.port());
+    return "127.0.0.1:" + std::to_string(m_port);
 }
 
 std::size_t standin_database::connectionCount() const
--- a/mustardrouter/PlatformStandIn/standin_database.h
+++ b/mustardrouter/PlatformStandIn/standin_database.h
@@ -105,7 +105,7 @@
     clock m_now;
     std::mt19937_64 m_random;
     asio::ip::tcp::acceptor m_acceptor;
-    asio::ip::tcp::endpoint m_endpoint;
+    std::uint16_t m_port = 0;
     std::map<std::uint64_t, connection_ref> m_connections;
     std::deque<std::pair<connection_ref, std::function<void()>>> m_waiting;
     std::uint32_t m_running = 0;
--- /dev/null
+++ b/mustardrouter/PlatformStandIn/standin_documents.cpp
@@ -0,0 +1,96 @@
+#include "mustardrouter/PlatformStandIn/standin_documents.h"
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+const char *typeOf(read_rule rule)
+{
+    switch (rule) {
+    case read_rule::latest:
+        return "primary";
+    case read_rule::age:
+        return "bounded_staleness";
+    case read_rule::session:
+        return "read_your_writes";
+    }
+    return "";
+}
+
+Json::Int64 inMillis(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace
+
+Json::Value entryOf(const standin_group &group, const standin_member &member)
+{
+    Json::Value entry;
+    entry["service"] = group.name.value();
+    entry["address"] = member.address;
+    entry["zone"] = member.dataCentre;
+    entry["version"] = "1";
+    entry["slots"] = group.slots;
+    entry["state"] = member.leaving ? "draining" : "ready";
+    entry["warmup_left_ms"] = 0;
+    entry["sequence"] = 1;
+    entry["db_role"] = member.primary ? "primary" : "replica";
+    entry["born"] = Json::UInt64(member.life);
+    return entry;
+}
+
+Json::Value configurationOf(std::uint64_t version,
+                            const std::map<std::string, route> &routes,
+                            const std::vector<std::unique_ptr<standin_group>> &groups)
+{
+    Json::Value root;
+    root["version"] = Json::UInt64(version);
+    for (const auto &[name, rules] : routes) {
+        Json::Value item;
+        item["name"] = "r-" + name;
+        item["host"] = name;
+        item["type"] = typeOf(rules.rule);
+        item["service"] = rules.group.value();
+        item["timeout_ms"] = inMillis(rules.timeout);
+        item["target_latency_ms"] = inMillis(rules.objective);
+        item["priority"] = rules.priority;
+        if (rules.rule != read_rule::latest) {
+            item["max_staleness_ms"] = inMillis(rules.maxAge);
+        }
+        root["routes"].append(item);
+    }
+    for (const auto &group : groups) {
+        Json::Value item;
+        item["name"] = group->name.value();
+        item["max_conns"] = group->connections;
+        item["sync_replicas"] = group->syncReplicas;
+        root["services"].append(item);
+    }
+    root["limits"]["tx_idle_ms"] = 3000;
+    return root;
+}
+
+std::string settingsText(const standin_settings &settings)
+{
+    Json::Value root;
+    root["node_name"] = settings.name;
+    root["role"] = "edge";
+    root["ip"] = "127.0.0.1";
+    root["zone"] = settings.dataCentre;
+    for (const std::string &place : settings.dataCentres) {
+        root["zones"][place] = "region-of-" + place;
+    }
+    root["bind_addrs"]["frontend"] = settings.clientAddress;
+    root["bind_addrs"]["readiness"] = settings.readinessAddress;
+    root["bootstrap"] = settings.firstStart;
+    root["bounds"]["grace_s"] = settings.graceSeconds;
+    root["platform"]["address"] = settings.storeAddress;
+    root["provider_api"]["address"] = settings.storeAddress;
+    root["note"] = settings.note;
+    return root.toStyledString();
+}
+
+} // namespace mustardrouter
--- a/mustardrouter/PlatformStandIn/standin_http.cpp
+++ b/mustardrouter/PlatformStandIn/standin_http.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/PlatformStandIn/standin_http.h"
 
+#include "mustardrouter/PlatformStandIn/loopback_listener.h"
+
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -120,14 +122,7 @@
 
 bool standin_http::listen()
 {
-    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
-    asio::error_code problem;
-    m_acceptor.open(any.protocol(), problem);
-    m_acceptor.bind(any, problem);
-    if (!problem) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
-    }
-    if (problem) {
+    if (!listenOnLoopback(m_acceptor)) {
         return false;
     }
     accept();
@@ -136,8 +131,7 @@
 
 std::string standin_http::address() const
 {
-    asio::error_code ignored;
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint(ignored).port());
+    return addressOf(m_acceptor);
 }
 
 void standin_http::accept()
--- a/mustardrouter/Soak/fault_relay.cpp
+++ b/mustardrouter/Soak/fault_relay.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Soak/fault_relay.h"
 
 #include "mustardrouter/Network/socket_liveness.h"
+#include "mustardrouter/PlatformStandIn/loopback_listener.h"
 
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -226,14 +227,7 @@
 
 bool fault_relay::listen()
 {
-    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
-    asio::error_code problem;
-    m_acceptor.open(any.protocol(), problem);
-    m_acceptor.bind(any, problem);
-    if (!problem) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
-    }
-    if (problem) {
+    if (!listenOnLoopback(m_acceptor)) {
         return false;
     }
     accept();
@@ -242,8 +236,7 @@
 
 std::string fault_relay::address() const
 {
-    asio::error_code ignored;
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint(ignored).port());
+    return addressOf(m_acceptor);
 }
 
 void fault_relay::moveTo(const std::string &target)
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -1,6 +1,6 @@
 #include "mustardrouter/Soak/soak_deployment.h"
 
-#include <json/json.h>
+#include "mustardrouter/PlatformStandIn/standin_documents.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,24 +29,6 @@
 
 const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
-const char *typeOf(read_rule rule)
-{
-    switch (rule) {
-    case read_rule::latest:
-        return "primary";
-    case read_rule::age:
-        return "bounded_staleness";
-    case read_rule::session:
-        return "read_your_writes";
-    }
-    return "";
-}
-
-Json::Int64 inMillis(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 } // namespace
 
 soak_deployment::soak_deployment(asio::io_context &context, soak_history &history, clock now, address_map addressFor, std::uint64_t seed)
@@ -225,18 +207,7 @@
             if (now < m_publishFrom[name]) {
                 continue;
             }
-            Json::Value entry;
-            entry["service"] = group->name.value();
-            entry["address"] = member.address;
-            entry["zone"] = member.dataCentre;
-            entry["version"] = "1";
-            entry["slots"] = group->slots;
-            entry["state"] = member.leaving ? "draining" : "ready";
-            entry["warmup_left_ms"] = 0;
-            entry["sequence"] = 1;
-            entry["db_role"] = member.primary ? "primary" : "replica";
-            entry["born"] = Json::UInt64(member.life);
-            m_store.objects().put("servers", name.value(), entry);
+            m_store.objects().put("servers", name.value(), entryOf(*group, member));
         }
     }
     m_store.wakeWatches();
@@ -250,33 +221,11 @@
     next.at = m_now();
     next.added = "extra-" + std::to_string(next.version);
     next.dropped = m_versions.empty() ? std::string() : m_versions.back().added;
-    std::vector<soak_route> routes = m_routes;
-    routes.push_back({next.added, m_routes.front().rules});
-    Json::Value root;
-    root["version"] = Json::UInt64(next.version);
-    for (const soak_route &one : routes) {
-        Json::Value item;
-        item["name"] = "r-" + one.name;
-        item["host"] = one.name;
-        item["type"] = typeOf(one.rules.rule);
-        item["service"] = one.rules.group.value();
-        item["timeout_ms"] = inMillis(one.rules.timeout);
-        item["target_latency_ms"] = inMillis(one.rules.objective);
-        item["priority"] = one.rules.priority;
-        if (one.rules.rule != read_rule::latest) {
-            item["max_staleness_ms"] = inMillis(one.rules.maxAge);
-        }
-        root["routes"].append(item);
-    }
-    for (const auto &group : m_groups) {
-        Json::Value item;
-        item["name"] = group->name.value();
-        item["max_conns"] = group->connections;
-        item["sync_replicas"] = group->syncReplicas;
-        root["services"].append(item);
+    std::map<std::string, route> routes{{next.added, m_routes.front().rules}};
+    for (const soak_route &one : m_routes) {
+        routes[one.name] = one.rules;
     }
-    root["limits"]["tx_idle_ms"] = 3000;
-    m_store.objects().put("config", "main", root);
+    m_store.objects().put("config", "main", configurationOf(next.version, routes, m_groups));
     m_versions.push_back(next);
     m_store.wakeWatches();
 }
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -1,8 +1,8 @@
 #include "mustardrouter/Soak/soak_instance.h"
 
+#include "mustardrouter/PlatformStandIn/standin_documents.h"
 #include "platform/probe_server.h"
 
-#include <json/json.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -80,22 +80,16 @@
 
 void soak_instance::writeSettings(bool broken)
 {
-    Json::Value root;
-    root["node_name"] = m_where.name;
-    root["role"] = "edge";
-    root["ip"] = "127.0.0.1";
-    root["zone"] = m_where.dataCentre;
-    for (const char *place : {"dc-a", "dc-b", "dc-c"}) {
-        root["zones"][place] = std::string("region-of-") + place;
-    }
-    root["bind_addrs"]["frontend"] = m_clientAddress;
-    root["bind_addrs"]["readiness"] = m_readinessAddress;
-    root["bootstrap"] = m_firstStart;
-    root["bounds"]["grace_s"] = 6;
-    root["platform"]["address"] = store.address();
-    root["provider_api"]["address"] = store.address();
-    root["note"] = starts;
-    const std::string text = root.toStyledString();
+    standin_settings settings;
+    settings.name = m_where.name;
+    settings.dataCentre = m_where.dataCentre;
+    settings.dataCentres = {"dc-a", "dc-b", "dc-c"};
+    settings.clientAddress = m_clientAddress;
+    settings.readinessAddress = m_readinessAddress;
+    settings.storeAddress = store.address();
+    settings.firstStart = m_firstStart;
+    settings.note = starts;
+    const std::string text = settingsText(settings);
     std::ofstream file(m_where.folder + "/" + m_where.name + ".json");
     file << (broken ? text.substr(0, text.size() / 2) : text);
 }
