Linter: five findings in the stand-in and the soak

A function over its size (the refusals of a database's statement stand apart now), three needless copies, one concatenation. Nothing of an instance changes.

--- a/mustardrouter/PlatformStandIn/standin_database.cpp
+++ b/mustardrouter/PlatformStandIn/standin_database.cpp
@@ -358,6 +358,19 @@
            + std::to_string(m_connections.size());
 }
 
+const char *standin_database::refusalOf(const connection &from, bool writes, bool commits) const
+{
+    if (from.failed || (commits && !from.inTransaction)) {
+        return "MALFORMED";
+    }
+    const bool leads = self().primary && (!from.inTransaction || from.begunIn == self().term);
+    const bool emptyCommit = commits && from.writes.empty();
+    if (!leads && !emptyCommit && (writes || (from.inTransaction && from.plain))) {
+        return "READONLY";
+    }
+    return writes && from.inTransaction && !from.plain ? "READONLY" : nullptr;
+}
+
 void standin_database::runForClient(const connection_ref &from, const query &what)
 {
     statement_run run;
@@ -377,18 +390,9 @@
         writes = run.shape.starts_with("WRITE ");
     }
     const bool commits = what.verb == "COMMIT";
-    const bool leads = self().primary && (!from->inTransaction || from->begunIn == self().term);
     const bool emptyCommit = commits && from->writes.empty();
-    if (from->failed || (commits && !from->inTransaction)) {
-        refuse(from, "MALFORMED");
-        return;
-    }
-    if (!leads && !emptyCommit && (writes || (from->inTransaction && from->plain))) {
-        refuse(from, "READONLY");
-        return;
-    }
-    if (writes && from->inTransaction && !from->plain) {
-        refuse(from, "READONLY");
+    if (const char *code = refusalOf(*from, writes, commits)) {
+        refuse(from, code);
         return;
     }
     run.group = m_group.name;
--- a/mustardrouter/PlatformStandIn/standin_database.h
+++ b/mustardrouter/PlatformStandIn/standin_database.h
@@ -87,6 +87,8 @@
     void start(const connection_ref &from, const std::string &line);
     void carryOut(const connection_ref &from, const query &what);
     void runOwn(const connection_ref &from, const query &what);
+    /// Why a client's statement may not run on the connection, or nothing.
+    const char *refusalOf(const connection &from, bool writes, bool commits) const;
     void runForClient(const connection_ref &from, const query &what);
     void commit(const connection_ref &from, const std::string &id, const std::string &answer);
     void acknowledge(const connection_ref &from, std::size_t index, const std::string &answer);
--- a/mustardrouter/PlatformStandIn/standin_http.cpp
+++ b/mustardrouter/PlatformStandIn/standin_http.cpp
@@ -78,12 +78,12 @@
             return;
         }
         m_pending.erase(0, used);
-        m_handle(toRequest(parser.get()), [self = shared_from_this()](standin_answer answer) {
-            self->answer(std::move(answer));
+        m_handle(toRequest(parser.get()), [self = shared_from_this()](const standin_answer &answer) {
+            self->answer(answer);
         });
     }
 
-    void answer(standin_answer what)
+    void answer(const standin_answer &what)
     {
         asio::error_code ignored;
         if (what.closes) {
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -104,7 +104,7 @@
 
 std::string soak_history::onRun(const statement_run &run)
 {
-    const std::string signature = "signed-" + std::to_string(m_runs.size() + 1);
+    std::string signature = "signed-" + std::to_string(m_runs.size() + 1);
     m_runs[signature] = run;
     const auto found = m_statements.find(run.id);
     if (found == m_statements.end()) {
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -308,8 +308,10 @@
             probeRoute(m_context, instance.directAddress(), route, [=, this, &instance](std::optional<reply_code> code) {
                 const bool same = instance.starts == life && instance.stopSince == time_point{};
                 if (same && code != expected) {
-                    m_history.breakPromise("CONFIG: " + name + " answers " + std::string(code ? toString(*code) : "nothing") + " for "
-                                           + route + " of version " + std::to_string(newest.version));
+                    std::string text = "CONFIG: " + name + " answers ";
+                    text += code ? toString(*code) : "nothing";
+                    text += " for " + route + " of version " + std::to_string(newest.version);
+                    m_history.breakPromise(text);
                 }
             });
         };
