One delayed call in place of three; what the soak declared and did not use is gone

Removed: a declared and never written endFault, checkWithin (called once, with nothing of its own to say), connectionCount and addresses, which nobody called. Nothing of an instance changes; no check, bound or test is touched.

--- a/mustardrouter/PlatformStandIn/standin_database.cpp
+++ b/mustardrouter/PlatformStandIn/standin_database.cpp
@@ -92,11 +92,6 @@
     return "127.0.0.1:" + std::to_string(m_port);
 }
 
-std::size_t standin_database::connectionCount() const
-{
-    return m_connections.size();
-}
-
 void standin_database::loseAnswers(unsigned percent)
 {
     m_percentLost = percent;
--- a/mustardrouter/PlatformStandIn/standin_database.h
+++ b/mustardrouter/PlatformStandIn/standin_database.h
@@ -42,7 +42,6 @@
     void wake();
     /// Out of a hundred answers to clients' statements so many are lost, with all later ones on the connection.
     void loseAnswers(unsigned percent);
-    std::size_t connectionCount() const;
 
 private:
     struct connection {
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/PlatformStandIn/standin_store.h"
 
+#include "mustardrouter/PlatformStandIn/delayed_call.h"
+
 #include <algorithm>
 #include <charconv>
 #include <memory>
@@ -99,20 +101,12 @@
     return true;
 }
 
-void standin_store::later(std::chrono::milliseconds wait, std::function<void()> then)
-{
-    auto timer = std::make_shared<asio::steady_timer>(m_context, wait);
-    timer->async_wait([timer, then = std::move(then)](const asio::error_code &) {
-        then();
-    });
-}
-
 void standin_store::handle(std::size_t instance, const standin_request &request, const standin_http::responder &respond)
 {
     if (fails(instance, respond)) {
         return;
     }
-    later(usualWait + m_faults.slow, [this, instance, request, respond] {
+    callLater(m_context, usualWait + m_faults.slow, [this, instance, request, respond] {
         const bool isOrder = request.method == "POST" && request.path == "/failover";
         if (request.method == "GET") {
             read(instance, request, respond);
@@ -123,7 +117,7 @@
         const bool late = lost && (isOrder || m_faults.late);
         if (late) {
             respond(failureAnswer(store_failure::silent));
-            later(std::chrono::milliseconds(lateMillis + m_random() % lateSpreadMillis), [this, request, isOrder] {
+            callLater(m_context, std::chrono::milliseconds(lateMillis + m_random() % lateSpreadMillis), [this, request, isOrder] {
                 isOrder ? order(request) : write(request);
             });
             return;
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -78,7 +78,6 @@
     void handle(std::size_t instance, const standin_request &request, const standin_http::responder &respond);
     bool isShut(std::size_t instance) const;
     bool fails(std::size_t instance, const standin_http::responder &respond) const;
-    void later(std::chrono::milliseconds wait, std::function<void()> then);
     void read(std::size_t instance, const standin_request &request, const standin_http::responder &respond);
     void watch(std::size_t instance, const standin_request &request, const std::string &kind, const standin_http::responder &respond);
     standin_answer write(const standin_request &request);
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Soak/soak_deployment.h"
 
+#include "mustardrouter/PlatformStandIn/delayed_call.h"
 #include "mustardrouter/PlatformStandIn/standin_documents.h"
 
 #include <algorithm>
@@ -96,15 +97,6 @@
     return m_leaving;
 }
 
-std::vector<std::string> soak_deployment::addresses() const
-{
-    std::vector<std::string> all;
-    for (const auto &[name, sockets] : m_sockets) {
-        all.push_back(sockets->address());
-    }
-    return all;
-}
-
 standin_database &soak_deployment::socketsOf(const database_name &name)
 {
     return *m_sockets.at(name);
@@ -138,16 +130,6 @@
     group.members[member.name] = std::move(member);
 }
 
-void soak_deployment::later(duration wait, std::function<void()> then)
-{
-    auto timer = std::make_shared<asio::steady_timer>(m_context, wait);
-    timer->async_wait([timer, then = std::move(then)](const asio::error_code &problem) {
-        if (!problem) {
-            then();
-        }
-    });
-}
-
 bool soak_deployment::promote(const standin_order &order)
 {
     m_history.onOrder(order.group, order.fence, order.holder, order.successor);
@@ -161,7 +143,7 @@
     if (member == (*group)->members.end() || !member->second.running || member->second.dark) {
         return false;
     }
-    later(promotionTime, [this, &chosen = **group, name = database_name(order.successor)] {
+    callLater(m_context, promotionTime, [this, &chosen = **group, name = database_name(order.successor)] {
         if (const std::optional<standin_promotion> result = promoteMember(chosen, name)) {
             m_history.onPromoted(chosen.name, *result, chosen.syncReplicas);
             publishEntries();
@@ -271,7 +253,7 @@
     member.leaving = true;
     m_leaving.push_back({name, m_now()});
     publishEntries();
-    later(leaveTime, [this, &group, name] {
+    callLater(m_context, leaveTime, [this, &group, name] {
         crash(group, name);
         publishEntries();
     });
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -51,8 +51,6 @@
     std::vector<std::unique_ptr<standin_group>> &groups();
     const std::vector<soak_route> &routes() const;
     const std::vector<published_version> &versions() const;
-    /// Addresses of all databases that there have been.
-    std::vector<std::string> addresses() const;
     standin_database &socketsOf(const database_name &name);
     /// Databases that leave or have left.
     const std::vector<leaving_database> &leaving() const;
@@ -73,7 +71,6 @@
     void publishEntries();
     void addDatabase(standin_group &group, const std::string &name, const std::string &dataCentre, bool primary);
     bool promote(const standin_order &order);
-    void later(duration wait, std::function<void()> then);
 
     asio::io_context &m_context;
     soak_history &m_history;
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Soak/soak_run.h"
 
+#include "mustardrouter/PlatformStandIn/delayed_call.h"
 #include "mustardrouter/Soak/route_probe.h"
 
 #include <algorithm>
@@ -73,16 +74,6 @@
     return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
 }
 
-void soak_run::later(duration wait, std::function<void()> then)
-{
-    auto timer = std::make_shared<asio::steady_timer>(m_context, wait);
-    timer->async_wait([timer, then = std::move(then)](const asio::error_code &problem) {
-        if (!problem) {
-            then();
-        }
-    });
-}
-
 bool soak_run::start()
 {
     constexpr std::size_t leastInstances = 3;
@@ -118,14 +109,14 @@
     addClients();
     playFaults();
     for (const soak_round &round : m_plan.rounds) {
-        later(round.calmFrom + stableWindow + configurationTime + 900ms, [this, round] {
+        callLater(m_context, round.calmFrom + stableWindow + configurationTime + 900ms, [this, round] {
             checkConfiguration(round);
         });
-        later(round.end - 10ms, [this, round] {
+        callLater(m_context, round.end - 10ms, [this, round] {
             checkCalm(round);
         });
     }
-    later(m_plan.length, [this] {
+    callLater(m_context, m_plan.length, [this] {
         stopAll();
     });
     tick();
@@ -163,7 +154,7 @@
     };
     for (std::size_t index = 0; index < m_instances.size() * m_settings.clientsPerInstance; ++index) {
         m_clients.push_back(std::make_shared<soak_client>(around, "c" + std::to_string(index + 1), m_random()));
-        later(1200ms + duration(static_cast<std::int64_t>(m_random() % 800'000)), [client = m_clients.back()] {
+        callLater(m_context, 1200ms + duration(static_cast<std::int64_t>(m_random() % 800'000)), [client = m_clients.back()] {
             client->start();
         });
     }
@@ -176,13 +167,13 @@
             continue;
         }
         const planned_fault &fault = m_plan.faults[index];
-        later(fault.at, [this, index, &fault] {
+        callLater(m_context, fault.at, [this, index, &fault] {
             std::function<void()> end = m_injector.begin(fault);
             if (!end) {
                 return;
             }
             m_openFaults[index] = std::move(end);
-            later(fault.length, [this, index] {
+            callLater(m_context, fault.length, [this, index] {
                 m_openFaults.at(index)();
                 m_openFaults.erase(index);
             });
@@ -322,11 +313,8 @@
 
 void soak_run::checkCalm(const soak_round &round)
 {
-    checkWithin(round, m_begunAt + round.calmFrom + stableWindow, m_begunAt + round.end);
-}
-
-void soak_run::checkWithin(const soak_round &round, time_point from, time_point to)
-{
+    const time_point from = m_begunAt + round.calmFrom + stableWindow;
+    const time_point to = m_begunAt + round.end;
     std::size_t begun = 0;
     std::size_t served = 0;
     for (const operation_end &operation : m_tally.operations) {
@@ -367,7 +355,7 @@
         client->stop();
     }
     constexpr duration clientsEnd = 300ms;
-    later(clientsEnd, [this] {
+    callLater(m_context, clientsEnd, [this] {
         for (const auto &instance : m_instances) {
             if (instance->process->runs() && instance->stopSince == time_point{}) {
                 instance->stopSince = now();
@@ -387,7 +375,7 @@
         m_context.stop();
         return;
     }
-    later(tickInterval, [this, tries] {
+    callLater(m_context, tickInterval, [this, tries] {
         checkStopped(tries - 1);
     });
 }
--- a/mustardrouter/Soak/soak_run.h
+++ b/mustardrouter/Soak/soak_run.h
@@ -56,7 +56,6 @@
     bool start();
     void addClients();
     void playFaults();
-    void endFault(std::function<void()> end);
     void tick();
     void watchProcess(soak_instance &instance);
     void noteEnd(soak_instance &instance, int status);
@@ -64,12 +63,10 @@
     void probeNewest();
     void checkConfiguration(const soak_round &round);
     void checkCalm(const soak_round &round);
-    void checkWithin(const soak_round &round, time_point from, time_point to);
     void stopAll();
     void checkStopped(unsigned tries);
     void finish();
     std::size_t chooseInstance();
-    void later(duration wait, std::function<void()> then);
     std::string summary() const;
 
     soak_settings m_settings;
