--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -17,7 +17,7 @@
     std::size_t objectCount = 0;
     int timesRegained = 0;
 
-    explicit watched_store(duration maxBackoff)
+    explicit watched_store(duration maxBackoff, duration watchTimeout = 300ms)
     {
         store.objects().put("k", "a", "one");
         const std::string address = store.addInstance();
@@ -28,7 +28,7 @@
         callbacks.onReachable = [this](bool reachable) {
             timesRegained += reachable ? 1 : 0;
         };
-        watch = std::make_shared<object_watch>(context, address, object_watch::options{"k", 20ms, false, maxBackoff, 300ms}, 1, callbacks);
+        watch = std::make_shared<object_watch>(context, address, object_watch::options{"k", 20ms, false, maxBackoff, watchTimeout}, 1, callbacks);
     }
     ~watched_store()
     {
@@ -89,6 +89,36 @@
     CHECK_EQUAL(3U, fixture.objectCount);
 }
 
+TEST(object_watch, aWatchRepeatedDuringAnOutageIsNotAwaitedAfterIt)
+{
+    watched_store fixture(100ms, 1200ms);
+    fixture.watch->start();
+    fixture.context.run_for(10ms);
+    fixture.store.faults().down = store_failure::silent;
+    // The first watch request times out in the outage; what is sent next is lost, too.
+    fixture.context.run_for(2500ms);
+    fixture.store.faults().down = store_failure::none;
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.notifyWatches();
+    fixture.context.run_for(1500ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+}
+
+TEST(object_watch, aRequestLostInAnOutageIsRepeatedWhenAnotherWatchReachesTheStore)
+{
+    watched_store fixture(100ms, 5s);
+    fixture.watch->start();
+    fixture.context.run_for(10ms);
+    fixture.store.faults().down = store_failure::silent;
+    fixture.context.run_for(200ms);
+    fixture.store.faults().down = store_failure::none;
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.notifyWatches();
+    fixture.watch->retryNow();
+    fixture.context.run_for(300ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+}
+
 TEST(object_watch, listIsReadOverSeveralPages)
 {
     watched_store fixture(200ms);
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -22,6 +22,9 @@
 constexpr duration quietPhaseLength = 14s;
 /// Delay of planned work from the start of the quiet phase.
 constexpr duration plannedWorkDelay = 5500ms;
+/// Delay of a change that is published while instances may still recover from the faults. It has to be in effect as soon as
+/// instances count as stable.
+constexpr duration earlyChangeDelay = 500ms;
 constexpr std::uint32_t minFaults = 2;
 constexpr std::uint32_t faultSpread = 5;
 constexpr duration minFaultLength = 200ms;
@@ -97,8 +100,10 @@
         constexpr std::array<soak_fault, 4> planned{
             soak_fault::configurationChange, soak_fault::instanceStop, soak_fault::settingsReload, soak_fault::databaseLeaves};
         planned_fault change;
-        change.at = round.quietFrom + plannedWorkDelay;
         change.kind = soak_fault::configurationChange;
+        change.at = round.quietFrom + earlyChangeDelay;
+        plan.faults.push_back(change);
+        change.at = round.quietFrom + plannedWorkDelay;
         plan.faults.push_back(change);
         planned_fault other = change;
         other.kind = planned[1 + draw(planned.size() - 1)];
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -111,9 +111,11 @@
     addClients();
     playFaults();
     for (const soak_round &round : m_plan.rounds) {
-        callLater(m_context, round.quietFrom + stableWindow + configurationDelay + 900ms, [this, round] {
-            checkConfiguration(round);
-        });
+        for (const duration at : {round.quietFrom + stableWindow, round.quietFrom + stableWindow + configurationDelay + 900ms}) {
+            callLater(m_context, at + 50ms, [this, round] {
+                checkConfiguration(round);
+            });
+        }
         callLater(m_context, round.end - 10ms, [this, round] {
             checkQuietPhase(round);
         });
@@ -288,10 +290,9 @@
 void soak_run::checkConfiguration(const soak_round &round)
 {
     const published_version newest = m_deployment.versions().back();
-    const time_point from = m_runStartedAt + round.quietFrom + stableWindow;
-    // A configuration published before instances were stable may take effect after this check.
-    const bool due = newest.at >= from && now() - newest.at >= configurationDelay;
-    if (!due) {
+    // The two spans run at the same time: a configuration may be published before the instances are stable.
+    const time_point due = std::max(m_runStartedAt + round.quietFrom + stableWindow, newest.at + configurationDelay);
+    if (now() < due) {
         return;
     }
     for (std::size_t index = 0; index < m_instances.size(); ++index) {
