--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -17,7 +17,7 @@
     std::size_t objectCount = 0;
     int timesRegained = 0;
 
-    explicit watched_store(duration maxBackoff, duration watchTimeout = 300ms)
+    explicit watched_store(duration maxBackoff, duration held = 300ms)
     {
         store.objects().put("k", "a", "one");
         const std::string address = store.addInstance();
@@ -28,7 +28,8 @@
         callbacks.onReachable = [this](bool reachable) {
             timesRegained += reachable ? 1 : 0;
         };
-        watch = std::make_shared<object_watch>(context, address, object_watch::options{"k", 20ms, false, maxBackoff, watchTimeout}, 1, callbacks);
+        watch = std::make_shared<object_watch>(
+            context, address, object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}}, 1, callbacks);
     }
     ~watched_store()
     {
@@ -41,7 +42,7 @@
 
 TEST_GROUP(object_watch){};
 
-TEST(object_watch, retryNowEndsTheBackoff)
+TEST(object_watch, aReachedStoreEndsTheBackoff)
 {
     watched_store fixture(10s);
     fixture.store.faults().down = store_failure::busy;
@@ -49,7 +50,7 @@
     fixture.context.run_for(700ms);
     CHECK_EQUAL(0U, fixture.objectCount);
     fixture.store.faults().down = store_failure::none;
-    fixture.watch->retryNow();
+    fixture.watch->onStoreReached();
     fixture.context.run_for(100ms);
     CHECK_EQUAL(1U, fixture.objectCount);
     CHECK_EQUAL(1, fixture.timesRegained);
@@ -114,7 +115,7 @@
     fixture.store.faults().down = store_failure::none;
     fixture.store.objects().put("k", "b", "two");
     fixture.store.notifyWatches();
-    fixture.watch->retryNow();
+    fixture.watch->onStoreReached();
     fixture.context.run_for(300ms);
     CHECK_EQUAL(2U, fixture.objectCount);
 }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -121,6 +121,8 @@
     std::shared_ptr<object_watch> m_databaseWatch;
     std::shared_ptr<object_watch> m_configurationWatch;
     std::shared_ptr<object_watch> m_instanceWatch;
+    /// No watch has failed since one of them last reached the store again.
+    bool m_storeReached = true;
     std::map<std::string, std::shared_ptr<platform::http_client>> m_promotionClients;
     std::map<group_name, std::shared_ptr<platform::http_client>> m_verificationClients;
     std::map<std::string, std::uint64_t> m_loggedInvalidEntries;
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -19,14 +19,8 @@
 /// first to succeed makes the other retry at once: after a power failure nothing can be served before both have answered.
 constexpr duration configurationMaxBackoff = std::chrono::milliseconds(400);
 constexpr duration databaseMaxBackoff = std::chrono::milliseconds(1600);
-/// A lost watch is detected within this time plus 1 s. A leaving database must be noticed within 7 s and a configuration
-/// adopted within 3 s, both counted from 5 s after the store has recovered.
-constexpr duration databaseWatchTimeout = std::chrono::milliseconds(5000);
-constexpr duration configurationWatchTimeout = std::chrono::milliseconds(6500);
 /// Changes of the list of instances are batched over this delay: it decides only where statements are relayed to.
 constexpr duration instanceBatchDelay = std::chrono::milliseconds(700);
-/// A lost watch of the instances delays new holders only: those that are gone are noticed by their links.
-constexpr duration instanceWatchTimeout = std::chrono::seconds(20);
 
 /// The claim in the store's response; nothing when it could not be read.
 std::optional<promotion_claim> claimOf(const platform::http_response &response)
@@ -112,44 +106,46 @@
     const auto onReachable = [this](const char *kind) {
         return [this, kind](bool reachable) {
             m_log.write(reachable ? "store_regained" : "store_lost", {{"kind", kind}});
-            if (reachable) {
-                m_databaseWatch->retryNow();
-                m_configurationWatch->retryNow();
-                m_instanceWatch->retryNow();
+            const bool first = reachable && !m_storeReached;
+            m_storeReached = reachable;
+            if (first) {
+                m_databaseWatch->onStoreReached();
+                m_configurationWatch->onStoreReached();
+                m_instanceWatch->onStoreReached();
             }
         };
     };
+    const watch_timing timing = watchTimingFor(std::chrono::milliseconds(m_environment.stableWindowMs));
     const std::uint64_t seed = m_engine.settings.seed;
     // Stale reads may be seconds late. That is acceptable for databases, since a leaving one must be noticed within 7 s, but
     // not for the configuration, which must be adopted within 3 s.
-    m_databaseWatch = std::make_shared<object_watch>(
-        m_context,
-        m_environment.storeAddress,
-        object_watch::options{platform::databaseKind, databaseBatchDelay, true, databaseMaxBackoff, databaseWatchTimeout},
-        seed,
-        object_watch::handlers{[this](const object_watch::objects &objects) {
-                                   onDatabasesChanged(objects);
-                               },
-                               onReachable("databases")});
+    m_databaseWatch =
+        std::make_shared<object_watch>(m_context,
+                                       m_environment.storeAddress,
+                                       object_watch::options{platform::databaseKind, databaseBatchDelay, true, databaseMaxBackoff, timing},
+                                       seed,
+                                       object_watch::handlers{[this](const object_watch::objects &objects) {
+                                                                  onDatabasesChanged(objects);
+                                                              },
+                                                              onReachable("databases")});
     m_configurationWatch = std::make_shared<object_watch>(
         m_context,
         m_environment.storeAddress,
-        object_watch::options{
-            platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, configurationWatchTimeout},
+        object_watch::options{platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, timing},
         seed + 1,
         object_watch::handlers{[this](const object_watch::objects &objects) {
                                    onConfigurationChanged(objects);
                                },
                                onReachable("configuration")});
-    m_instanceWatch = std::make_shared<object_watch>(
-        m_context,
-        m_environment.storeAddress,
-        object_watch::options{platform::instanceKind, instanceBatchDelay, true, databaseMaxBackoff, instanceWatchTimeout},
-        seed + 2,
-        object_watch::handlers{[this](const object_watch::objects &objects) {
-                                   onInstancesChanged(objects);
-                               },
-                               onReachable("instances")});
+    m_instanceWatch =
+        std::make_shared<object_watch>(m_context,
+                                       m_environment.storeAddress,
+                                       object_watch::options{platform::instanceKind, instanceBatchDelay, true, databaseMaxBackoff, timing},
+                                       seed + 2,
+                                       object_watch::handlers{[this](const object_watch::objects &objects) {
+                                                                  onInstancesChanged(objects);
+                                                              },
+                                                              onReachable("instances")});
     m_databaseWatch->start();
     m_configurationWatch->start();
     m_instanceWatch->start();
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-/// Allowance for network latency and a slow store, added to the time that the store is asked to hold a watch request.
-constexpr duration responseMargin = std::chrono::milliseconds(1000);
 /// Backoff after the first failure; doubled with each further failure, up to the watch's maximum.
 constexpr std::uint64_t minBackoffMs = 100;
 constexpr std::uint32_t maxBackoffDoublings = 3;
@@ -55,8 +53,10 @@
     if (afterName.empty()) {
         m_incompleteList.clear();
     }
+    m_requestOutstanding = true;
     m_client->call(
         platform::listRequest(m_options.kind, afterName), [self = shared_from_this(), afterName](const platform::http_response &response) {
+            self->m_requestOutstanding = false;
             self->handlePage(afterName, response);
         });
 }
@@ -73,7 +73,7 @@
         scheduleRetry();
         return;
     }
-    recordReachable(true);
+    recordAnswer();
     if (afterName.empty()) {
         // The watch starts at the revision of the first page and so reports changes made while later pages are read.
         m_revision = page->revision;
@@ -98,9 +98,11 @@
     if (m_stopped) {
         return;
     }
-    m_client->call(platform::watchRequest(
-                       m_options.kind, m_revision, m_options.watchTimeout, m_options.watchTimeout + responseMargin, m_options.allowStale),
+    const watch_timing timing = m_unanswered ? probeTiming() : m_options.timing;
+    m_requestOutstanding = true;
+    m_client->call(platform::watchRequest(m_options.kind, m_revision, timing.held, timing.timeout, m_options.allowStale),
                    [self = shared_from_this()](const platform::http_response &response) {
+                       self->m_requestOutstanding = false;
                        self->handleChanges(response);
                    });
 }
@@ -121,7 +123,7 @@
         scheduleRetry();
         return;
     }
-    recordReachable(true);
+    recordAnswer();
     for (platform::object_change &change : changes->changes) {
         if (change.removed) {
             m_objects.erase(change.object.name);
@@ -150,7 +152,7 @@
 
 void object_watch::scheduleRetry()
 {
-    recordReachable(false);
+    recordFailure();
     m_consecutiveFailures += 1;
     const auto maxBackoffMs =
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.maxBackoff).count());
@@ -159,17 +161,23 @@
     m_retryScheduled = true;
     m_timer.expires_after(std::chrono::milliseconds(backoffWithJitterMs));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
-        if (!problem) {
-            self->retryNow();
+        if (!problem && !self->m_stopped && self->m_retryScheduled) {
+            self->resume();
         }
     });
 }
 
-void object_watch::retryNow()
+void object_watch::onStoreReached()
 {
-    if (m_stopped || !m_retryScheduled) {
+    if (m_stopped || (!m_retryScheduled && !m_requestOutstanding)) {
         return;
     }
+    m_unanswered = true;
+    resume();
+}
+
+void object_watch::resume()
+{
     m_retryScheduled = false;
     m_timer.cancel();
     if (m_listComplete) {
@@ -179,14 +187,22 @@
     }
 }
 
-void object_watch::recordReachable(bool reachable)
+void object_watch::recordAnswer()
 {
-    if (reachable) {
-        m_consecutiveFailures = 0;
+    m_consecutiveFailures = 0;
+    m_unanswered = false;
+    if (!m_reachable) {
+        m_reachable = true;
+        m_handlers.onReachable(true);
     }
-    if (m_reachable != reachable) {
-        m_reachable = reachable;
-        m_handlers.onReachable(reachable);
+}
+
+void object_watch::recordFailure()
+{
+    m_unanswered = true;
+    if (m_reachable) {
+        m_reachable = false;
+        m_handlers.onReachable(false);
     }
 }
 
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Edge/watch_timing.h"
 #include "platform/http_client.h"
 #include "platform/stored_objects.h"
 
@@ -17,6 +18,10 @@
 
 /// Keeps a copy of all objects of one kind: lists them once, then watches for changes. Retries after failures with an
 /// exponential backoff and jitter, so that instances do not all reconnect at the same time.
+///
+/// A request that reaches the store while it does not answer is lost, although the connection stays open. Therefore no request is
+/// awaited for longer than its timeout, a request after a failure is answered at once by a store that works, and a request that
+/// was sent before the store was reached again is repeated.
 class object_watch : public std::enable_shared_from_this<object_watch>
 {
 public:
@@ -37,9 +42,7 @@
         bool allowStale = false;
         /// Maximum pause between retries, before jitter of up to half of the pause is added.
         duration maxBackoff{};
-        /// Time that the store holds a watch request without changes; then the request is sent again. A request sent while the
-        /// store is unresponsive may be lost although its connection stays open, and only this timeout detects that.
-        duration watchTimeout{};
+        watch_timing timing;
     };
 
     object_watch(asio::io_context &context, std::string address, options what, std::uint64_t seed, handlers callbacks);
@@ -48,17 +51,21 @@
     void stop();
     /// Switches to a store at another address and lists all objects again.
     void setStoreAddress(const std::string &address);
-    /// Ends the backoff after a failure, because another watch has reached the store.
-    void retryNow();
+    /// The store was reached again after failures of this or another watch: ends the backoff, and repeats a request that was sent
+    /// before.
+    void onStoreReached();
 
 private:
     void list(const std::string &afterName);
     void handlePage(const std::string &afterName, const platform::http_response &response);
     void watch();
+    /// Sends the next request, for the list or for changes.
+    void resume();
     void handleChanges(const platform::http_response &response);
     void scheduleRetry();
     void watchAfterDelay(duration delay);
-    void recordReachable(bool reachable);
+    void recordAnswer();
+    void recordFailure();
 
     asio::io_context &m_context;
     std::shared_ptr<platform::http_client> m_client;
@@ -73,6 +80,10 @@
     bool m_listComplete = false;
     bool m_reachable = true;
     bool m_retryScheduled = false;
+    /// The store has not answered since the last failure.
+    bool m_unanswered = false;
+    /// A request was sent and not answered yet.
+    bool m_requestOutstanding = false;
     bool m_stopped = false;
 };
 
