The time of a leaving database counts from when it may have left, not from when that was learned

Callers saw nothing yet; the rule on draining databases was open: an instance that learns late that a database leaves, as after an outage of its way to the store, went on for its full 4 s from then. With 7 s allowed and 5 s until an instance counts as stable, a database that left 3 s before the end of the outage got new work for up to 4 s too long.

Change: a watch tells with each change after what time it was made: just now, or after its last answer where requests have failed since. The engine counts the grace period of a leaving database from then. A database that is already leaving when an instance starts gets no new work from it.

Evidence: proxy_engine.aDatabaseWhoseLeavingWasLearnedLateGetsNoWorkForTheWholeGracePeriodAgain failed with the period counted from the notice; object_watch.changesReadAfterAFailureMayBeAsOldAsTheLastAnswer checks what the watch tells.

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -1,3 +1,4 @@
+#include "mustardrouter/Edge/boot_time.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/PlatformStandIn/standin_store.h"
 
@@ -16,14 +17,16 @@
     std::shared_ptr<object_watch> watch;
     std::size_t objectCount = 0;
     int timesRegained = 0;
+    time_point changedSince{};
 
     explicit watched_store(duration maxBackoff, duration held = 300ms)
     {
         store.objects().put("k", "a", "one");
         const std::string address = store.addInstance();
         object_watch::handlers callbacks;
-        callbacks.onChange = [this](const object_watch::objects &objects) {
+        callbacks.onChange = [this](const object_watch::objects &objects, time_point since) {
             objectCount = objects.size();
+            changedSince = since;
         };
         callbacks.onReachable = [this](bool reachable) {
             timesRegained += reachable ? 1 : 0;
@@ -120,6 +123,26 @@
     CHECK_EQUAL(2U, fixture.objectCount);
 }
 
+TEST(object_watch, changesReadAfterAFailureMayBeAsOldAsTheLastAnswer)
+{
+    watched_store fixture(100ms);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.notifyWatches();
+    fixture.context.run_for(100ms);
+    CHECK_TRUE(bootTime() - fixture.changedSince < 150ms);
+    const time_point lostAt = bootTime();
+    fixture.store.faults().down = store_failure::reset;
+    fixture.store.disconnectWatches();
+    fixture.context.run_for(300ms);
+    fixture.store.objects().put("k", "c", "three");
+    fixture.store.faults().down = store_failure::none;
+    fixture.context.run_for(400ms);
+    CHECK_EQUAL(3U, fixture.objectCount);
+    CHECK_TRUE(fixture.changedSince <= lostAt);
+}
+
 TEST(object_watch, listIsReadOverSeveralPages)
 {
     watched_store fixture(200ms);
--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -280,6 +280,18 @@
     CHECK_EQUAL(before, world.primary().log.size());
 }
 
+TEST(proxy_engine, aDatabaseWhoseLeavingWasLearnedLateGetsNoWorkForTheWholeGracePeriodAgain)
+{
+    ready_world world;
+    world.storeUnavailable = true;
+    fake_client &client = world.connect("latest");
+    world.primary().listed.leaving = true;
+    world.publishListing(5s);
+    const std::size_t before = world.primary().log.size();
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "2").code == reply_code::busy);
+    CHECK_EQUAL(before, world.primary().log.size());
+}
+
 TEST(proxy_engine, aWriteWhoseReplyIsLostIsInDoubtAndRunsOnce)
 {
     ready_world world;
@@ -522,7 +534,7 @@
 {
     ready_world world;
     database_listing none;
-    onListing(world.engine, none, world.now);
+    onListing(world.engine, none, world.now, world.now);
     fake_client &client = world.connect("latest");
     CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "1").code == reply_code::done);
     world.runFor(3s);
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -58,15 +58,15 @@
     publishListing();
 }
 
-void proxy_world::publishListing()
+void proxy_world::publishListing(duration age)
 {
     database_listing listing;
     for (const auto &[name, database] : databases) {
         listing.push_back(database.listed);
     }
-    onListing(engine, listing, now);
+    onListing(engine, listing, now - age, now);
     if (entry) {
-        onListing(*entry, listing, now);
+        onListing(*entry, listing, now - age, now);
     }
     performActions();
 }
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -129,7 +129,8 @@
     void resetRelayLink();
     /// Adds one group of three databases; the first is primary.
     void addGroup();
-    void publishListing();
+    /// Tells the engine of the databases' entries, which may have changed `age` ago.
+    void publishListing(duration age = {});
     /// Configures the routes "latest", "session" and "age" of the group, in this version.
     void configure(std::uint64_t version);
     void runFor(duration span);
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Edge/edge_instance.h"
 
+#include "mustardrouter/Edge/boot_time.h"
 #include "mustardrouter/Network/tcp_options.h"
 #include "platform/store_client.h"
 
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <ctime>
 #include <functional>
 #include <utility>
 #include <variant>
@@ -128,10 +128,7 @@
 
 time_point edge_instance::now() const
 {
-    // CLOCK_BOOTTIME includes the time in which the machine is suspended; data also ages during that time.
-    timespec value{};
-    ::clock_gettime(CLOCK_BOOTTIME, &value);
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
+    return bootTime();
 }
 
 bool edge_instance::run()
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -80,7 +80,7 @@
     void scheduleEngineTimer();
 
     void startWatches();
-    void onDatabasesChanged(const object_watch::objects &objects);
+    void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
     void onConfigurationChanged(const object_watch::objects &objects);
     void onInstancesChanged(const object_watch::objects &objects);
     std::shared_ptr<platform::http_client> promotionClient(const group_name &group, const std::string &address);
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -124,8 +124,8 @@
                                        m_environment.storeAddress,
                                        object_watch::options{platform::databaseKind, databaseBatchDelay, true, databaseMaxBackoff, timing},
                                        seed,
-                                       object_watch::handlers{[this](const object_watch::objects &objects) {
-                                                                  onDatabasesChanged(objects);
+                                       object_watch::handlers{[this](const object_watch::objects &objects, time_point changedSince) {
+                                                                  onDatabasesChanged(objects, changedSince);
                                                               },
                                                               onReachable("databases")});
     m_configurationWatch = std::make_shared<object_watch>(
@@ -133,7 +133,7 @@
         m_environment.storeAddress,
         object_watch::options{platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, timing},
         seed + 1,
-        object_watch::handlers{[this](const object_watch::objects &objects) {
+        object_watch::handlers{[this](const object_watch::objects &objects, time_point) {
                                    onConfigurationChanged(objects);
                                },
                                onReachable("configuration")});
@@ -142,7 +142,7 @@
                                        m_environment.storeAddress,
                                        object_watch::options{platform::instanceKind, instanceBatchDelay, true, databaseMaxBackoff, timing},
                                        seed + 2,
-                                       object_watch::handlers{[this](const object_watch::objects &objects) {
+                                       object_watch::handlers{[this](const object_watch::objects &objects, time_point) {
                                                                   onInstancesChanged(objects);
                                                               },
                                                               onReachable("instances")});
@@ -151,7 +151,7 @@
     m_instanceWatch->start();
 }
 
-void edge_instance::onDatabasesChanged(const object_watch::objects &objects)
+void edge_instance::onDatabasesChanged(const object_watch::objects &objects, time_point changedSince)
 {
     std::erase_if(m_loggedInvalidEntries, [&](const auto &entry) {
         return !objects.contains(entry.first);
@@ -170,7 +170,7 @@
             m_log.write("entry_ignored", {{"entry", name}, {"why", problem}});
         }
     }
-    onListing(m_engine, listing, now());
+    onListing(m_engine, listing, changedSince, now());
     performActions();
 }
 
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Edge/object_watch.h"
 
+#include "mustardrouter/Edge/boot_time.h"
 #include "platform/store_client.h"
 
 #include <algorithm>
@@ -73,8 +74,9 @@
         scheduleRetry();
         return;
     }
-    recordAnswer();
+    const time_point changedSince = recordAnswer();
     if (afterName.empty()) {
+        m_listChangedSince = changedSince;
         // The watch starts at the revision of the first page and so reports changes made while later pages are read.
         m_revision = page->revision;
     }
@@ -89,7 +91,7 @@
     }
     m_listComplete = true;
     m_objects = std::exchange(m_incompleteList, {});
-    m_handlers.onChange(m_objects);
+    m_handlers.onChange(m_objects, m_listChangedSince);
     watchAfterDelay(m_options.batchDelay);
 }
 
@@ -123,7 +125,7 @@
         scheduleRetry();
         return;
     }
-    recordAnswer();
+    const time_point changedSince = recordAnswer();
     for (platform::object_change &change : changes->changes) {
         if (change.removed) {
             m_objects.erase(change.object.name);
@@ -136,7 +138,7 @@
         watch();
         return;
     }
-    m_handlers.onChange(m_objects);
+    m_handlers.onChange(m_objects, changedSince);
     watchAfterDelay(m_options.batchDelay);
 }
 
@@ -187,14 +189,18 @@
     }
 }
 
-void object_watch::recordAnswer()
+time_point object_watch::recordAnswer()
 {
+    const time_point now = bootTime();
+    const time_point lastAnswerAt = std::exchange(m_answeredAt, now);
+    const time_point changedSince = m_unanswered ? lastAnswerAt : now;
     m_consecutiveFailures = 0;
     m_unanswered = false;
     if (!m_reachable) {
         m_reachable = true;
         m_handlers.onReachable(true);
     }
+    return changedSince;
 }
 
 void object_watch::recordFailure()
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -27,8 +27,9 @@
 public:
     using objects = std::map<std::string, platform::stored_object>;
     struct handlers {
-        /// Called with all objects after each change.
-        std::function<void(const objects &)> onChange;
+        /// Called with all objects after each change. The change was made after `changedSince`: after the last answer if requests
+        /// have failed since, else just now.
+        std::function<void(const objects &, time_point changedSince)> onChange;
         /// Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable)> onReachable;
     };
@@ -64,7 +65,8 @@
     void handleChanges(const platform::http_response &response);
     void scheduleRetry();
     void watchAfterDelay(duration delay);
-    void recordAnswer();
+    /// Returns the time after which the changes in this answer were made.
+    time_point recordAnswer();
     void recordFailure();
 
     asio::io_context &m_context;
@@ -75,13 +77,16 @@
     handlers m_handlers;
     objects m_objects;
     objects m_incompleteList;
+    time_point m_listChangedSince{};
+    /// When the last answer arrived, on the clock of bootTime().
+    time_point m_answeredAt{};
     std::uint64_t m_revision = 0;
     std::uint32_t m_consecutiveFailures = 0;
     bool m_listComplete = false;
     bool m_reachable = true;
     bool m_retryScheduled = false;
     /// The store has not answered since the last failure.
-    bool m_unanswered = false;
+    bool m_unanswered = true;
     /// A request was sent and not answered yet.
     bool m_requestOutstanding = false;
     bool m_stopped = false;
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -36,7 +36,7 @@
     }
 }
 
-void updateDatabase(proxy_engine &engine, group_state &group, const listed_database &listed, time_point now)
+void updateDatabase(proxy_engine &engine, group_state &group, const listed_database &listed, time_point changedSince, time_point now)
 {
     const auto [found, added] = group.databases.try_emplace(listed.name);
     database_state &database = found->second;
@@ -58,8 +58,8 @@
         database.status.reset();
     }
     if (startsLeaving) {
-        database.leavingSince = now;
-        reportEvent(engine, "database_leaves", {{"database", listed.name.value()}});
+        database.leavingSince = changedSince;
+        reportEvent(engine, "database_leaves", {{"database", listed.name.value()}, {"at_most_ms_ago", toMillisText(now - changedSince)}});
         scheduleGroupCheck(engine, group, now);
     }
     if (becamePrimary || (listed.reportsPrimary && !group.primary)) {
@@ -315,14 +315,14 @@
     dispatchReadyGroups(engine, now);
 }
 
-void onListing(proxy_engine &engine, const database_listing &listing, time_point now)
+void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now)
 {
     engine.listingReceived = true;
     std::set<database_name> seen;
     for (const listed_database &listed : listing) {
         group_state &group = findOrCreateGroup(engine, listed.group);
         seen.insert(listed.name);
-        updateDatabase(engine, group, listed, now);
+        updateDatabase(engine, group, listed, changedSince, now);
         engine.groupsToDispatch.insert(group.name);
     }
     for (auto &[name, group] : engine.groups) {
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -119,8 +119,8 @@
 
 /// A version of the configuration was read; one that is not newer is ignored.
 void onConfiguration(proxy_engine &engine, const route_table &routes, time_point now);
-/// The platform's list of databases was read or has changed.
-void onListing(proxy_engine &engine, const database_listing &listing, time_point now);
+/// The platform's list of databases was read or has changed; the change was made after `changedSince`.
+void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now);
 
 /// The list of instances was read or has changed.
 void onInstances(proxy_engine &engine, const instance_listing &instances, time_point now);
