--- a/UnitTests/Edge/edge_metrics_test.cpp
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -17,7 +17,7 @@
     engine.counters.refusalsByCause["the instance stops"] = 3;
     edge_metrics metrics;
     metrics.recordStatement(reply_code::done, 0.01);
-    const std::string text = metrics.text(engine, 1, 2);
+    const std::string text = metrics.text(engine, 1, 2, {});
     std::ifstream file(std::string(MUSTARDROUTER_SOURCE) + "/docs/OPERATIONS.md");
     const std::string page{std::istreambuf_iterator<char>(file), {}};
     std::set<std::string> exposed;
--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -14,7 +14,18 @@
 struct watched_store {
     asio::io_context context;
     standin_store store{context, {}, 1};
+    std::string address;
+    store_history history{{[](store_era) {
+                           },
+                           [this](store_era, store_era) {
+                               timesLost += 1;
+                               watch->onHistoryLost();
+                           },
+                           [] {
+                           }}};
     std::shared_ptr<object_watch> watch;
+    int timesLost = 0;
+    int timesListedAgain = 0;
     std::size_t objectCount = 0;
     int timesRegained = 0;
     time_point changedSince{};
@@ -22,17 +33,20 @@
     explicit watched_store(duration maxBackoff, duration held = 300ms)
     {
         store.objects().put("k", "a", "one");
-        const std::string address = store.addInstance();
+        address = store.addInstance();
         object_watch::handlers callbacks;
         callbacks.onChange = [this](const object_watch::objects &objects, time_point since) {
             objectCount = objects.size();
             changedSince = since;
         };
+        callbacks.onListedAgain = [this](duration) {
+            timesListedAgain += 1;
+        };
         callbacks.onReachable = [this](bool reachable) {
             timesRegained += reachable ? 1 : 0;
         };
         watch = std::make_shared<object_watch>(
-            context, address, object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}}, 1, callbacks);
+            context, address, history, object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}}, 1, callbacks);
     }
     ~watched_store()
     {
@@ -143,6 +157,47 @@
     CHECK_TRUE(fixture.changedSince <= lostAt);
 }
 
+TEST(object_watch, whatWasWrittenWhileTheStoreLostItsHistoryIsNotMissedByOneThatAsksLater)
+{
+    watched_store fixture(100ms);
+    fixture.store.keepCopy(bootTime());
+    fixture.store.objects().put("k", "lost-1", 1);
+    fixture.store.objects().put("k", "lost-2", 2);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    CHECK_EQUAL(3U, fixture.objectCount);
+    // The watch asks again only when the revisions that it knows have been given out once more.
+    fixture.store.faults().refusedInstances.insert(0);
+    fixture.store.returnFromCopy(duration{}, bootTime());
+    for (const char *name : {"b", "c", "d", "e", "f"}) {
+        fixture.store.objects().put("k", name, name);
+    }
+    fixture.context.run_for(200ms);
+    fixture.store.faults().refusedInstances.clear();
+    fixture.context.run_for(1200ms);
+    CHECK_EQUAL(6U, fixture.objectCount);
+    CHECK_EQUAL(1, fixture.timesLost);
+    CHECK_EQUAL(1, fixture.timesListedAgain);
+}
+
+TEST(object_watch, twoLossesInARowLeaveACompleteList)
+{
+    watched_store fixture(100ms);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    for (int loss = 0; loss < 2; ++loss) {
+        fixture.store.keepCopy(bootTime());
+        fixture.store.objects().put("k", "lost" + std::to_string(loss), 1);
+        fixture.store.returnFromCopy(duration{}, bootTime());
+        fixture.store.objects().put("k", "kept" + std::to_string(loss), 1);
+        fixture.store.notifyWatches();
+        fixture.context.run_for(300ms);
+    }
+    fixture.context.run_for(1200ms);
+    CHECK_EQUAL(3U, fixture.objectCount);
+    CHECK_EQUAL(2, fixture.timesLost);
+}
+
 TEST(object_watch, listIsReadOverSeveralPages)
 {
     watched_store fixture(200ms);
--- a/UnitTests/Operators/log_timeline_test.cpp
+++ b/UnitTests/Operators/log_timeline_test.cpp
@@ -51,6 +51,17 @@
     CHECK_TRUE(toText(timeline).find("900 ms  e1  statement_refused") != std::string::npos);
 }
 
+TEST(log_timeline, aLossOfTheStoresHistoryIsNamedBesideARequestThatWaitedForIt)
+{
+    const std::vector<log_line> timeline =
+        timelineOf(linesOf("{\"at\":100,\"instance\":\"e1\",\"event\":\"store_history_lost\",\"era\":\"3\",\"before\":\"2\"}\n"
+                           "{\"at\":700,\"instance\":\"e1\",\"event\":\"store_listed_again\",\"kind\":\"databases\",\"after_ms\":\"600\"}\n"
+                           "{\"at\":900,\"instance\":\"e1\",\"event\":\"statement_refused\",\"request\":\"r1\",\"group\":\"g\"}\n"),
+                   "r1");
+    CHECK_EQUAL(3U, timeline.size());
+    CHECK_EQUAL(std::string("store_history_lost"), timeline[0].event);
+}
+
 TEST(log_timeline, statementInATransactionIsFoundByTheRequestThatBeganIt)
 {
     const std::vector<log_line> timeline = timelineOf(
--- a/UnitTests/PlatformAdapter/stored_objects_test.cpp
+++ b/UnitTests/PlatformAdapter/stored_objects_test.cpp
@@ -15,7 +15,8 @@
 {
     const auto object =
         decodeObject(R"({"meta":{"name":"i-1","revision":7,"created":1,"finalizers":[],"marked_for_deletion":false},"spec":)" + spec
-                     + R"(,"status":null})");
+                         + R"(,"status":null})",
+                     store_era());
     CHECK_TRUE(object.has_value());
     return *object;
 }
@@ -87,24 +88,25 @@
 TEST(stored_objects, invalidPagesAndChangesAreRefused)
 {
     for (const char *body : {"", "x", "[]", "{}", R"({"items":1,"as_of":1})", R"({"items":[],"as_of":"1"})"}) {
-        CHECK_FALSE(decodePage(body).has_value());
-        CHECK_FALSE(decodeChanges(body).has_value());
+        CHECK_FALSE(decodePage(body, store_era()).has_value());
+        CHECK_FALSE(decodeChanges(body, store_era()).has_value());
     }
-    const auto page = decodePage(R"({"items":["x",{"meta":{"name":"a","revision":3},"spec":{}}],"has_more":true,"as_of":9})");
+    const auto page = decodePage(R"({"items":["x",{"meta":{"name":"a","revision":3},"spec":{}}],"has_more":true,"as_of":9})", store_era(2));
     CHECK_EQUAL(1, page->objects.size());
     CHECK_TRUE(page->more);
-    CHECK_EQUAL(9, page->revision);
+    CHECK_TRUE(page->position == (store_position{store_era(2), store_revision(9)}));
+    CHECK_TRUE(page->objects.front().position == (store_position{store_era(2), store_revision(3)}));
 }
 
 TEST(stored_objects, aClaimIsReadAsItWasWritten)
 {
-    const promotion_claim claim{7, term_number(3), database_name("i-2"), database_name("i-1")};
+    const promotion_claim claim{{store_era(4), store_revision(7)}, term_number(3), database_name("i-2"), database_name("i-1")};
     const std::string body = encodeClaim(group_name("g"), claim, "edge-1");
     CHECK_TRUE(body.find("\"revision\":7") != std::string::npos);
-    const std::optional<stored_object> object =
-        decodeObject(R"({"meta":{"name":"g","revision":8},"spec":{"term":3,"successor":"i-2","unsettled":"i-1","holder":"edge-1"}})");
+    const std::optional<stored_object> object = decodeObject(
+        R"({"meta":{"name":"g","revision":8},"spec":{"term":3,"successor":"i-2","unsettled":"i-1","holder":"edge-1"}})", store_era(4));
     const promotion_claim read = decodeClaim(*object);
-    CHECK_EQUAL(8, read.revision);
+    CHECK_TRUE(read.position == (store_position{store_era(4), store_revision(8)}));
     CHECK_EQUAL(3, read.term.value());
     CHECK_EQUAL(std::string("i-2"), read.successor.value());
     CHECK_EQUAL(std::string("i-1"), read.unsettledSuccessor.value());
@@ -114,7 +116,8 @@
 {
     const std::optional<stored_object> object =
         decodeObject(R"({"meta":{"name":"main","revision":1},"spec":{"version":1,"routes":[],)"
-                     R"("services":[{"name":"a","max_conns":1e300},{"name":"b","max_conns":5000000000}],"limits":{"tx_idle_ms":1e30}}})");
+                     R"("services":[{"name":"a","max_conns":1e300},{"name":"b","max_conns":5000000000}],"limits":{"tx_idle_ms":1e30}}})",
+                     store_era());
     std::string problem;
     const std::optional<route_table> table = decodeConfiguration(*object, problem);
     CHECK_EQUAL(1, table->groups.at(group_name("a")).connections);
@@ -127,7 +130,7 @@
     const listed_instance instance{instance_name("edge-1"), "10.1.0.8:7441", "z", 0.5, false};
     CHECK_TRUE(encodeInstance(instance).find("\"10.1.0.8:7441\"") != std::string::npos);
     const auto decoded = [](const std::string &spec) {
-        return decodeInstance(*decodeObject(R"({"meta":{"name":"edge-1","revision":8},"spec":)" + spec + "}"));
+        return decodeInstance(*decodeObject(R"({"meta":{"name":"edge-1","revision":8},"spec":)" + spec + "}", store_era()));
     };
     CHECK_TRUE(decoded(R"({"address":"10.1.0.8:7441","data_centre":"z","capacity":0.5,"leaving":false})") == instance);
     CHECK_FALSE(decoded(R"({"address":"edge-1:7441","data_centre":"z","capacity":0.5,"leaving":false})").has_value());
@@ -140,7 +143,7 @@
 {
     // Soak seed 118: the store gives no new revision, and so no new fence, to a write that changes nothing.
     const auto contentOf = [](std::uint64_t replaced) {
-        const promotion_claim claim{replaced, term_number(3), database_name("i-2"), {}};
+        const promotion_claim claim{{store_era(), store_revision(replaced)}, term_number(3), database_name("i-2"), {}};
         const std::string body = encodeClaim(group_name("g"), claim, "edge-1");
         return body.substr(body.find("\"spec\""));
     };
--- a/UnitTests/PlatformStandIn/standin_objects_test.cpp
+++ b/UnitTests/PlatformStandIn/standin_objects_test.cpp
@@ -41,3 +41,13 @@
     CHECK_FALSE(objects.changesSince("k", before).has_value());
     CHECK_TRUE(objects.changesSince("k", objects.revision())->empty());
 }
+
+TEST(standin_objects, aWatchFromARevisionThatIsNotReachedYetHasNoHistory)
+{
+    standin_objects objects;
+    objects.put("k", "a", 1);
+    const standin_objects copy = objects;
+    objects.put("k", "b", 2);
+    CHECK_FALSE(copy.changesSince("k", objects.revision()).has_value());
+    CHECK_TRUE(copy.changesSince("k", copy.revision()).has_value());
+}
--- a/UnitTests/Proxy/primary_verification_test.cpp
+++ b/UnitTests/Proxy/primary_verification_test.cpp
@@ -12,6 +12,11 @@
 namespace
 {
 
+store_position positionOf(std::uint64_t revision)
+{
+    return {store_era{}, store_revision(revision)};
+}
+
 const database_name first("db-0");
 const database_name second("db-1");
 const database_name third("db-2");
@@ -87,12 +92,12 @@
     evidence_fixture group;
     group.verification.claimRequestedAt = now + 50ms;
     group.databases[third].suspectedSince = now - 1s;
-    group.verification.claim = {5, term_number(1), third, {}};
+    group.verification.claim = {positionOf(5), term_number(1), third, {}};
     CHECK_TRUE(group.until() == now - 10ms);
     // The order of the claim before may still be carried out.
-    group.verification.claim = {6, term_number(1), first, third};
+    group.verification.claim = {positionOf(6), term_number(1), first, third};
     CHECK_TRUE(group.until() == now - 10ms);
-    group.verification.claim = {7, term_number(1), first, {}};
+    group.verification.claim = {positionOf(7), term_number(1), first, {}};
     CHECK_TRUE(group.until() == now);
 }
 
@@ -102,11 +107,11 @@
     evidence_fixture group;
     group.verification.claimRequestedAt = now + 50ms;
     group.databases[third].suspectedSince = now - 1s;
-    group.verification.claim = {5, term_number(3), second, {}};
+    group.verification.claim = {positionOf(5), term_number(3), second, {}};
     CHECK_TRUE(group.until() == now - 10ms);
-    group.verification.claim = {6, term_number(2), first, {}};
+    group.verification.claim = {positionOf(6), term_number(2), first, {}};
     CHECK_TRUE(group.until() == now - 10ms);
-    group.verification.claim = {7, term_number(2), second, {}};
+    group.verification.claim = {positionOf(7), term_number(2), second, {}};
     CHECK_TRUE(group.until() == now);
 }
 
@@ -118,11 +123,11 @@
     CHECK_TRUE(group.until() == time_point{});
     group.verification.claimRequestedAt = now;
     CHECK_TRUE(group.until() == now);
-    group.verification.claim = {5, term_number(1), second, {}};
+    group.verification.claim = {positionOf(5), term_number(1), second, {}};
     CHECK_TRUE(group.until() == time_point{});
-    group.verification.claim = {6, term_number(1), first, {}};
+    group.verification.claim = {positionOf(6), term_number(1), first, {}};
     CHECK_TRUE(group.until() == now);
-    group.verification.claim = {7, term_number(2), first, {}};
+    group.verification.claim = {positionOf(7), term_number(2), first, {}};
     CHECK_TRUE(group.until() == time_point{});
 }
 
--- a/UnitTests/Proxy/promotion_world.cpp
+++ b/UnitTests/Proxy/promotion_world.cpp
@@ -65,8 +65,8 @@
     if (storeUnavailable) {
         return;
     }
-    const bool settled = claim.revision == 0 || primary().listed.name == claim.successor || claim.successor == name;
-    claim = {++storeRevision, primary().term, name, settled ? database_name() : claim.successor};
+    const bool settled = !claim.exists() || primary().listed.name == claim.successor || claim.successor == name;
+    claim = {nextPosition(), primary().term, name, settled ? database_name() : claim.successor};
     events.emplace(now + promotionTime, [this, name] {
         if (!databases.at(name).unresponsive) {
             promote(name);
@@ -74,6 +74,24 @@
     });
 }
 
+store_position proxy_world::nextPosition()
+{
+    lastStorePosition.revision = store_revision(lastStorePosition.revision.value() + 1);
+    return lastStorePosition;
+}
+
+void proxy_world::loseStoreHistory()
+{
+    lastStorePosition = {store_era(lastStorePosition.era.value() + 1), store_revision(5)};
+    claim = promotion_claim{};
+    claim.position.era = lastStorePosition.era;
+    onStoreHistoryLost(engine, lastStorePosition.era, now);
+    if (entry) {
+        onStoreHistoryLost(*entry, lastStorePosition.era, now);
+    }
+    performActions();
+}
+
 void proxy_world::stepDown(fake_database &database)
 {
     if (!database.primary || &database == &primary()) {
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -303,12 +303,12 @@
     } else if (auto *write = std::get_if<write_claim>(&action)) {
         const write_claim written = *write;
         events.emplace(now + 4ms, [this, owner, written] {
-            if (storeUnavailable || written.expected != claim.revision) {
+            if (storeUnavailable || written.expected != claim.position) {
                 onClaimWriteFailed(*owner, written.group, now);
                 return;
             }
-            claim = {++storeRevision, written.term, written.successor, written.unsettledSuccessor};
-            onClaimWritten(*owner, written.group, fence_number(claim.revision), now);
+            claim = {nextPosition(), written.term, written.successor, written.unsettledSuccessor};
+            onClaimWritten(*owner, written.group, claim.position, now);
         });
     } else if (auto *order = std::get_if<order_promotion>(&action)) {
         if (!fences.empty() && order->fence.value() <= fences.back()) {
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -109,7 +109,7 @@
     std::vector<std::string> violations;
     std::uint64_t nextId = 1;
     std::uint64_t nextSession = 1;
-    std::uint64_t storeRevision = 10;
+    store_position lastStorePosition{store_era{}, store_revision(10)};
     promotion_claim claim;
     bool storeUnavailable = false;
     bool promotionRepliesLost = false;
@@ -145,6 +145,9 @@
     void promote(const database_name &name);
     /// Has another instance claim and order the promotion of the database.
     void promoteFromOtherInstance(const database_name &name);
+    /// The store returns from a copy that has no claim and a lower revision.
+    void loseStoreHistory();
+    store_position nextPosition();
     /// Makes a replaced primary a replica with the newest primary's log.
     void stepDown(fake_database &database);
     /// Commits a write of a client of another instance at the primary.
--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -18,7 +18,8 @@
 
 TEST(fault_plan, allFaultsEndBeforeTheQuietPhase)
 {
-    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    for (std::uint64_t index = 0; index < 400; ++index) {
+        const std::uint64_t seed = index < 200 ? index : 10'000 + index;
         const soak_plan plan = makePlan(seed, 60s);
         CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
         for (const planned_fault &fault : plan.faults) {
@@ -35,9 +36,11 @@
 TEST(fault_plan, everyKindOfFaultIsDrawn)
 {
     std::set<soak_fault> seen;
-    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-        for (const planned_fault &fault : makePlan(seed, 25s).faults) {
-            seen.insert(fault.kind);
+    for (const std::uint64_t first : {1, 10'000}) {
+        for (std::uint64_t seed = first; seed < first + 200; ++seed) {
+            for (const planned_fault &fault : makePlan(seed, 25s).faults) {
+                seen.insert(fault.kind);
+            }
         }
     }
     CHECK_EQUAL(static_cast<std::size_t>(soak_fault::count), seen.size());
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -115,8 +115,10 @@
                     [this](const relay_channel &channel) {
                         onRelayChannelClosed(channel);
                     }})
+    , m_storeHistory(historyHandlers())
     , m_registration(m_context,
                      m_environment.storeAddress,
+                     m_storeHistory,
                      {instance_name(m_environment.instance),
                       m_environment.relayAddress,
                       m_environment.dataCentre,
@@ -559,6 +561,7 @@
             if (storeMoved) {
                 m_promotionClients.clear();
                 m_verificationClients.clear();
+                m_storeHistory.forget();
                 m_databaseWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_configurationWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_instanceWatch->setStoreAddress(newEnvironment.storeAddress);
@@ -630,7 +633,7 @@
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
-        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped())};
+        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped(), {m_registration.writes(), m_listedAgainAfter})};
     }
     return {404, {}};
 }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Edge/line_stream.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/Edge/relay_links.h"
+#include "mustardrouter/Edge/store_history.h"
 #include "mustardrouter/Proxy/proxy_engine.h"
 #include "mustardrouter/Runtime/event_log.h"
 #include "platform/line_codec.h"
@@ -80,6 +81,7 @@
     void scheduleEngineTimer();
 
     void startWatches();
+    store_history::handlers historyHandlers();
     void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
     void onConfigurationChanged(const object_watch::objects &objects);
     void onInstancesChanged(const object_watch::objects &objects);
@@ -116,6 +118,7 @@
     /// Sessions of the channels that other instances opened, both ways.
     std::map<relay_channel, session_id> m_sessionByChannel;
     std::unordered_map<session_id, relay_channel> m_channelBySession;
+    store_history m_storeHistory;
     instance_registration m_registration;
     std::vector<std::shared_ptr<line_stream>> m_streamsToFlush;
     std::shared_ptr<object_watch> m_databaseWatch;
@@ -123,9 +126,11 @@
     std::shared_ptr<object_watch> m_instanceWatch;
     /// No watch has failed since one of them last reached the store again.
     bool m_storeReached = true;
+    /// Time from the last loss of the store's history to the last list that was complete again.
+    duration m_listedAgainAfter{};
     std::map<std::string, std::shared_ptr<platform::http_client>> m_promotionClients;
     std::map<group_name, std::shared_ptr<platform::http_client>> m_verificationClients;
-    std::map<std::string, std::uint64_t> m_loggedInvalidEntries;
+    std::map<std::string, store_position> m_loggedInvalidEntries;
     std::string m_settingsFingerprint;
     bool m_performingActions = false;
     bool m_stopping = false;
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -44,7 +44,10 @@
     histogram->Observe(seconds);
 }
 
-std::string edge_metrics::text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped) const
+std::string edge_metrics::text(const proxy_engine &engine,
+                               std::size_t sessions,
+                               std::uint64_t linesDropped,
+                               const store_figures &store) const
 {
     const proxy_counters &counters = engine.counters;
     std::string text;
@@ -77,6 +80,11 @@
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
+    appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
+    appendMetric("own_entries_written_total", "counter", store.entriesWritten);
+    appendMetric("store_era", "gauge", engine.storeEra.value());
+    const auto listedAgainAfter = std::chrono::duration_cast<std::chrono::milliseconds>(store.listedAgainAfter);
+    appendMetric("store_listed_again_milliseconds", "gauge", static_cast<std::uint64_t>(listedAgainAfter.count()));
     appendMetric("sessions", "gauge", sessions);
     appendMetric("connections", "gauge", engine.connections.size());
     std::size_t waiting = 0;
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -21,8 +21,16 @@
 
     /// Records the time from the arrival of a statement to its reply.
     void recordStatement(reply_code outcome, double seconds);
+    /// Figures of this instance's use of the platform's store.
+    struct store_figures {
+        /// Confirmed writes of its own entry.
+        std::uint64_t entriesWritten = 0;
+        /// Time from the last loss of the store's history until all was listed again.
+        duration listedAgainAfter{};
+    };
+
     /// Formats all metrics. `sessions` is the number of open sessions, `linesDropped` the number of dropped log lines.
-    std::string text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped) const;
+    std::string text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped, const store_figures &store) const;
 
 private:
     struct implementation;
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -22,14 +22,21 @@
 /// Changes of the list of instances are batched over this delay: it decides only where statements are relayed to.
 constexpr duration instanceBatchDelay = std::chrono::milliseconds(700);
 
-/// The claim in the store's response; nothing when it could not be read.
-std::optional<promotion_claim> claimOf(const platform::http_response &response)
+/// The claim in the store's response to a request of the era `requested`; nothing when it could not be read, or when the store has
+/// lost its history since.
+std::optional<promotion_claim> claimOf(const platform::http_response &response, store_history &history, store_era requested)
 {
+    const std::optional<store_era> era = history.accept(response);
     const platform::request_outcome outcome = platform::outcomeOfStatus(response.status);
+    if (era != requested) {
+        return std::nullopt;
+    }
     if (outcome == platform::request_outcome::notFound) {
-        return promotion_claim{};
+        promotion_claim none;
+        none.position.era = requested;
+        return none;
     }
-    const auto object = outcome == platform::request_outcome::done ? platform::decodeObject(response.body) : std::nullopt;
+    const auto object = outcome == platform::request_outcome::done ? platform::decodeObject(response.body, *era) : std::nullopt;
     return object ? std::optional(platform::decodeClaim(*object)) : std::nullopt;
 }
 
@@ -47,9 +54,10 @@
 void edge_instance::performAction(read_claim &action)
 {
     const group_name group = action.group;
+    const store_era era = m_storeHistory.era();
     promotionClient(group, m_environment.storeAddress)
-        ->call(platform::readClaimRequest(group), [this, group](const platform::http_response &response) {
-            if (const std::optional<promotion_claim> claim = claimOf(response)) {
+        ->call(platform::readClaimRequest(group, era), [this, group, era](const platform::http_response &response) {
+            if (const std::optional<promotion_claim> claim = claimOf(response, m_storeHistory, era)) {
                 onClaimRead(m_engine, group, *claim, now());
             } else {
                 onClaimReadFailed(m_engine, group, now());
@@ -63,12 +71,13 @@
     // A client of its own: a call abandons the one in progress, which may be part of a promotion.
     const group_name group = action.group;
     const time_point requestedAt = now();
+    const store_era era = m_storeHistory.era();
     std::shared_ptr<platform::http_client> &client = m_verificationClients[group];
     if (!client) {
         client = std::make_shared<platform::http_client>(m_context, m_environment.storeAddress);
     }
-    client->call(platform::readClaimRequest(group), [this, group, requestedAt](const platform::http_response &response) {
-        onClaimVerified(m_engine, group, claimOf(response), requestedAt, now());
+    client->call(platform::readClaimRequest(group, era), [this, group, era, requestedAt](const platform::http_response &response) {
+        onClaimVerified(m_engine, group, claimOf(response, m_storeHistory, era), requestedAt, now());
         performActions();
     });
 }
@@ -78,16 +87,18 @@
     const group_name group = action.group;
     platform::http_request request = platform::writeClaimRequest(
         group, {action.expected, action.term, action.successor, action.unsettledSuccessor}, m_environment.instance);
-    promotionClient(group, m_environment.storeAddress)->call(std::move(request), [this, group](const platform::http_response &response) {
-        const bool done = platform::outcomeOfStatus(response.status) == platform::request_outcome::done;
-        const auto object = done ? platform::decodeObject(response.body) : std::nullopt;
-        if (object) {
-            onClaimWritten(m_engine, group, fence_number(object->revision), now());
-        } else {
-            onClaimWriteFailed(m_engine, group, now());
-        }
-        performActions();
-    });
+    const store_era era = action.expected.era;
+    promotionClient(group, m_environment.storeAddress)
+        ->call(std::move(request), [this, group, era](const platform::http_response &response) {
+            // An answer without a claim can't be that of a write that was done.
+            const std::optional<promotion_claim> claim = claimOf(response, m_storeHistory, era);
+            if (claim && claim->exists()) {
+                onClaimWritten(m_engine, group, claim->position, now());
+            } else {
+                onClaimWriteFailed(m_engine, group, now());
+            }
+            performActions();
+        });
 }
 
 void edge_instance::performAction(order_promotion &action)
@@ -101,6 +112,23 @@
         });
 }
 
+store_history::handlers edge_instance::historyHandlers()
+{
+    return {[this](store_era era) {
+                onFirstStoreEra(m_engine, era, now());
+            },
+            [this](store_era, store_era era) {
+                onStoreHistoryLost(m_engine, era, now());
+                for (const std::shared_ptr<object_watch> &watch : {m_databaseWatch, m_configurationWatch, m_instanceWatch}) {
+                    watch->onHistoryLost();
+                }
+                performActions();
+            },
+            [this] {
+                m_log.write("store_era_missing", {{"kept", std::to_string(m_storeHistory.era().value())}});
+            }};
+}
+
 void edge_instance::startWatches()
 {
     const auto onReachable = [this](const char *kind) {
@@ -115,6 +143,13 @@
             }
         };
     };
+    const auto onListedAgain = [this](const char *kind) {
+        return [this, kind](duration after) {
+            m_listedAgainAfter = after;
+            const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(after).count();
+            m_log.write("store_listed_again", {{"kind", kind}, {"after_ms", std::to_string(millis)}});
+        };
+    };
     const watch_timing timing = watchTimingFor(std::chrono::milliseconds(m_environment.stableWindowMs));
     const std::uint64_t seed = m_engine.settings.seed;
     // Stale reads may be seconds late. That is acceptable for databases, since a leaving one must be noticed within 7 s, but
@@ -122,30 +157,36 @@
     m_databaseWatch =
         std::make_shared<object_watch>(m_context,
                                        m_environment.storeAddress,
+                                       m_storeHistory,
                                        object_watch::options{platform::databaseKind, databaseBatchDelay, true, databaseMaxBackoff, timing},
                                        seed,
                                        object_watch::handlers{[this](const object_watch::objects &objects, time_point changedSince) {
                                                                   onDatabasesChanged(objects, changedSince);
                                                               },
-                                                              onReachable("databases")});
+                                                              onReachable("databases"),
+                                                              onListedAgain("databases")});
     m_configurationWatch = std::make_shared<object_watch>(
         m_context,
         m_environment.storeAddress,
+        m_storeHistory,
         object_watch::options{platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, timing},
         seed + 1,
         object_watch::handlers{[this](const object_watch::objects &objects, time_point) {
                                    onConfigurationChanged(objects);
                                },
-                               onReachable("configuration")});
+                               onReachable("configuration"),
+                               onListedAgain("configuration")});
     m_instanceWatch =
         std::make_shared<object_watch>(m_context,
                                        m_environment.storeAddress,
+                                       m_storeHistory,
                                        object_watch::options{platform::instanceKind, instanceBatchDelay, true, databaseMaxBackoff, timing},
                                        seed + 2,
                                        object_watch::handlers{[this](const object_watch::objects &objects, time_point) {
                                                                   onInstancesChanged(objects);
                                                               },
-                                                              onReachable("instances")});
+                                                              onReachable("instances"),
+                                                              onListedAgain("instances")});
     m_databaseWatch->start();
     m_configurationWatch->start();
     m_instanceWatch->start();
@@ -164,9 +205,9 @@
             listing.push_back(std::move(*database));
             continue;
         }
-        std::uint64_t &loggedRevision = m_loggedInvalidEntries[name];
-        if (loggedRevision != object.revision) {
-            loggedRevision = object.revision;
+        store_position &logged = m_loggedInvalidEntries[name];
+        if (logged != object.position) {
+            logged = object.position;
             m_log.write("entry_ignored", {{"entry", name}, {"why", problem}});
         }
     }
@@ -188,7 +229,7 @@
         }
         instances.push_back(std::move(*instance));
     }
-    if (!m_environment.relayAddress.empty() && !m_stopping) {
+    if (!m_environment.relayAddress.empty() && (!m_stopping || m_registration.isLeaving())) {
         m_registration.onListed(self);
     }
     onInstances(m_engine, instances, now());
@@ -204,7 +245,7 @@
     std::string problem;
     const std::optional<route_table> routes = platform::decodeConfiguration(found->second, problem);
     if (!problem.empty()) {
-        m_log.write("configuration_damaged", {{"why", problem}, {"revision", std::to_string(found->second.revision)}});
+        m_log.write("configuration_damaged", {{"why", problem}, {"revision", std::to_string(found->second.position.revision.value())}});
     }
     if (routes) {
         onConfiguration(m_engine, *routes, now());
--- a/mustardrouter/Edge/instance_registration.cpp
+++ b/mustardrouter/Edge/instance_registration.cpp
@@ -15,11 +15,10 @@
 
 } // namespace
 
-instance_registration::instance_registration(asio::io_context &context,
-                                             const std::string &storeAddress,
-                                             listed_instance self,
-                                             std::uint64_t seed)
+instance_registration::instance_registration(
+    asio::io_context &context, const std::string &storeAddress, store_history &history, listed_instance self, std::uint64_t seed)
     : m_context(context)
+    , m_history(history)
     , m_client(std::make_shared<platform::http_client>(context, storeAddress))
     , m_timer(context)
     , m_self(std::move(self))
@@ -43,6 +42,16 @@
     write();
 }
 
+bool instance_registration::isLeaving() const
+{
+    return m_self.leaving;
+}
+
+std::uint64_t instance_registration::writes() const
+{
+    return m_writes;
+}
+
 void instance_registration::setStoreAddress(const std::string &storeAddress)
 {
     m_client->close();
@@ -59,8 +68,11 @@
     const listed_instance written = m_self;
     m_client->call(platform::writeInstanceRequest(written, m_exists), [this, written](const platform::http_response &response) {
         m_writing = false;
-        const platform::request_outcome outcome = platform::outcomeOfStatus(response.status);
+        const bool current = m_history.accept(response).has_value();
+        const platform::request_outcome outcome =
+            current ? platform::outcomeOfStatus(response.status) : platform::request_outcome::noResponse;
         m_upToDate = outcome == platform::request_outcome::done && written == m_self;
+        m_writes += m_upToDate ? 1 : 0;
         if (outcome == platform::request_outcome::done || outcome == platform::request_outcome::conflict) {
             m_exists = true;
         } else if (outcome == platform::request_outcome::notFound) {
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -15,11 +15,15 @@
 /// Backoff after the first failure; doubled with each further failure, up to the watch's maximum.
 constexpr std::uint64_t minBackoffMs = 100;
 constexpr std::uint32_t maxBackoffDoublings = 3;
+/// After a loss of the store's history hundreds of instances list all kinds again; they spread over this time.
+constexpr std::uint64_t listSpreadMs = 600;
 
 } // namespace
 
-object_watch::object_watch(asio::io_context &context, std::string address, options what, std::uint64_t seed, handlers callbacks)
+object_watch::object_watch(
+    asio::io_context &context, std::string address, store_history &history, options what, std::uint64_t seed, handlers callbacks)
     : m_context(context)
+    , m_history(history)
     , m_client(std::make_shared<platform::http_client>(context, std::move(address)))
     , m_timer(context)
     , m_options(std::move(what))
@@ -44,9 +48,9 @@
 {
     m_client->close();
     m_client = std::make_shared<platform::http_client>(m_context, address);
-    m_timer.cancel();
-    m_retryScheduled = false;
-    list({});
+    m_listComplete = false;
+    m_unanswered = true;
+    resume();
 }
 
 void object_watch::list(const std::string &afterName)
@@ -67,8 +71,12 @@
     if (m_stopped) {
         return;
     }
-    const bool done = platform::outcomeOfStatus(response.status) == platform::request_outcome::done;
-    std::optional<platform::object_page> page = done ? platform::decodePage(response.body) : std::nullopt;
+    const std::optional<store_era> era = m_history.accept(response);
+    if (m_listDelayed) {
+        return;
+    }
+    const bool done = era && platform::outcomeOfStatus(response.status) == platform::request_outcome::done;
+    std::optional<platform::object_page> page = done ? platform::decodePage(response.body, *era) : std::nullopt;
     if (!page) {
         m_listComplete = false;
         scheduleRetry();
@@ -78,7 +86,7 @@
     if (afterName.empty()) {
         m_listChangedSince = changedSince;
         // The watch starts at the revision of the first page and so reports changes made while later pages are read.
-        m_revision = page->revision;
+        m_position = page->position;
     }
     std::string lastName;
     for (platform::stored_object &object : page->objects) {
@@ -91,6 +99,9 @@
     }
     m_listComplete = true;
     m_objects = std::exchange(m_incompleteList, {});
+    if (const time_point lostAt = std::exchange(m_historyLostAt, time_point{}); lostAt != time_point{}) {
+        m_handlers.onListedAgain(bootTime() - lostAt);
+    }
     m_handlers.onChange(m_objects, m_listChangedSince);
     watchAfterDelay(m_options.batchDelay);
 }
@@ -102,7 +113,7 @@
     }
     const watch_timing timing = m_unanswered ? probeTiming() : m_options.timing;
     m_requestOutstanding = true;
-    m_client->call(platform::watchRequest(m_options.kind, m_revision, timing.held, timing.timeout, m_options.allowStale),
+    m_client->call(platform::watchRequest(m_options.kind, m_position.revision, timing.held, timing.timeout, m_options.allowStale),
                    [self = shared_from_this()](const platform::http_response &response) {
                        self->m_requestOutstanding = false;
                        self->handleChanges(response);
@@ -114,13 +125,17 @@
     if (m_stopped) {
         return;
     }
-    const platform::request_outcome outcome = platform::outcomeOfStatus(response.status);
+    const std::optional<store_era> era = m_history.accept(response);
+    if (m_listDelayed) {
+        return;
+    }
+    const platform::request_outcome outcome = era ? platform::outcomeOfStatus(response.status) : platform::request_outcome::noResponse;
     if (outcome == platform::request_outcome::historyExpired) {
         list({});
         return;
     }
     std::optional<platform::object_changes> changes =
-        outcome == platform::request_outcome::done ? platform::decodeChanges(response.body) : std::nullopt;
+        outcome == platform::request_outcome::done ? platform::decodeChanges(response.body, *era) : std::nullopt;
     if (!changes) {
         scheduleRetry();
         return;
@@ -133,7 +148,7 @@
             m_objects[change.object.name] = std::move(change.object);
         }
     }
-    m_revision = std::max(m_revision, changes->revision);
+    m_position = std::max(m_position, changes->position);
     if (changes->changes.empty()) {
         watch();
         return;
@@ -171,15 +186,36 @@
 
 void object_watch::onStoreReached()
 {
-    if (m_stopped || (!m_retryScheduled && !m_requestOutstanding)) {
+    if (m_stopped || m_listDelayed || (!m_retryScheduled && !m_requestOutstanding)) {
         return;
     }
     m_unanswered = true;
     resume();
 }
 
+void object_watch::onHistoryLost()
+{
+    if (m_stopped) {
+        return;
+    }
+    m_client->close();
+    m_requestOutstanding = false;
+    m_retryScheduled = false;
+    m_listComplete = false;
+    m_unanswered = true;
+    m_listDelayed = true;
+    m_historyLostAt = bootTime();
+    m_timer.expires_after(std::chrono::milliseconds(m_random() % listSpreadMs));
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
+        if (!problem && !self->m_stopped) {
+            self->resume();
+        }
+    });
+}
+
 void object_watch::resume()
 {
+    m_listDelayed = false;
     m_retryScheduled = false;
     m_timer.cancel();
     if (m_listComplete) {
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Edge/store_history.h"
 #include "mustardrouter/Edge/watch_timing.h"
 #include "platform/http_client.h"
 #include "platform/stored_objects.h"
@@ -32,6 +33,8 @@
         std::function<void(const objects &, time_point changedSince)> onChange;
         /// Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable)> onReachable;
+        /// Called when the objects were listed again after the store had lost its history, with the time since.
+        std::function<void(duration after)> onListedAgain;
     };
 
     /// What to watch, and how.
@@ -46,7 +49,9 @@
         watch_timing timing;
     };
 
-    object_watch(asio::io_context &context, std::string address, options what, std::uint64_t seed, handlers callbacks);
+    /// `history` is shared by all that speak to the store and has to live longer than this.
+    object_watch(
+        asio::io_context &context, std::string address, store_history &history, options what, std::uint64_t seed, handlers callbacks);
 
     void start();
     void stop();
@@ -55,6 +60,8 @@
     /// The store was reached again after failures of this or another watch: ends the backoff, and repeats a request that was sent
     /// before.
     void onStoreReached();
+    /// The store has returned from an older copy: lists all objects again after a random delay. The copy stays as it is until then.
+    void onHistoryLost();
 
 private:
     void list(const std::string &afterName);
@@ -70,6 +77,7 @@
     void recordFailure();
 
     asio::io_context &m_context;
+    store_history &m_history;
     std::shared_ptr<platform::http_client> m_client;
     asio::steady_timer m_timer;
     options m_options;
@@ -78,13 +86,18 @@
     objects m_objects;
     objects m_incompleteList;
     time_point m_listChangedSince{};
+    /// When the store lost the history of `m_objects`; the epoch if it has not.
+    time_point m_historyLostAt{};
     /// When the last answer arrived, on the clock of bootTime().
     time_point m_answeredAt{};
-    std::uint64_t m_revision = 0;
+    /// Position up to which the copy is complete.
+    store_position m_position;
     std::uint32_t m_consecutiveFailures = 0;
     bool m_listComplete = false;
     bool m_reachable = true;
     bool m_retryScheduled = false;
+    /// The next list waits for its random delay after a loss of the store's history.
+    bool m_listDelayed = false;
     /// The store has not answered since the last failure.
     bool m_unanswered = true;
     /// A request was sent and not answered yet.
--- a/mustardrouter/Operators/log_timeline.cpp
+++ b/mustardrouter/Operators/log_timeline.cpp
@@ -55,8 +55,17 @@
 /// Whether the event concerns the whole instance, not a particular group.
 bool concernsInstance(const log_line &line)
 {
-    static const std::set<std::string> events{
-        "start", "stop", "stopping", "reload", "reload_failed", "store_lost", "store_regained", "configuration_adopted"};
+    static const std::set<std::string> events{"start",
+                                              "stop",
+                                              "stopping",
+                                              "reload",
+                                              "reload_failed",
+                                              "store_lost",
+                                              "store_regained",
+                                              "store_history_lost",
+                                              "store_listed_again",
+                                              "store_era_missing",
+                                              "configuration_adopted"};
     return events.contains(line.event);
 }
 
--- a/mustardrouter/PlatformStandIn/standin_documents.cpp
+++ b/mustardrouter/PlatformStandIn/standin_documents.cpp
@@ -36,7 +36,7 @@
     entry["slots"] = group.slots;
     entry["state"] = member.leaving ? "draining" : "ready";
     entry["warmup_left_ms"] = 0;
-    entry["sequence"] = 1;
+    entry["sequence"] = Json::UInt64(member.sequence);
     entry["db_role"] = member.primary ? "primary" : "replica";
     entry["born"] = Json::UInt64(member.incarnation);
     return entry;
--- a/mustardrouter/PlatformStandIn/standin_group.h
+++ b/mustardrouter/PlatformStandIn/standin_group.h
@@ -49,6 +49,8 @@
     std::deque<time_point> applyAt;
     /// Changes whenever the database starts again.
     std::uint64_t incarnation = 1;
+    /// Number of changes of its store entry since it started.
+    std::uint64_t sequence = 1;
 };
 
 /// Model of a database group as the users' pages describe it: logs, replication and promotion, without I/O or clocks.
--- a/mustardrouter/PlatformStandIn/standin_http.cpp
+++ b/mustardrouter/PlatformStandIn/standin_http.cpp
@@ -97,7 +97,7 @@
             return;
         }
         m_out = "HTTP/1.1 " + std::to_string(response.status) + " -\r\nContent-Type: application/json\r\nContent-Length: "
-                + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+                + std::to_string(response.body.size()) + "\r\n" + response.headers + "\r\n" + response.body;
         asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const asio::error_code &problem, std::size_t) {
             if (!problem) {
                 self->receive();
--- a/mustardrouter/PlatformStandIn/standin_http.h
+++ b/mustardrouter/PlatformStandIn/standin_http.h
@@ -28,6 +28,8 @@
     bool silent = false;
     /// The connection is closed without an answer.
     bool closes = false;
+    /// Additional header lines, each with its terminator.
+    std::string headers{};
 };
 
 /// HTTP server whose requests are answered asynchronously. Runs on the thread of its context.
--- a/mustardrouter/PlatformStandIn/standin_objects.cpp
+++ b/mustardrouter/PlatformStandIn/standin_objects.cpp
@@ -64,7 +64,7 @@
 
 std::optional<std::vector<standin_change>> standin_objects::changesSince(const std::string &kind, std::uint64_t since) const
 {
-    if (since < m_historyFrom) {
+    if (since < m_historyFrom || since > m_revision) {
         return std::nullopt;
     }
     std::vector<standin_change> changes;
--- a/mustardrouter/PlatformStandIn/standin_objects.h
+++ b/mustardrouter/PlatformStandIn/standin_objects.h
@@ -50,7 +50,7 @@
     void put(const std::string &kind, const std::string &name, const Json::Value &spec);
     void remove(const std::string &kind, const std::string &name);
 
-    /// Changes of a kind after a revision; nothing if the history no longer reaches back to it.
+    /// Changes of a kind after a revision; nothing if the history no longer reaches back to it, or not yet.
     std::optional<std::vector<standin_change>> changesSince(const std::string &kind, std::uint64_t since) const;
     void dropHistory();
 
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -15,6 +15,8 @@
 
 /// Time of the store's answers without faults.
 constexpr std::chrono::milliseconds responseDelay{4};
+/// Oldest copy from which the store may return.
+constexpr duration oldestCopy = std::chrono::seconds(11);
 /// Delay of writes and orders that are executed late: the minimum, and the spread added at random.
 constexpr std::uint64_t minLateMillis = 1000;
 constexpr std::uint64_t lateSpreadMillis = 4000;
@@ -101,13 +103,47 @@
     return true;
 }
 
-void standin_store::handle(std::size_t instance, const standin_request &request, const standin_http::responder &respond)
+void standin_store::setChecksFences(bool checksFences)
 {
+    m_checksFences = checksFences;
+}
+
+void standin_store::keepCopy(time_point now)
+{
+    if (m_copies.empty() || m_copies.back().second.revision() != m_objects.revision()) {
+        m_copies.emplace_back(now, m_objects);
+    }
+    // The newest copy that is older than all that may be asked for has to stay.
+    while (m_copies.size() > 1 && now - m_copies[1].first > oldestCopy) {
+        m_copies.pop_front();
+    }
+}
+
+void standin_store::returnFromCopy(duration age, time_point now)
+{
+    while (m_copies.size() > 1 && now - m_copies.back().first < age) {
+        m_copies.pop_back();
+    }
+    if (!m_copies.empty()) {
+        m_objects = m_copies.back().second;
+    }
+    m_era += 1;
+    disconnectWatches();
+}
+
+void standin_store::handle(std::size_t instance, const standin_request &request, const standin_http::responder &respondTo)
+{
+    const bool isOrder = request.method == "POST" && request.path == "/failover";
+    const standin_http::responder respond = [this, isOrder, respondTo](standin_answer answer) {
+        if (!isOrder) {
+            answer.headers = "Store-Era: " + std::to_string(m_era) + "\r\n";
+        }
+        respondTo(std::move(answer));
+    };
     if (respondWithFault(instance, respond)) {
         return;
     }
-    callLater(m_context, responseDelay + m_faults.extraDelay, [this, instance, request, respond] {
-        const bool isOrder = request.method == "POST" && request.path == "/failover";
+    callLater(m_context, responseDelay + m_faults.extraDelay, [this, instance, request, respond, isOrder] {
         if (request.method == "GET") {
             read(instance, request, respond);
             return;
@@ -277,7 +313,7 @@
     }
     const standin_order order{body["service"].asString(), body["id"].asString(), holder->second, toNumber(fence->second)};
     std::uint64_t &highest = m_fences[order.group];
-    if (order.fence < highest) {
+    if (m_checksFences && order.fence < highest) {
         return {409, "{}"};
     }
     highest = order.fence;
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/PlatformStandIn/standin_http.h"
 #include "mustardrouter/PlatformStandIn/standin_objects.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mustardrouter
@@ -65,6 +68,12 @@
     void notifyWatches();
     /// Closes the connections of all watches without an answer.
     void disconnectWatches();
+    /// Whether the fence of a promotion order is compared with those before.
+    void setChecksFences(bool checksFences);
+    /// Keeps a copy of the objects, from which the store may return; to be called at regular intervals.
+    void keepCopy(time_point now);
+    /// Replaces the objects by the newest copy that is at least this old, and begins a new era.
+    void returnFromCopy(duration age, time_point now);
 
 private:
     struct pending_watch {
@@ -90,6 +99,9 @@
     handlers m_handlers;
     std::mt19937_64 m_random;
     standin_objects m_objects;
+    std::deque<std::pair<time_point, standin_objects>> m_copies;
+    std::uint64_t m_era = 1;
+    bool m_checksFences = true;
     store_faults m_faults;
     std::vector<std::unique_ptr<standin_http>> m_listeners;
     std::list<pending_watch> m_watches;
--- a/mustardrouter/Proxy/database_listing.h
+++ b/mustardrouter/Proxy/database_listing.h
@@ -22,6 +22,8 @@
     bool reportsPrimary = false;
     /// Changes when a database restarts under its old name; zero when not reported.
     std::uint64_t incarnation = 0;
+    /// Rises with each entry of the same incarnation.
+    std::uint64_t sequence = 0;
 
     bool operator==(const listed_database &) const = default;
 };
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+/// Whether the entry is older than the known one, as the store's list may be when it is read late or returns from a copy.
+bool isOutdated(const proxy_engine &engine, const listed_database &known, const listed_database &listed, time_point now)
+{
+    if (known.incarnation == listed.incarnation) {
+        return known.incarnation != 0 && listed.sequence < known.sequence;
+    }
+    const bool mayBeLost = engine.storeHistoryLost && now - engine.storeEraSince < engine.settings.entriesRewrittenWithin;
+    return mayBeLost && listed.incarnation < known.incarnation;
+}
+
 void updateDatabase(proxy_engine &engine, group_state &group, const listed_database &listed, time_point changedSince, time_point now)
 {
     const auto [found, added] = group.databases.try_emplace(listed.name);
@@ -49,6 +59,10 @@
     const bool restarted = !added && listed.incarnation != database.listed.incarnation;
     const bool addressChanged = !added && listed.address != database.listed.address;
     const bool becamePrimary = !added && listed.reportsPrimary && !database.listed.reportsPrimary;
+    if (!added && isOutdated(engine, database.listed, listed, now)) {
+        database.unlistedSince = time_point{};
+        return;
+    }
     const bool startsLeaving = listed.leaving && (added || !database.listed.leaving);
     database.listed = listed;
     database.unlistedSince = time_point{};
@@ -180,7 +194,8 @@
                      {"lead", group.primary ? group.primary->value() : std::string("none")}});
         scheduleGroupCheck(engine, group, watch.notBefore);
     }
-    if (watch.phase != failover_phase::watching || now < watch.notBefore) {
+    const time_point notBefore = std::max(watch.notBefore, promotionsAllowedFrom(engine));
+    if (watch.phase != failover_phase::watching || now < notBefore) {
         return;
     }
     const std::optional<database_name> successor = chooseSuccessor(viewOf(group), engine.settings, now);
@@ -229,9 +244,9 @@
                 "promotion_ordered",
                 {{"group", group.name.value()},
                  {"successor", watch.successor.value()},
-                 {"fence", std::to_string(watch.claimRevision)},
+                 {"fence", std::to_string(fenceOf(watch.claimPosition).value())},
                  {"after_ms", toMillisText(now - watch.causeSince)}});
-    engine.actions.emplace_back(order_promotion{group.name, watch.successor, fence_number(watch.claimRevision)});
+    engine.actions.emplace_back(order_promotion{group.name, watch.successor, fenceOf(watch.claimPosition)});
 }
 
 /// Tells the primary to step down before its successor is promoted, so that at no time both accept writes.
@@ -346,20 +361,21 @@
         return;
     }
     failover_state &watch = group->failover;
-    const bool isNew = claim.revision != watch.claimRevision;
-    watch.claimRevision = claim.revision;
+    const bool isNew = claim.position != watch.claimPosition;
+    watch.claimPosition = claim.position;
     const term_number present = std::max(highestTerm(viewOf(*group)), group->reportedTerm);
     if (isNew && isClaimOpen(viewOf(*group), claim)) {
-        reportEvent(engine, "promotion_left_to_other", {{"group", name.value()}, {"claim", std::to_string(claim.revision)}});
+        reportEvent(
+            engine, "promotion_left_to_other", {{"group", name.value()}, {"claim", std::to_string(fenceOf(claim.position).value())}});
         resumeWatching(engine, *group, engine.settings.promotionTimeout, now);
         return;
     }
     watch.phase = failover_phase::writingClaim;
     watch.claimRequestedAt = now;
     const bool seenToLead = group->primary == claim.successor && group->reportedTerm > claim.term;
-    const bool settled = claim.revision == 0 || seenToLead || claim.successor == watch.successor;
+    const bool settled = !claim.exists() || seenToLead || claim.successor == watch.successor;
     const database_name unsettled = settled ? database_name() : claim.successor;
-    engine.actions.emplace_back(write_claim{name, claim.revision, present, watch.successor, unsettled});
+    engine.actions.emplace_back(write_claim{name, claim.position, present, watch.successor, unsettled});
 }
 
 void onClaimReadFailed(proxy_engine &engine, const group_name &name, time_point now)
@@ -370,13 +386,13 @@
     }
 }
 
-void onClaimWritten(proxy_engine &engine, const group_name &name, fence_number fence, time_point now)
+void onClaimWritten(proxy_engine &engine, const group_name &name, const store_position &position, time_point now)
 {
     group_state *group = findGroup(engine, name);
     if (group == nullptr) {
         return;
     }
-    group->failover.claimRevision = fence.value();
+    group->failover.claimPosition = position;
     const failover_cause cause = causeOfFailover(viewOf(*group), engine.settings, now);
     const bool outdated = now - group->failover.claimRequestedAt > claimValidFor;
     if (group->failover.phase != failover_phase::writingClaim || cause == failover_cause::none || outdated) {
@@ -428,8 +444,12 @@
 
 group_state &findOrCreateGroup(proxy_engine &engine, const group_name &name)
 {
-    group_state &group = engine.groups[name];
-    group.name = name;
+    const auto [found, added] = engine.groups.try_emplace(name);
+    group_state &group = found->second;
+    if (added) {
+        group.name = name;
+        group.verification.claimsCompleteFrom = claimsCompleteFrom(engine);
+    }
     return group;
 }
 
@@ -441,9 +461,9 @@
     }
     reportEvent(engine, "promotion_no_longer_wanted", {{"group", group.name.value()}, {"why", reason}});
     resumeReplicas(engine, group, now);
-    const std::uint64_t lastClaimRevision = watch.claimRevision;
+    const store_position lastClaim = watch.claimPosition;
     watch = failover_state{};
-    watch.claimRevision = lastClaimRevision;
+    watch.claimPosition = lastClaim;
 }
 
 void assumePrimary(proxy_engine &engine, group_state &group, const database_name &name, const char *source, time_point now)
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -52,6 +52,15 @@
 /// Sends the BEGIN of the session's transaction.
 void sendBegin(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now);
 
+// The store's history (engine_store_history.cpp)
+
+/// From when on a claim of the store's present era shows all promotions that may still be carried out.
+time_point claimsCompleteFrom(const proxy_engine &engine);
+/// Before this time another instance's promotion may be under way whose claim the store has lost.
+time_point promotionsAllowedFrom(const proxy_engine &engine);
+/// Removes the instances that have not written their entries again in time after the store lost them.
+void dropLostInstances(proxy_engine &engine, time_point now);
+
 // Relaying (engine_relaying.cpp)
 
 /// Computes the holders of all groups.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -170,17 +170,6 @@
 
 } // namespace
 
-void onInstances(proxy_engine &engine, const instance_listing &instances, time_point now)
-{
-    if (engine.instances == instances) {
-        return;
-    }
-    engine.instances = instances;
-    engine.instanceListNumber += 1;
-    updateHolders(engine);
-    dispatchReadyGroups(engine, now);
-}
-
 void onRelayedSessionStarted(proxy_engine &engine, session_id id, time_point now)
 {
     client_session &session = engine.sessions[id];
--- a/mustardrouter/Proxy/failover_state.cpp
+++ b/mustardrouter/Proxy/failover_state.cpp
@@ -99,7 +99,7 @@
 
 bool isClaimOpen(const failover_view &view, const promotion_claim &claim)
 {
-    if (claim.revision == 0) {
+    if (!claim.exists()) {
         return false;
     }
     const auto successor = view.databases->find(claim.successor);
--- a/mustardrouter/Proxy/failover_state.h
+++ b/mustardrouter/Proxy/failover_state.h
@@ -35,8 +35,8 @@
     /// This instance orders no promotion before.
     time_point notBefore{};
     database_name successor;
-    /// Revision of the last claim that was read or written, and when the writing of this instance's claim was requested.
-    std::uint64_t claimRevision = 0;
+    /// Position of the last claim that was read or written, and when the writing of this instance's claim was requested.
+    store_position claimPosition;
     time_point claimRequestedAt{};
     /// The primary that was told to step down, and when.
     database_name steppingDown;
--- a/mustardrouter/Proxy/primary_verification.cpp
+++ b/mustardrouter/Proxy/primary_verification.cpp
@@ -11,11 +11,15 @@
 /// When the store last showed that nobody has ordered the promotion of `candidate` since `primary` became primary of `term`.
 time_point claimEvidenceFor(const primary_verification &verification,
                             const database_name &candidate,
+                            time_point notPrimaryAt,
                             const database_name &primary,
                             term_number term)
 {
     const promotion_claim &claim = verification.claim;
-    if (claim.revision == 0) {
+    if (notPrimaryAt < verification.claimsCompleteFrom) {
+        return time_point{};
+    }
+    if (!claim.exists()) {
         return verification.claimRequestedAt;
     }
     const bool named = claim.successor == candidate || claim.unsettledSuccessor == candidate;
@@ -46,7 +50,8 @@
         if (name == database) {
             continue;
         }
-        const time_point fromStore = needsClaimEvidence(other) ? claimEvidenceFor(*view.verification, name, database, term) : time_point{};
+        const time_point fromStore =
+            needsClaimEvidence(other) ? claimEvidenceFor(*view.verification, name, other.notPrimaryAt, database, term) : time_point{};
         const time_point evidence = std::max(other.notPrimaryAt, fromStore);
         earliest = earliest ? std::min(*earliest, evidence) : evidence;
     }
@@ -55,7 +60,10 @@
     }
     // No other database is known, but the platform's list may be incomplete.
     const promotion_claim &claim = view.verification->claim;
-    const bool isOwn = claim.revision == 0 || (claim.successor == database && claim.term < term);
+    if (view.verification->claimRequestedAt < view.verification->claimsCompleteFrom) {
+        return time_point{};
+    }
+    const bool isOwn = !claim.exists() || (claim.successor == database && claim.term < term);
     return isOwn ? view.verification->claimRequestedAt : time_point{};
 }
 
--- a/mustardrouter/Proxy/primary_verification.h
+++ b/mustardrouter/Proxy/primary_verification.h
@@ -48,6 +48,9 @@
     std::deque<unverified_position> positions;
     /// The latest claim that was read as evidence, when it was requested, and whether a request is outstanding.
     promotion_claim claim;
+    /// A claim counts as evidence on a database only if that was seen not to be primary after this time: claims of the store's
+    /// earlier eras are lost, and orders under them have been carried out by then.
+    time_point claimsCompleteFrom{};
     time_point claimRequestedAt{};
     time_point claimAskedAt{};
     bool claimOutstanding = false;
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Core/store_position.h"
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Proxy/client_reply.h"
 #include "mustardrouter/Proxy/database_command.h"
@@ -60,7 +61,7 @@
     std::string address;
 };
 
-/// Reads the latest claim to the right to order promotions for a group.
+/// Reads the latest claim to the right to order promotions for a group in the store's present era.
 struct read_claim {
     group_name group;
 };
@@ -73,8 +74,8 @@
 /// Claims the right to order promotions, if the claim that was read is still the latest.
 struct write_claim {
     group_name group;
-    /// Revision of the claim that was read; zero for none.
-    std::uint64_t expected = 0;
+    /// Position of the claim that was read; revision 0 for none.
+    store_position expected;
     /// Term of the primary to replace.
     term_number term;
     database_name successor;
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -27,6 +27,8 @@
     std::uint64_t repliesHeldMicros = 0;
     std::uint64_t repliesNotVerified = 0;
     std::uint64_t stepDownsSent = 0;
+    /// Returns of the platform's store from an older copy.
+    std::uint64_t storeHistoriesLost = 0;
     /// Statements and transactions sent to holders.
     std::uint64_t statementsRelayed = 0;
 };
--- a/mustardrouter/Proxy/proxy_engine.cpp
+++ b/mustardrouter/Proxy/proxy_engine.cpp
@@ -63,6 +63,9 @@
         }
         return;
     }
+    case timer_kind::instances:
+        proxying::dropLostInstances(engine, now);
+        return;
     case timer_kind::dispatch:
         engine.groupsToDispatch.insert(timer.group);
         return;
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -66,7 +66,7 @@
 };
 
 /// What a timer is for.
-enum class timer_kind : std::uint8_t { session, connection, group, dispatch, warmUp, verification };
+enum class timer_kind : std::uint8_t { session, connection, group, dispatch, warmUp, verification, instances };
 
 /// One timer. Timers are not cancelled: whether there is something to do is checked when they are due.
 struct proxy_timer {
@@ -92,7 +92,13 @@
     route_table routes;
     bool configurationReceived = false;
     bool listingReceived = false;
+    /// The store's era, when it was first seen, and whether another one was seen before.
+    store_era storeEra;
+    time_point storeEraSince{};
+    bool storeHistoryLost = false;
     instance_listing instances;
+    /// The list as it was read, while `instances` still has entries that the store has lost.
+    std::optional<instance_listing> incompleteInstances;
     /// Incremented with each list of instances that differs from the one before.
     std::uint64_t instanceListNumber = 0;
     /// Groups to whose databases only some instances hold connections.
@@ -122,6 +128,10 @@
 /// The platform's list of databases was read or has changed; the change was made after `changedSince`.
 void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now);
 
+/// The store's era is known for the first time since the start of this instance.
+void onFirstStoreEra(proxy_engine &engine, store_era era, time_point now);
+/// The store has returned from an older copy: claims, entries of databases and of instances may be lost until they are written again.
+void onStoreHistoryLost(proxy_engine &engine, store_era era, time_point now);
 /// The list of instances was read or has changed.
 void onInstances(proxy_engine &engine, const instance_listing &instances, time_point now);
 
@@ -161,8 +171,8 @@
 /// not be read.
 void onClaimVerified(
     proxy_engine &engine, const group_name &group, const std::optional<promotion_claim> &claim, time_point requestedAt, time_point now);
-/// The claim was written; its revision is the fence number.
-void onClaimWritten(proxy_engine &engine, const group_name &group, fence_number fence, time_point now);
+/// The claim was written, at this position.
+void onClaimWritten(proxy_engine &engine, const group_name &group, const store_position &position, time_point now);
 /// The claim was not written, or the reply was lost.
 void onClaimWriteFailed(proxy_engine &engine, const group_name &group, time_point now);
 /// The platform replied to a promotion order; `accepted` when it will carry it out.
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -45,6 +45,10 @@
     duration failoverJitter = std::chrono::milliseconds(400);
     /// How long a promotion that this or another instance ordered is given to take effect.
     duration promotionTimeout = std::chrono::seconds(3);
+    /// After this time an order whose reply was lost is no longer carried out; longest seen on the platform: 12 s.
+    duration orderSettlingTime = std::chrono::seconds(15);
+    /// Within this time after the store has lost its newest entries they are written again.
+    duration entriesRewrittenWithin = std::chrono::seconds(3);
     /// Pause before the next attempt after a claim or a promotion order has failed.
     duration promotionBackoff = std::chrono::milliseconds(700);
     /// How long a database stays usable after it is no longer listed: the platform's list loses entries during the
--- a/mustardrouter/Soak/fault_injector.cpp
+++ b/mustardrouter/Soak/fault_injector.cpp
@@ -62,6 +62,7 @@
     case soak_fault::storeLosesAnswers:
     case soak_fault::storeLateWrites:
     case soak_fault::storeForgets:
+    case soak_fault::storeReturnsFromCopy:
     case soak_fault::ordersLate:
     case soak_fault::configurationChange:
         return injectStoreFault(fault);
@@ -244,6 +245,16 @@
         store.objects().dropHistory();
         store.disconnectWatches();
         return {};
+    case soak_fault::storeReturnsFromCopy: {
+        constexpr std::uint32_t minAgeMillis = 500;
+        constexpr std::uint32_t ageSpreadMillis = 9500;
+        const duration age = std::chrono::milliseconds(minAgeMillis + fault.variant * 7919 % ageSpreadMillis);
+        store.faults().down = failure;
+        return [this, age] {
+            m_deployment.store().faults().down = store_failure::none;
+            m_deployment.returnStoreFromCopy(age);
+        };
+    }
     case soak_fault::ordersLate:
         store.faults().percentOrdersDelayed = fault.variant % percent;
         return [&store] {
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint32_t percentRepeated = 25;
 constexpr std::uint32_t percentFollowed = 25;
 constexpr std::uint32_t percent = 100;
+/// Lower seeds keep the plans that once failed.
+constexpr std::uint64_t firstSeedWithStoreLosses = 10'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -64,6 +66,7 @@
     "primary cut from replicas",
     "primary cut from some",
     "configuration change",
+    "store returns from an older copy",
 };
 
 class plan_builder
@@ -71,6 +74,7 @@
 public:
     explicit plan_builder(std::uint64_t seed)
         : m_random(seed)
+        , m_lossRandom(seed + 1)
     {
     }
 
@@ -95,6 +99,41 @@
         }
     }
 
+    /// Adds returns of the store from an older copy, in most rounds one, in some two in a row.
+    void addStoreLosses(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::uint64_t percentWithout = 20;
+        constexpr std::uint64_t outageSpreadMicros = 2'800'000;
+        duration at = round.faultsFrom + duration(m_lossRandom() % 4'000'000);
+        for (std::uint64_t left = m_lossRandom() % percent < percentWithout ? 0 : 1 + m_lossRandom() % 2; left > 0; --left) {
+            planned_fault loss;
+            loss.kind = soak_fault::storeReturnsFromCopy;
+            loss.at = at;
+            loss.length = std::min(minFaultLength + duration(m_lossRandom() % outageSpreadMicros), round.quietFrom - at);
+            loss.variant = static_cast<std::uint32_t>(m_lossRandom() % 1000);
+            plan.faults.push_back(loss);
+            addAfterStoreLoss(plan, round, loss);
+            at = std::min(at + loss.length + duration(m_lossRandom() % 1'000'000), round.quietFrom - minFaultLength);
+        }
+    }
+
+    /// Changes after the return, of which half of the instances learn late.
+    void addAfterStoreLoss(soak_plan &plan, const soak_round &round, const planned_fault &loss)
+    {
+        planned_fault refusal = loss;
+        refusal.kind = soak_fault::storeRefuses;
+        refusal.length = std::min(loss.length + duration(m_lossRandom() % 3'000'000), round.quietFrom - loss.at);
+        refusal.target = static_cast<std::uint32_t>(m_lossRandom() % 2);
+        plan.faults.push_back(refusal);
+        for (std::uint64_t left = m_lossRandom() % 4; left > 0; --left) {
+            planned_fault change;
+            change.kind = soak_fault::configurationChange;
+            change.at = std::min(loss.at + loss.length + duration(m_lossRandom() % 1'000'000), round.quietFrom - minFaultLength);
+            change.length = minFaultLength;
+            plan.faults.push_back(change);
+        }
+    }
+
     void addPlannedWork(soak_plan &plan, const soak_round &round)
     {
         constexpr std::array<soak_fault, 4> planned{
@@ -126,13 +165,14 @@
         fault.at = round.faultsFrom + duration(draw(static_cast<std::size_t>((span - minFaultLength).count())));
         const duration left = round.quietFrom - fault.at;
         fault.length = minFaultLength + duration(draw(static_cast<std::size_t>((left - minFaultLength).count()) + 1));
-        fault.kind = static_cast<soak_fault>(draw(static_cast<std::size_t>(soak_fault::count)));
+        fault.kind = static_cast<soak_fault>(draw(static_cast<std::size_t>(soak_fault::storeReturnsFromCopy)));
         fault.target = draw(1000);
         fault.variant = draw(1000);
         return fault;
     }
 
     std::mt19937_64 m_random;
+    std::mt19937_64 m_lossRandom;
 };
 
 } // namespace
@@ -151,6 +191,9 @@
         const soak_round round{at, at + faultPhaseLength, at + faultPhaseLength + quietPhaseLength};
         plan.rounds.push_back(round);
         builder.addFaults(plan, round);
+        if (seed >= firstSeedWithStoreLosses) {
+            builder.addStoreLosses(plan, round);
+        }
         builder.addPlannedWork(plan, round);
         at = round.end;
     } while (at + faultPhaseLength + quietPhaseLength <= length);
--- a/mustardrouter/Soak/fault_plan.h
+++ b/mustardrouter/Soak/fault_plan.h
@@ -43,6 +43,8 @@
     primaryCutFromReplicas,
     primaryCutFromSome,
     configurationChange,
+    /// The store returns from an older copy after a short outage; planned apart from the others.
+    storeReturnsFromCopy,
     /// Number of kinds, not a fault.
     count,
 };
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -56,6 +56,7 @@
     , m_timer(context)
     , m_variant(variant)
 {
+    m_store.setChecksFences(!variant.replacedPrimariesContinue);
 }
 
 bool soak_deployment::start(std::size_t groupCount, std::size_t instanceCount)
@@ -194,7 +195,7 @@
     }
     const time_point now = m_now();
     for (const auto &group : m_groups) {
-        for (const auto &[name, member] : group->members) {
+        for (auto &[name, member] : group->members) {
             if (!member.running || member.unresponsive) {
                 const time_point since = m_unresponsiveSince.try_emplace(name, now).first->second;
                 const bool left = member.leaving && !member.running;
@@ -207,12 +208,23 @@
             if (now < m_publishAllowedAt[name]) {
                 continue;
             }
-            m_store.objects().put("servers", name.value(), entryOf(*group, member));
+            publishEntry(*group, member);
         }
     }
+    m_store.keepCopy(now);
     m_store.notifyWatches();
 }
 
+void soak_deployment::publishEntry(const standin_group &group, standin_member &member)
+{
+    Json::Value &published = m_publishedEntries[member.name];
+    if (published != entryOf(group, member)) {
+        member.sequence += 1;
+        published = entryOf(group, member);
+    }
+    m_store.objects().put("servers", member.name.value(), published);
+}
+
 void soak_deployment::publishConfiguration()
 {
     constexpr std::uint64_t versionSpread = 5;
@@ -221,12 +233,18 @@
     next.at = m_now();
     next.addedRoute = "extra-" + std::to_string(next.version);
     next.removedRoute = m_versions.empty() ? std::string() : m_versions.back().addedRoute;
-    std::map<std::string, route> routes{{next.addedRoute, m_routes.front().sessionRoute}};
+    m_versions.push_back(next);
+    writeConfiguration();
+}
+
+void soak_deployment::writeConfiguration()
+{
+    const published_version &newest = m_versions.back();
+    std::map<std::string, route> routes{{newest.addedRoute, m_routes.front().sessionRoute}};
     for (const soak_route &one : m_routes) {
         routes[one.name] = one.sessionRoute;
     }
-    m_store.objects().put("config", "main", configurationOf(next.version, routes, m_groups));
-    m_versions.push_back(next);
+    m_store.objects().put("config", "main", configurationOf(newest.version, routes, m_groups));
     m_store.notifyWatches();
 }
 
@@ -246,6 +264,7 @@
     member.primary = member.primary && !member.replaced;
     member.replaced = false;
     member.incarnation += 1;
+    member.sequence = 1;
     if (!databaseOf(name).listen()) {
         m_history.reportViolation("the soak itself: " + name.value() + " can't listen on its port again");
     }
@@ -289,4 +308,17 @@
     }
 }
 
+void soak_deployment::returnStoreFromCopy(duration age)
+{
+    m_store.returnFromCopy(age, m_now());
+    for (const auto &group : m_groups) {
+        for (const auto &[name, member] : group->members) {
+            m_publishAllowedAt[name] = m_now() + duration(static_cast<std::int64_t>(m_random() % republishSpreadMicros));
+        }
+    }
+    callLater(m_context, duration(static_cast<std::int64_t>(m_random() % republishSpreadMicros)), [this] {
+        writeConfiguration();
+    });
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -81,10 +81,15 @@
     void leave(standin_group &group, const database_name &name);
     /// Removes the store entries of all databases, as after a store outage; each is published again within 2 s.
     void dropEntries();
+    /// Lets the store return from a copy of this age. The databases and the operator write again within 2 s.
+    void returnStoreFromCopy(duration age);
 
 private:
     void tick();
     void publishEntries();
+    void publishEntry(const standin_group &group, standin_member &member);
+    /// Writes the newest version to the store.
+    void writeConfiguration();
     void addDatabase(standin_group &group, const std::string &name, const std::string &dataCentre, bool primary);
     bool promote(const standin_order &order);
 
@@ -98,6 +103,7 @@
     std::map<database_name, std::unique_ptr<platform_standin_database>> m_databases;
     std::map<database_name, time_point> m_unresponsiveSince;
     std::map<database_name, time_point> m_publishAllowedAt;
+    std::map<database_name, Json::Value> m_publishedEntries;
     std::vector<leaving_database> m_leaving;
     std::vector<soak_route> m_routes;
     std::vector<published_version> m_versions;
--- a/spec/replaced_primary.pml
+++ b/spec/replaced_primary.pml
@@ -7,6 +7,10 @@
  * that names neither it nor an unsettled promotion of it and was written without knowledge of a newer term. An instance may be frozen at any step: it then takes no further steps
  * for any time. Checked property: a write that is acknowledged was committed by the primary of the highest term.
  *
+ * With LOSS the store returns once from an older copy: the claim is gone, while orders given under it may still be carried out. After
+ * that a claim is evidence on a database only if that was seen not to be primary when no such order was left. One claimant and one
+ * writer take part there: writers change nothing that others see, and a claim of the era before can't be replaced.
+ *
  * Bounds and mutants are selected by preprocessor definitions; see tests.d/spec.sh.
  */
 #ifndef PROMOTIONS
@@ -25,6 +29,12 @@
 byte claimTerm = 0;
 byte version = 0;
 
+/* Orders that are not carried out yet, of the store's present era and of the one before. */
+byte outstanding = 0;
+byte outstandingBefore = 0;
+byte era = 0;
+bool seenSinceLoss[DATABASES];
+
 /* A promotion of the database becomes effective: the platform carries out an order. */
 inline promote(d) {
     d_step {
@@ -38,10 +48,40 @@
     }
 }
 
-proctype order(byte d) {
-    promote(d)
+proctype order(byte d; byte ofEra) {
+    promote(d);
+#ifdef LOSS
+    if
+    :: atomic { ofEra == era -> outstanding-- }
+    :: atomic { ofEra != era -> outstandingBefore-- }
+    fi
+#endif
 }
 
+#ifdef LOSS
+proctype loss() {
+    atomic {
+        era = 1;
+        outstandingBefore = outstanding;
+        outstanding = 0;
+        version++;
+        successor = NONE;
+        unsettled = NONE;
+        claimTerm = 0
+    }
+}
+
+/* Instances see databases that are not primary. */
+proctype observer() {
+    do
+    :: d_step { era == 1 && outstandingBefore == 0 && !primary[0] && !seenSinceLoss[0] -> seenSinceLoss[0] = true }
+    :: d_step { era == 1 && outstandingBefore == 0 && !primary[1] && !seenSinceLoss[1] -> seenSinceLoss[1] = true }
+    :: d_step { era == 1 && outstandingBefore == 0 && !primary[2] && !seenSinceLoss[2] -> seenSinceLoss[2] = true }
+    :: break
+    od
+}
+#endif
+
 /* Claims and orders the promotion of a database other than the one that it has seen to lead. */
 proctype claimant() {
     byte seen;
@@ -76,7 +116,8 @@
 #endif
                 successor = next;
                 claimTerm = leadsTerm;
-                run order(next)
+                outstanding++;
+                run order(next, era)
             :: else
             fi
         }
@@ -98,14 +139,19 @@
     :: !primary[d]
     :: primary[d] && term[d] < mine
 #ifndef NO_CLAIM_EVIDENCE
+#if defined(LOSS) && !defined(LOSS_IGNORED)
+#define COMPLETE (era == 0 || seenSinceLoss[d])
+#else
+#define COMPLETE true
+#endif
 #if defined(CLAIM_NAMES_IGNORED)
-    :: claimTerm <= mine
+    :: COMPLETE && claimTerm <= mine
 #elif defined(CLAIM_TERM_IGNORED)
-    :: successor != d && unsettled != d
+    :: COMPLETE && successor != d && unsettled != d
 #else
-    :: successor == NONE
-    :: successor != d && unsettled != d && successor != at && claimTerm <= mine
-    :: successor != d && unsettled != d && successor == at && claimTerm < mine
+    :: COMPLETE && successor == NONE
+    :: COMPLETE && successor != d && unsettled != d && successor != at && claimTerm <= mine
+    :: COMPLETE && successor != d && unsettled != d && successor == at && claimTerm < mine
 #endif
 #endif
     :: else -> goto done
@@ -156,9 +202,19 @@
         primary[0] = true;
         term[0] = 1;
         run claimant();
+#ifndef LOSS
         run claimant();
+#endif
         run stepDown(0);
-        run writer();
         run writer()
+#ifndef LOSS
+        ;
+        run writer()
+#endif
+#ifdef LOSS
+        ;
+        run loss();
+        run observer()
+#endif
     }
 }
--- a/tests.d/spec.sh
+++ b/tests.d/spec.sh
@@ -48,6 +48,7 @@
 expect holds "reads with a token" promotion -DTERMS=3 -DREADS -DWITH_TOKEN
 expect holds "ownership record" record
 expect holds "replaced primary that goes on" replaced_primary
+expect holds "replaced primary, and the store loses its claim" replaced_primary -DLOSS
 
 expect violated "no term check" promotion -DTERMS=4 -DNO_TERM_CHECK
 expect violated "one answer is enough to promote" promotion -DTERMS=4 -DNO_QUORUM_RULE
@@ -72,6 +73,7 @@
 expect violated "a claim that names the database counts as evidence" replaced_primary -DCLAIM_NAMES_IGNORED
 expect violated "a claim whose writer knew a newer term counts as evidence" replaced_primary -DCLAIM_TERM_IGNORED
 expect violated "an earlier claim is forgotten" replaced_primary -DNO_UNSETTLED
+expect violated "a claim that the store lost counts as none" replaced_primary -DLOSS -DLOSS_IGNORED
 
 echo "$searches searches, $failures unexpected"
 [ "$failures" = 0 ]
