A hand-over that has begun when the store loses its history keeps the fence of its claim

Callers would have seen a group without a primary: the loss cleared the position of the claim, so that the order of a hand-over that was already past its STEPDOWN went out with fence 0 and was refused. Found by reading while protections were taken out.

Change: the position of the last claim stays; one of an earlier era differs from any of the present era.

--- a/UnitTests/Proxy/store_history_loss_test.cpp
+++ b/UnitTests/Proxy/store_history_loss_test.cpp
@@ -67,6 +67,7 @@
     const database_name old = world.primary().listed.name;
     world.promotionTime = 2500ms;
     world.primary().unresponsive = true;
+    world.send(world.connect("latest"), client_verb::write, "x", "1");
     world.runFor(500ms);
     world.promoteFromOtherInstance(database_name("db-2"));
     world.loseStoreHistory();
@@ -90,6 +91,24 @@
     CHECK_EQUAL(1U, world.fences.size());
 }
 
+TEST(store_history_loss, aHandOverThatHasBegunIsCompletedWithTheFenceOfItsClaim)
+{
+    ready_world world;
+    world.replacedPrimariesContinue = true;
+    world.engine.settings.replacedPrimariesStepDown = false;
+    const database_name old = world.primary().listed.name;
+    world.primary().listed.leaving = true;
+    world.publishListing();
+    while (world.engine.groups.at(group_name("g")).failover.phase != failover_phase::steppingDown) {
+        world.runFor(1ms);
+    }
+    world.loseStoreHistory();
+    world.runFor(2s);
+    CHECK_EQUAL(1U, world.fences.size());
+    CHECK_TRUE(world.fences.front() > 0);
+    CHECK_TRUE(world.primary().listed.name != old);
+}
+
 TEST(store_history_loss, aVanishedClaimIsNoEvidenceForADatabaseThatWasNotSeenSince)
 {
     std::map<database_name, database_state> databases;
--- a/mustardrouter/Proxy/engine_store_history.cpp
+++ b/mustardrouter/Proxy/engine_store_history.cpp
@@ -53,12 +53,6 @@
     for (auto &[name, group] : engine.groups) {
         group.verification.claim = promotion_claim{};
         group.verification.claimRequestedAt = time_point{};
-        failover_state &watch = group.failover;
-        watch.claimPosition = store_position{};
-        if (watch.phase == failover_phase::readingClaim || watch.phase == failover_phase::writingClaim) {
-            reportEvent(engine, "claim_not_used", {{"group", name.value()}, {"why", "the store lost its history"}});
-            watch.phase = failover_phase::watching;
-        }
         scheduleGroupCheck(engine, group, promotionsAllowedFrom(engine));
     }
 }
