Claims carry all unsettled promotions and the highest term that a claimant knew

Cause, from the traces: a claim remembered one unsettled promotion, so the third claim forgot the first; a claim had the term that its writer knew, so that a claimant with older knowledge set it back, and the claim counted as evidence for a primary that had been replaced since.

Change: a claim carries the successors of all earlier claims whose promotions were not seen, while the databases are listed, and a term that never goes back.

What remains: with both changes the model finds a third way, a refusal of a plain BEGIN by a database that was promoted and replaced again.

--- a/UnitTests/Proxy/promotion_world.cpp
+++ b/UnitTests/Proxy/promotion_world.cpp
@@ -65,8 +65,8 @@
     if (storeUnavailable) {
         return;
     }
-    const bool settled = !claim.exists() || primary().listed.name == claim.successor || claim.successor == name;
-    claim = {nextPosition(), primary().term, name, settled ? database_name() : claim.successor};
+    const std::vector<database_name> unsettled = unsettledAfter(claim, primary().listed.name == claim.successor);
+    claim = {nextPosition(), std::max(claim.term, primary().term), name, unsettled};
     events.emplace(now + promotionTime, [this, name] {
         if (!databases.at(name).unresponsive) {
             promote(name);
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -307,7 +307,7 @@
                 onClaimWriteFailed(*owner, written.group, now);
                 return;
             }
-            claim = {nextPosition(), written.term, written.successor, written.unsettledSuccessor};
+            claim = {nextPosition(), written.term, written.successor, written.unsettledSuccessors};
             onClaimWritten(*owner, written.group, claim.position, now);
         });
     } else if (auto *order = std::get_if<order_promotion>(&action)) {
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -86,7 +86,7 @@
 {
     const group_name group = action.group;
     platform::http_request request = platform::writeClaimRequest(
-        group, {action.expected, action.term, action.successor, action.unsettledSuccessor}, m_environment.instance);
+        group, {action.expected, action.term, action.successor, action.unsettledSuccessors}, m_environment.instance);
     const store_era era = action.expected.era;
     promotionClient(group, m_environment.storeAddress)
         ->call(std::move(request), [this, group, era](const platform::http_response &response) {
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -373,9 +373,11 @@
     watch.phase = failover_phase::writingClaim;
     watch.claimRequestedAt = now;
     const bool seenToLead = group->primary == claim.successor && group->reportedTerm > claim.term;
-    const bool settled = !claim.exists() || seenToLead || claim.successor == watch.successor;
-    const database_name unsettled = settled ? database_name() : claim.successor;
-    engine.actions.emplace_back(write_claim{name, claim.position, present, watch.successor, unsettled});
+    std::vector<database_name> unsettled = unsettledAfter(claim, seenToLead);
+    std::erase_if(unsettled, [&](const database_name &successor) {
+        return !group->databases.contains(successor);
+    });
+    engine.actions.emplace_back(write_claim{name, claim.position, std::max(present, claim.term), watch.successor, std::move(unsettled)});
 }
 
 void onClaimReadFailed(proxy_engine &engine, const group_name &name, time_point now)
--- a/mustardrouter/Proxy/primary_verification.cpp
+++ b/mustardrouter/Proxy/primary_verification.cpp
@@ -22,7 +22,7 @@
     if (!claim.exists()) {
         return verification.claimRequestedAt;
     }
-    const bool named = claim.successor == candidate || claim.unsettledSuccessor == candidate;
+    const bool named = mayPromote(claim, candidate);
     // The claim that led to the primary's own term was written in the term before.
     const bool isOfThisTerm = claim.successor == primary ? claim.term < term : claim.term <= term;
     return named || !isOfThisTerm ? time_point{} : verification.claimRequestedAt;
--- a/mustardrouter/Proxy/promotion_claim.h
+++ b/mustardrouter/Proxy/promotion_claim.h
@@ -4,7 +4,7 @@
 #include "mustardrouter/Core/store_position.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 
-#include <cstdint>
+#include <vector>
 
 namespace mustardrouter
 {
@@ -13,13 +13,12 @@
 struct promotion_claim {
     /// Position of the claim in the store; revision 0 when none was written in this era.
     store_position position;
-    /// Highest term that the claimant had seen.
+    /// Highest term that this claimant or one before had seen.
     term_number term;
     /// Database that the claimant chose.
     database_name successor;
-    /// Successor of the claim before, if the claimant had not seen it become primary: its promotion may still be carried out.
-    /// Empty otherwise.
-    database_name unsettledSuccessor;
+    /// Successors of earlier claims that the next claimant had not seen become primary: their promotions may still be carried out.
+    std::vector<database_name> unsettledSuccessors;
 
     bool exists() const
     {
@@ -27,6 +26,12 @@
     }
 };
 
+/// The unsettled successors of the claim that follows this one. `settled`: its successor has become primary.
+std::vector<database_name> unsettledAfter(const promotion_claim &claim, bool settled);
+
+/// Whether an order for the database under this claim or an earlier one may still be carried out.
+bool mayPromote(const promotion_claim &claim, const database_name &database);
+
 /// The fence of an order that is given under the claim at this position. It rises with the era, too, as revisions are given out again
 /// in a later one.
 fence_number fenceOf(const store_position &position);
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -76,11 +76,11 @@
     group_name group;
     /// Position of the claim that was read; revision 0 for none.
     store_position expected;
-    /// Term of the primary to replace.
+    /// Highest term that this claimant or one before has seen.
     term_number term;
     database_name successor;
-    /// Successor of the claim before whose promotion was not seen; empty if there is none.
-    database_name unsettledSuccessor;
+    /// Successors of earlier claims whose promotions were not seen.
+    std::vector<database_name> unsettledSuccessors;
 };
 
 /// Orders the platform to promote a database to primary.
--- a/tests.d/spec.sh
+++ b/tests.d/spec.sh
@@ -48,6 +48,7 @@
 expect holds "reads with a token" promotion -DTERMS=3 -DREADS -DWITH_TOKEN
 expect holds "ownership record" record
 expect holds "replaced primary that goes on" replaced_primary
+expect holds "replaced primary, three promotions, refusals that tell a term" replaced_primary -DPROMOTIONS=3 -DONE_WRITER -DREFUSAL_WITH_TERM
 expect holds "replaced primary, and the store loses its claim" replaced_primary -DLOSS
 
 expect violated "no term check" promotion -DTERMS=4 -DNO_TERM_CHECK
@@ -73,6 +74,8 @@
 expect violated "a claim that names the database counts as evidence" replaced_primary -DCLAIM_NAMES_IGNORED
 expect violated "a claim whose writer knew a newer term counts as evidence" replaced_primary -DCLAIM_TERM_IGNORED
 expect violated "an earlier claim is forgotten" replaced_primary -DNO_UNSETTLED
+expect violated "a claim remembers one unsettled order" replaced_primary -DPROMOTIONS=3 -DONE_WRITER -DREFUSAL_WITH_TERM -DONE_UNSETTLED
+expect violated "a claim has the term that its writer knows" replaced_primary -DPROMOTIONS=3 -DONE_WRITER -DREFUSAL_WITH_TERM -DCLAIM_TERM_OF_WRITER
 expect violated "a claim that the store lost counts as none" replaced_primary -DLOSS -DLOSS_IGNORED
 
 echo "$searches searches, $failures unexpected"
