Histogram of the time from the cause of a promotion to the first write after it

Change: a group remembers why and since when its primary is to be replaced, until another database has served a write here. `first_write` in the log and mustardrouter_first_write_seconds{cause}. A primary that answers again ends it without a sample.

--- a/UnitTests/Edge/edge_metrics_test.cpp
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -17,6 +17,7 @@
     engine.counters.refusalsByCause["the instance stops"] = 3;
     edge_metrics metrics;
     metrics.recordStatement(reply_code::done, 0.01);
+    metrics.recordFirstWrite(failover_cause::leaving, 0.7);
     const std::string text = metrics.text(engine, 1, 2, {});
     std::ifstream file(std::string(MUSTARDROUTER_SOURCE) + "/docs/OPERATIONS.md");
     const std::string page{std::istreambuf_iterator<char>(file), {}};
@@ -36,4 +37,5 @@
     }
     CHECK_EQUAL(exposed.size(), rows);
     CHECK_TRUE(text.find("mustardrouter_refusals_by_cause_total{cause=\"the instance stops\"} 3") != std::string::npos);
+    CHECK_TRUE(text.find("mustardrouter_first_write_seconds_bucket{cause=\"primary leaves\",le=\"1\"} 1") != std::string::npos);
 }
--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -261,7 +261,9 @@
     world.publishListing();
     world.runFor(3s);
     CHECK_TRUE(world.primary().listed.name != old);
+    CHECK_TRUE(world.engine.groups.at(group_name("g")).outage.has_value());
     CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "2").code == reply_code::done);
+    CHECK_FALSE(world.engine.groups.at(group_name("g")).outage.has_value());
     checkNoViolations(world);
 }
 
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -524,6 +524,11 @@
     m_relayLinks.dropLink(action.address);
 }
 
+void edge_instance::performAction(record_first_write &action)
+{
+    m_edgeMetrics.recordFirstWrite(action.cause, std::chrono::duration<double>(action.after).count());
+}
+
 void edge_instance::performAction(report_event &action)
 {
     m_log.write(action.event, action.fields);
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -76,6 +76,7 @@
     void performAction(verify_claim &action);
     void performAction(write_claim &action);
     void performAction(order_promotion &action);
+    void performAction(record_first_write &action);
     void performAction(report_event &action);
     void flushStreams();
     void scheduleEngineTimer();
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -16,6 +16,9 @@
 /// Upper bounds of the latency buckets in seconds. The latency targets of the users' routes are 0.5 to 1.2 s.
 const prometheus::Histogram::BucketBoundaries latencyBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3};
 
+/// Upper bounds of the buckets of outages in seconds. A promotion takes 0.3 to 1 s from its order.
+const prometheus::Histogram::BucketBoundaries outageBuckets{0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
+
 } // namespace
 
 /// The Prometheus registry and one latency histogram for each outcome seen so far.
@@ -26,6 +29,11 @@
                                                                .Help("Time from a statement's arrival to its answer")
                                                                .Register(registry);
     std::map<reply_code, prometheus::Histogram *> byOutcome;
+    prometheus::Family<prometheus::Histogram> &firstWrites = prometheus::BuildHistogram()
+                                                                 .Name("mustardrouter_first_write_seconds")
+                                                                 .Help("Time from the cause of a promotion to the first write after it")
+                                                                 .Register(registry);
+    std::map<failover_cause, prometheus::Histogram *> byCause;
 };
 
 edge_metrics::edge_metrics()
@@ -44,6 +52,15 @@
     histogram->Observe(seconds);
 }
 
+void edge_metrics::recordFirstWrite(failover_cause cause, double seconds)
+{
+    prometheus::Histogram *&histogram = m_implementation->byCause[cause];
+    if (histogram == nullptr) {
+        histogram = &m_implementation->firstWrites.Add({{"cause", toString(cause)}}, outageBuckets);
+    }
+    histogram->Observe(seconds);
+}
+
 std::string edge_metrics::text(const proxy_engine &engine,
                                std::size_t sessions,
                                std::uint64_t linesDropped,
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -21,6 +21,8 @@
 
     /// Records the time from the arrival of a statement to its reply.
     void recordStatement(reply_code outcome, double seconds);
+    /// Records the time from the cause of a promotion to the first write that the new primary served.
+    void recordFirstWrite(failover_cause cause, double seconds);
     /// Figures of this instance's use of the platform's store.
     struct store_figures {
         /// Confirmed writes of its own entry.
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -185,12 +185,13 @@
     if (watch.cause == failover_cause::none) {
         watch.cause = cause;
         watch.causeSince = now;
+        group.outage = primary_outage{cause, now, group.primary.value_or(database_name())};
         const auto spread = static_cast<std::uint64_t>(engine.settings.failoverJitter.count());
         watch.notBefore = std::max(watch.notBefore, now + duration(static_cast<std::int64_t>(engine.random() % spread)));
         reportEvent(engine,
                     "promotion_wanted",
                     {{"group", group.name.value()},
-                     {"cause", cause == failover_cause::leaving ? "primary leaves" : "primary silent"},
+                     {"cause", toString(cause)},
                      {"lead", group.primary ? group.primary->value() : std::string("none")}});
         scheduleGroupCheck(engine, group, watch.notBefore);
     }
@@ -463,6 +464,9 @@
     }
     reportEvent(engine, "promotion_no_longer_wanted", {{"group", group.name.value()}, {"why", reason}});
     resumeReplicas(engine, group, now);
+    if (group.outage && group.primary == group.outage->primary) {
+        group.outage.reset();
+    }
     const store_position lastClaim = watch.claimPosition;
     watch = failover_state{};
     watch.claimPosition = lastClaim;
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -78,10 +78,26 @@
     return waits ? &found->second : nullptr;
 }
 
+void recordFirstWrite(proxy_engine &engine, group_state &group, const database_name &by, time_point now)
+{
+    if (!group.outage || group.outage->primary == by) {
+        return;
+    }
+    const primary_outage outage = *std::exchange(group.outage, std::nullopt);
+    reportEvent(engine,
+                "first_write",
+                {{"group", group.name.value()},
+                 {"cause", toString(outage.cause)},
+                 {"after_ms", toMillisText(now - outage.since)},
+                 {"by", by.value()}});
+    engine.actions.emplace_back(record_first_write{outage.cause, now - outage.since});
+}
+
 void deliver(proxy_engine &engine, group_state &group, client_session &session, held_reply &held, time_point now)
 {
     if (held.writes) {
         session.ownCommits = held.reply.position;
+        recordFirstWrite(engine, group, held.database, now);
     }
     if (session.transaction) {
         session.transaction->primaryVerified = true;
--- a/mustardrouter/Proxy/failover_state.cpp
+++ b/mustardrouter/Proxy/failover_state.cpp
@@ -23,6 +23,19 @@
 
 } // namespace
 
+const char *toString(failover_cause cause)
+{
+    switch (cause) {
+    case failover_cause::none:
+        return "none";
+    case failover_cause::unresponsive:
+        return "primary silent";
+    case failover_cause::leaving:
+        return "primary leaves";
+    }
+    return "";
+}
+
 failover_cause causeOfFailover(const failover_view &view, const proxy_settings &settings, time_point now)
 {
     const database_state *primary = nullptr;
--- a/mustardrouter/Proxy/failover_state.h
+++ b/mustardrouter/Proxy/failover_state.h
@@ -43,6 +43,14 @@
     time_point stepDownAt{};
 };
 
+/// A primary that is to be replaced, until a write is served by its successor.
+struct primary_outage {
+    failover_cause cause = failover_cause::none;
+    time_point since{};
+    /// The primary then; empty if none was known.
+    database_name primary;
+};
+
 /// Inputs of the failover decisions about one group.
 struct failover_view {
     const std::map<database_name, database_state> *databases = nullptr;
@@ -51,6 +59,9 @@
     std::uint32_t syncReplicas = 0;
 };
 
+/// Name of a cause, for logs and metrics.
+const char *toString(failover_cause cause);
+
 /// Why the primary should be replaced now, judged from its missing replies and from what the replicas
 /// receive: a primary that still replicates is alive, even if it does not answer this instance.
 failover_cause causeOfFailover(const failover_view &view, const proxy_settings &settings, time_point now);
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Proxy/client_reply.h"
 #include "mustardrouter/Proxy/database_command.h"
+#include "mustardrouter/Proxy/failover_state.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 
 #include <string>
@@ -90,6 +91,12 @@
     fence_number fence;
 };
 
+/// Records the time from the cause of a promotion to the first write that the new primary served, for the metrics.
+struct record_first_write {
+    failover_cause cause = failover_cause::none;
+    duration after{};
+};
+
 /// Writes a decision or a change of state to the log.
 struct report_event {
     const char *event;
@@ -108,6 +115,7 @@
                                   verify_claim,
                                   write_claim,
                                   order_promotion,
+                                  record_first_write,
                                   report_event>;
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -58,6 +58,7 @@
     /// Sessions whose statement or transaction waits for a connection, oldest first.
     std::deque<session_id> waiting;
     failover_state failover;
+    std::optional<primary_outage> outage;
     primary_verification verification;
     /// Due time of the next group check; the epoch when there is none.
     time_point nextCheckAt{};
