Test: 200 instances list again after a loss without flooding the store

Change: object_watch test with 200 instances of three watches each on the stand-in's store (over loopback, in real time: watches have sockets); the stand-in counts requests.

Figures: fewer than 4,000 requests in the second after the loss, all 600 lists complete after 3 s.

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -198,6 +198,65 @@
     CHECK_EQUAL(2, fixture.timesLost);
 }
 
+TEST(object_watch, hundredsOfInstancesListAgainWithoutMoreThanAQuarterOfTheStoresRate)
+{
+    // Two hundred instances with three watches each; a store for them serves 16,000 reads a second.
+    constexpr std::size_t instances = 200;
+    constexpr std::uint64_t quarterOfRate = 4000;
+    asio::io_context context;
+    standin_store store(context, {}, 1);
+    store.objects().put("k", "a", "one");
+    store.keepCopy(bootTime());
+    store.objects().put("k", "lost", "two");
+    const std::string address = store.addInstance();
+    struct one_instance {
+        std::vector<std::shared_ptr<object_watch>> watches;
+        std::size_t listedAgain = 0;
+        store_history history{{[](store_era) {
+                               },
+                               [this](store_era, store_era) {
+                                   for (const auto &watch : watches) {
+                                       watch->onHistoryLost();
+                                   }
+                               },
+                               [] {
+                               }}};
+    };
+    std::vector<std::unique_ptr<one_instance>> all;
+    for (std::size_t index = 0; index < instances; ++index) {
+        one_instance &instance = *all.emplace_back(std::make_unique<one_instance>());
+        for (std::size_t kind = 0; kind < 3; ++kind) {
+            object_watch::handlers callbacks{[](const object_watch::objects &, time_point) {
+                                             },
+                                             [](bool) {
+                                             },
+                                             [&instance](duration) {
+                                                 instance.listedAgain += 1;
+                                             }};
+            instance.watches.push_back(std::make_shared<object_watch>(context,
+                                                                      address,
+                                                                      instance.history,
+                                                                      object_watch::options{"k", 20ms, false, 400ms, watchTimingFor(5s)},
+                                                                      index * 3 + kind,
+                                                                      callbacks));
+            instance.watches.back()->start();
+        }
+    }
+    context.run_for(2s);
+    store.returnFromCopy(duration{}, bootTime());
+    const std::uint64_t before = store.requestCount();
+    context.run_for(1s);
+    CHECK_TRUE(store.requestCount() - before < quarterOfRate);
+    context.run_for(2s);
+    for (const auto &instance : all) {
+        CHECK_EQUAL(3U, instance->listedAgain);
+        for (const auto &watch : instance->watches) {
+            watch->stop();
+        }
+    }
+    context.run_for(10ms);
+}
+
 TEST(object_watch, listIsReadOverSeveralPages)
 {
     watched_store fixture(200ms);
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -93,6 +93,11 @@
     return m_faults;
 }
 
+std::uint64_t standin_store::requestCount() const
+{
+    return m_requestCount;
+}
+
 bool standin_store::respondWithFault(std::size_t instance, const standin_http::responder &respond) const
 {
     const store_failure failure = m_faults.refusedInstances.contains(instance) ? m_faults.refusal : m_faults.down;
@@ -133,6 +138,7 @@
 
 void standin_store::handle(std::size_t instance, const standin_request &request, const standin_http::responder &respondTo)
 {
+    m_requestCount += 1;
     const bool isOrder = request.method == "POST" && request.path == "/failover";
     const standin_http::responder respond = [this, isOrder, respondTo](standin_answer answer) {
         if (!isOrder) {
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -64,6 +64,8 @@
     std::string addInstance();
     standin_objects &objects();
     store_faults &faults();
+    /// Number of requests received.
+    std::uint64_t requestCount() const;
     /// Answers the watches for which there are changes.
     void notifyWatches();
     /// Closes the connections of all watches without an answer.
@@ -102,6 +104,7 @@
     std::deque<std::pair<time_point, standin_objects>> m_copies;
     std::uint64_t m_era = 1;
     bool m_checksFences = true;
+    std::uint64_t m_requestCount = 0;
     store_faults m_faults;
     std::vector<std::unique_ptr<standin_http>> m_listeners;
     std::list<pending_watch> m_watches;
