--- a/.ci/check_core.sh
+++ b/.ci/check_core.sh
@@ -3,7 +3,7 @@
 # the modules.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-modules="Core Ownership Sessions Admission Configuration Membership Routing Proxy"
+modules="Core Ownership Sessions Admission Configuration Membership Workspaces Routing Proxy"
 forbidden='#include *[<"](asio|google/|boost/(asio|thread|lockfree)|thread>|mutex>|condition_variable>|atomic>|semaphore>|future>|sys/|unistd|jsonrpccpp|json/|log4cxx|prometheus|sqlite3|mustardrouter/(Schema|Runtime|Network|Platform|Instance|Operators|StandIn|Load))|(system|steady|high_resolution)_clock|std::random_device|[^a-zA-Z_]time\('
 bad=0
 for module in $modules; do
@@ -13,7 +13,7 @@
     fi
 done
 # A module may include only modules that precede it in this order.
-order="Core Schema Ownership Sessions Admission Configuration Membership Routing Proxy Runtime Network Platform Instance StandIn Load Edge PlatformStandIn Soak Operators"
+order="Core Schema Ownership Sessions Admission Configuration Membership Workspaces Routing Proxy Runtime Network Platform Instance StandIn Load Edge PlatformStandIn Soak Operators"
 seen=""
 for module in $order; do
     seen="$seen|$module"
--- a/mustardrouter/Core/ids.h
+++ b/mustardrouter/Core/ids.h
@@ -20,6 +20,10 @@
 using request_key = strong_type<struct request_key_tag, std::string>;
 /// Term of a group's ownership; increases with each change of owner or primary.
 using term_number = strong_type<struct term_number_tag, std::uint64_t>;
+/// Name of a workspace: the callers that share keys and a limit. Databases are told it.
+using workspace_name = strong_type<struct workspace_name_tag, std::string>;
+/// Secret by which a caller shows which workspace it belongs to. Never logged, and never sent to a database.
+using api_key = strong_type<struct api_key_tag, std::string>;
 /// Position in the log of a database group; 0 is before the first entry.
 using log_position = strong_type<struct log_position_tag, std::uint64_t>;
 /// Revision of the configuration; never decreases.
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -1,7 +1,6 @@
 #include "mustardrouter/Edge/relay_links.h"
 
 #include "mustardrouter/Network/tcp_options.h"
-#include "mustardrouter/Schema/relay.pb.h"
 
 #include <asio/post.hpp>
 
@@ -125,11 +124,21 @@
         return;
     }
     const std::shared_ptr<frame_connection> frames = link->second.frames;
+    const std::string lost = address;
     for (const database_connection_id connection : link->second.channels) {
         m_addressByChannel.erase(connection);
     }
+    // The argument may refer to the key that is erased.
     m_outgoing.erase(link);
     frames->close(failure::connectionLost);
+    tellPeerLost(lost);
+}
+
+void relay_links::tellPeerLost(const std::string &address)
+{
+    if (m_handlers.onPeerLost) {
+        m_handlers.onPeerLost(address);
+    }
 }
 
 void relay_links::onOutgoingFrame(const std::string &address, std::string_view payload)
@@ -154,6 +163,8 @@
             m_addressByChannel.erase(connection);
             m_handlers.onClosed(connection);
         }
+    } else if (m_handlers.onPeerMessage) {
+        m_handlers.onPeerMessage(address, message);
     }
 }
 
@@ -171,6 +182,7 @@
     for (const database_connection_id connection : channels) {
         m_handlers.onClosed(connection);
     }
+    tellPeerLost(address);
 }
 
 void relay_links::accept(const std::shared_ptr<frame_connection> &frames)
@@ -202,8 +214,12 @@
         found->second.channels.insert(statements.channel());
         m_handlers.onStatements(
             {link, statements.channel()}, statements.route(), std::chrono::milliseconds(statements.time_left_ms()), statements.lines());
-    } else if (message.has_closed() && found->second.channels.erase(message.closed().channel()) > 0) {
-        m_handlers.onChannelClosed({link, message.closed().channel()});
+    } else if (message.has_closed()) {
+        if (found->second.channels.erase(message.closed().channel()) > 0) {
+            m_handlers.onChannelClosed({link, message.closed().channel()});
+        }
+    } else if (m_handlers.onIncomingMessage) {
+        m_handlers.onIncomingMessage(link, message);
     }
 }
 
@@ -218,6 +234,22 @@
     for (const std::uint64_t channel : channels) {
         m_handlers.onChannelClosed({link, channel});
     }
+    if (m_handlers.onIncomingLost) {
+        m_handlers.onIncomingLost(link);
+    }
+}
+
+void relay_links::sendToPeer(const std::string &address, const relay::relay_message &message)
+{
+    linkTo(address).frames->send(message);
+}
+
+void relay_links::sendOnIncoming(std::uint64_t link, const relay::relay_message &message)
+{
+    const auto found = m_incoming.find(link);
+    if (found != m_incoming.end()) {
+        found->second.frames->send(message);
+    }
 }
 
 void relay_links::reply(const relay_channel &channel, const std::string &lines)
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Network/frame_connection.h"
 #include "mustardrouter/Network/frame_listener.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Schema/relay.pb.h"
 
 #include <asio/io_context.hpp>
 
@@ -45,6 +46,14 @@
         std::function<void(relay_channel, const std::string &route, duration timeLeft, std::string_view lines)> onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
+        /// A message other than statements and replies arrived on the link to the address.
+        std::function<void(const std::string &address, const relay::relay_message &)> onPeerMessage{};
+        /// The same on a link that another instance opened.
+        std::function<void(std::uint64_t link, const relay::relay_message &)> onIncomingMessage{};
+        /// The link to the address was lost, could not be opened, or was dropped.
+        std::function<void(const std::string &address)> onPeerLost{};
+        /// A link that another instance opened was lost.
+        std::function<void(std::uint64_t link)> onIncomingLost{};
     };
 
     relay_links(asio::io_context &context, handlers callbacks);
@@ -60,6 +69,11 @@
     /// Closes the link to the address without callbacks; its channels must have been closed.
     void dropLink(const std::string &address);
 
+    /// Sends a message to the instance at the address; opens the link if there is none. What is sent on a link that is lost is lost.
+    void sendToPeer(const std::string &address, const relay::relay_message &message);
+    /// Sends a message on a link that another instance opened; does nothing if it was lost.
+    void sendOnIncoming(std::uint64_t link, const relay::relay_message &message);
+
     void reply(const relay_channel &channel, const std::string &lines);
     /// Closes a channel of another instance without a callback.
     void closeChannel(const relay_channel &channel);
@@ -77,6 +91,7 @@
 
     outgoing_link &linkTo(const std::string &address);
     void confirmOpen(const std::string &address);
+    void tellPeerLost(const std::string &address);
     void onOutgoingFrame(const std::string &address, std::string_view payload);
     void onOutgoingClosed(const std::string &address, const frame_connection &frames);
     void accept(const std::shared_ptr<frame_connection> &frames);
