Tests of what a channel between instances remembers, which fail

The simulated link between two instances dropped messages for channels that the holder had closed; the real one hands them over, and the holder opens a new session for them. The simulation now delivers what was sent, also while the holder's process stands still, and runs the due timers of a process that thaws before it reads its sockets.

--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -168,3 +168,24 @@
     });
     CHECK_TRUE(pair.atEntry.closed.empty());
 }
+
+TEST(relay_links, aMessageForAChannelThatTheHolderHasClosedIsNotHandled)
+{
+    linked_pair pair;
+    pair.entry.open(one, pair.address);
+    pair.runUntil([&] {
+        return pair.atEntry.opened.size() == 1;
+    });
+    pair.entry.send(one, "r", 1s, "QUERY - SET a 1\r\nQUERY a READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 1;
+    });
+    // Both are under way at once.
+    pair.entry.send(one, "r", 1s, "QUERY b READ x\r\n");
+    pair.holder.closeChannel(pair.atHolder.channels.front());
+    pair.runUntil([&] {
+        return pair.atEntry.closed.size() == 1;
+    });
+    pair.context.run_for(50ms);
+    CHECK_EQUAL(1, pair.atHolder.statements.size());
+}
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -93,12 +93,10 @@
 {
     const time_point end = now + span;
     while (true) {
-        std::optional<time_point> timer = nextTimer(engine);
-        if (const std::optional<time_point> other = entry ? nextTimer(*entry) : std::nullopt) {
-            timer = std::min(*other, timer.value_or(*other));
-        }
+        const std::optional<time_point> own = holderStandsStill ? std::nullopt : nextTimer(engine);
+        const std::optional<time_point> other = entry ? nextTimer(*entry) : std::nullopt;
         const bool hasEvent = !events.empty();
-        const time_point next = std::min(timer.value_or(end), hasEvent ? events.begin()->first : end);
+        const time_point next = std::min({own.value_or(end), other.value_or(end), hasEvent ? events.begin()->first : end});
         if (next >= end) {
             break;
         }
@@ -108,7 +106,9 @@
             events.erase(events.begin());
             event();
         } else {
-            onTimer(engine, now);
+            if (!holderStandsStill) {
+                onTimer(engine, now);
+            }
             if (entry) {
                 onTimer(*entry, now);
             }
@@ -270,7 +270,10 @@
             fake_database &database = databases.at(databaseByConnection.at(connection));
             if (!database.unresponsive) {
                 database.connections[connection] = {};
-                onConnectionOpened(engineOf(connection), connection, now);
+                proxy_engine &opener = engineOf(connection);
+                whenRuns(opener, [this, &opener, connection] {
+                    onConnectionOpened(opener, connection, now);
+                });
             }
         });
     } else if (auto *sent = std::get_if<send_commands>(&action)) {
@@ -355,7 +358,10 @@
             }
             events.emplace(now + home.networkDelay, [this, connection, reply] {
                 if (!databases.at(databaseByConnection.at(connection)).unresponsive) {
-                    onDatabaseReply(engineOf(connection), connection, reply, now);
+                    proxy_engine &receiver = engineOf(connection);
+                    whenRuns(receiver, [this, &receiver, connection, reply] {
+                        onDatabaseReply(receiver, connection, reply, now);
+                    });
                 }
             });
         });
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -2,6 +2,7 @@
 
 #include "mustardrouter/Proxy/proxy_engine.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -98,6 +99,8 @@
     /// The link between the two instances is cut: nothing arrives, and new connections fail.
     bool relayLinkCut = false;
     duration relayDelay = std::chrono::milliseconds(1);
+    /// The process of `engine` stands still; see standStill.
+    bool holderStandsStill = false;
     std::mt19937_64 random;
     time_point now{std::chrono::seconds(1000)};
     std::multimap<time_point, std::function<void()>> events;
@@ -127,6 +130,12 @@
     fake_client &connectToEntry(const std::string &database);
     /// Closes all connections between the instances, as when the holder's process ends.
     void resetRelayLink();
+    /// The holder closes all channels, as it does with idle ones when it stops.
+    void closeRelayedSessions();
+    /// The process of `engine` gets no processor time until thaw: its timers don't run, and what arrives stays in socket buffers.
+    void standStill();
+    /// The process of `engine` runs again: the timers that are due come before what has arrived in the meantime.
+    void thaw();
     /// Adds one group of three databases; the first is primary.
     void addGroup();
     /// Tells the engine of the databases' entries, which may have changed `age` ago.
@@ -168,7 +177,10 @@
     bool performRelayed(proxy_action &action);
     proxy_engine &engineOf(database_connection_id connection);
     proxy_engine &engineOf(session_id session);
+    /// Has the engine handle what arrived for it, once its process runs.
+    void whenRuns(const proxy_engine &receiver, std::function<void()> handle);
     void relay(const send_commands &sent);
+    void receiveRelayed(const send_commands &message);
     void relayReply(database_connection_id connection, const client_reply &reply);
     void deliver(database_connection_id connection, const std::vector<database_command> &commands);
     database_reply execute(fake_database &database, database_connection_id connection, const database_command &command);
@@ -187,6 +199,10 @@
     std::set<std::string> m_sentIds;
     std::set<database_connection_id> m_openRelays;
     std::set<session_id> m_relayedSessions;
+    /// What is in the socket buffers of `engine` while its process stands still.
+    std::deque<std::function<void()>> m_unreadByHolder;
+    /// Counts the links between the instances; what is under way on a link that was reset is lost.
+    std::uint64_t m_relayLink = 0;
 };
 
 } // namespace mustardrouter
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -61,6 +61,7 @@
 void proxy_world::resetRelayLink()
 {
     const std::set<database_connection_id> relays = std::exchange(m_openRelays, {});
+    m_relayLink += 1;
     for (const database_connection_id connection : relays) {
         onConnectionClosed(*entry, connection, now);
         if (m_relayedSessions.erase(channelOf(connection)) > 0) {
@@ -70,6 +71,42 @@
     performActions();
 }
 
+void proxy_world::closeRelayedSessions()
+{
+    for (const session_id channel : std::set(m_relayedSessions)) {
+        engine.actions.emplace_back(close_session{channel, reply_code::done, {}});
+        onSessionClosed(engine, channel, now);
+    }
+    performActions();
+}
+
+void proxy_world::standStill()
+{
+    holderStandsStill = true;
+}
+
+void proxy_world::thaw()
+{
+    holderStandsStill = false;
+    onTimer(engine, now);
+    performActions();
+    while (!m_unreadByHolder.empty()) {
+        const std::function<void()> handle = std::move(m_unreadByHolder.front());
+        m_unreadByHolder.pop_front();
+        handle();
+        performActions();
+    }
+}
+
+void proxy_world::whenRuns(const proxy_engine &receiver, std::function<void()> handle)
+{
+    if (holderStandsStill && &receiver == &engine) {
+        m_unreadByHolder.push_back(std::move(handle));
+        return;
+    }
+    handle();
+}
+
 proxy_engine &proxy_world::engineOf(database_connection_id connection)
 {
     return connection.value() >= entryIds ? *entry : engine;
@@ -103,9 +140,11 @@
         closed != nullptr && m_openRelays.erase(closed->connection) > 0) {
         const session_id channel = channelOf(closed->connection);
         events.emplace(now + relayDelay, [this, channel] {
-            if (m_relayedSessions.erase(channel) > 0) {
-                onSessionClosed(engine, channel, now);
-            }
+            whenRuns(engine, [this, channel] {
+                if (m_relayedSessions.erase(channel) > 0) {
+                    onSessionClosed(engine, channel, now);
+                }
+            });
         });
         return true;
     }
@@ -133,23 +172,33 @@
 void proxy_world::relay(const send_commands &sent)
 {
     const send_commands message = sent;
-    events.emplace(now + relayDelay, [this, message] {
-        if (relayLinkCut || !m_openRelays.contains(message.connection)) {
+    // What was sent arrives, also if the sender closes the channel meanwhile.
+    events.emplace(now + relayDelay, [this, message, link = m_relayLink] {
+        if (relayLinkCut || link != m_relayLink) {
             return;
         }
-        const session_id channel = channelOf(message.connection);
-        if (m_relayedSessions.insert(channel).second) {
-            onRelayedSessionStarted(engine, channel, now);
-        }
-        for (const database_command &command : message.commands) {
-            std::string line;
-            platform::encodeCommand(line, command);
-            platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
-            onRelayedStatement(engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now);
-        }
+        whenRuns(engine, [this, message, link] {
+            if (link == m_relayLink) {
+                receiveRelayed(message);
+            }
+        });
     });
 }
 
+void proxy_world::receiveRelayed(const send_commands &message)
+{
+    const session_id channel = channelOf(message.connection);
+    if (m_relayedSessions.insert(channel).second) {
+        onRelayedSessionStarted(engine, channel, now);
+    }
+    for (const database_command &command : message.commands) {
+        std::string line;
+        platform::encodeCommand(line, command);
+        platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
+        onRelayedStatement(engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now);
+    }
+}
+
 void proxy_world::relayReply(database_connection_id connection, const client_reply &reply)
 {
     events.emplace(now + relayDelay, [this, connection, reply] {
--- a/UnitTests/Proxy/relaying_test.cpp
+++ b/UnitTests/Proxy/relaying_test.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Proxy/proxy_world.h"
+#include "UnitTests/Proxy/relaying_world.h"
 
 #include "mustardrouter/Proxy/engine_parts.h"
 
@@ -12,22 +12,6 @@
 namespace
 {
 
-/// A simulation with an instance that holds the group's connections and one that relays to it.
-struct relaying_world : proxy_world {
-    explicit relaying_world(std::uint64_t seed = 7)
-        : proxy_world(seed)
-    {
-        addGroup();
-        configure(1);
-        addEntry(1);
-        runFor(3s);
-    }
-    group_state &groupAtEntry()
-    {
-        return entry->groups.at(group_name("g"));
-    }
-};
-
 void checkNoViolations(const proxy_world &world)
 {
     CHECK_TRUE_TEXT(world.violations.empty(), world.violations.empty() ? "" : world.violations.front().c_str());
