Number the messages of a channel between instances; run none whose channel is not open

Cause: a holder that closed a relayed session (a stop; a thaw runs due timers before it reads its sockets) opened a new one for a message that was already under way on the channel, without the values, prepared names, floor and transaction that the entry had left there. The statement ran with other values, a write of a transaction as a write of its own, although the client was told aborted.

The entry numbers the messages of each channel; the holder opens a channel for number 1 only, does not run a later one of a channel that is not open or misses one, and says with channel_closed which one it handled last. Messages of a link arrive in order, so one that finds its channel closed was certainly not handled; the reply needs no memory for that. The entry repeats what was not handled elsewhere, also a write and a transaction whose first statement it was; other statements of a transaction and its COMMIT are aborted, no longer in doubt. The holder is not suspected for it: suspicion drops the link, and with it the work of others.

A holder that has drained tells the links that it opens no more channels (channel_closed for channel 0, which older builds ignore), and exits only 80 ms after the last refused message, so that a stop loses no relayed statement.

Old builds: number 0 opens a channel as before, unless this link's holder remembers having closed it; channel_closed without handled means what it meant.

Ruled out: a refused SET before a statement that runs. Databases refuse SET only in a failed transaction, where the statement is refused as well; a holder answers SET itself, in a failed session likewise. A channel number used again: connection ids are never reused by a process, and number 1 begins without state. dropLink: the entry closes each channel before, in order.

--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -27,9 +27,11 @@
 struct recorded {
     std::vector<std::uint64_t> opened;
     std::vector<std::uint64_t> closed;
+    std::vector<sent_work> lastSent;
     std::map<std::uint64_t, std::string> replies;
     std::vector<std::string> statements;
     std::vector<relay_channel> channels;
+    std::vector<bool> opens;
     std::vector<relay_channel> closedChannels;
 };
 
@@ -38,16 +40,18 @@
     return {[&](database_connection_id id) {
                 record.opened.push_back(id.value());
             },
-            [&](database_connection_id id) {
+            [&](database_connection_id id, sent_work lastSent) {
                 record.closed.push_back(id.value());
+                record.lastSent.push_back(lastSent);
             },
             [&](database_connection_id id, std::string_view lines) {
                 record.replies[id.value()] += lines;
             },
-            [&](const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines) {
+            [&](const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines) {
                 const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
                 record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
                 record.channels.push_back(channel);
+                record.opens.push_back(opens);
             },
             [&](const relay_channel &channel) {
                 record.closedChannels.push_back(channel);
@@ -188,4 +192,5 @@
     });
     pair.context.run_for(50ms);
     CHECK_EQUAL(1, pair.atHolder.statements.size());
+    CHECK_TRUE(pair.atEntry.lastSent.front() == sent_work::notRun);
 }
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Proxy/proxy_engine.h"
+#include "mustardrouter/Proxy/relay_channels.h"
 
 #include <deque>
 #include <functional>
@@ -180,7 +181,9 @@
     /// Has the engine handle what arrived for it, once its process runs.
     void whenRuns(const proxy_engine &receiver, std::function<void()> handle);
     void relay(const send_commands &sent);
-    void receiveRelayed(const send_commands &message);
+    void receiveRelayed(const send_commands &message, std::uint32_t number);
+    /// Tells `entry` that the channel was closed, after what was sent before.
+    void relayClosed(database_connection_id connection, std::uint32_t handled);
     void relayReply(database_connection_id connection, const client_reply &reply);
     void deliver(database_connection_id connection, const std::vector<database_command> &commands);
     database_reply execute(fake_database &database, database_connection_id connection, const database_command &command);
@@ -198,7 +201,9 @@
     std::set<std::string> m_committedAfterReplacement;
     std::set<std::string> m_sentIds;
     std::set<database_connection_id> m_openRelays;
-    std::set<session_id> m_relayedSessions;
+    /// Channels at `engine`, and the number of the last message that `entry` has sent on each.
+    relay_channels m_relayChannels;
+    std::map<database_connection_id, std::uint32_t> m_sentOnRelay;
     /// What is in the socket buffers of `engine` while its process stands still.
     std::deque<std::function<void()>> m_unreadByHolder;
     /// Counts the links between the instances; what is under way on a link that was reset is lost.
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -64,18 +64,18 @@
     m_relayLink += 1;
     for (const database_connection_id connection : relays) {
         onConnectionClosed(*entry, connection, now);
-        if (m_relayedSessions.erase(channelOf(connection)) > 0) {
-            onSessionClosed(engine, channelOf(connection), now);
-        }
+    }
+    for (const auto &[channel, handled] : std::exchange(m_relayChannels, {}).open) {
+        onSessionClosed(engine, session_id(channel), now);
     }
     performActions();
 }
 
 void proxy_world::closeRelayedSessions()
 {
-    for (const session_id channel : std::set(m_relayedSessions)) {
-        engine.actions.emplace_back(close_session{channel, reply_code::done, {}});
-        onSessionClosed(engine, channel, now);
+    for (const auto &[channel, handled] : m_relayChannels.open) {
+        engine.actions.emplace_back(close_session{session_id(channel), reply_code::done, {}});
+        onSessionClosed(engine, session_id(channel), now);
     }
     performActions();
 }
@@ -141,7 +141,7 @@
         const session_id channel = channelOf(closed->connection);
         events.emplace(now + relayDelay, [this, channel] {
             whenRuns(engine, [this, channel] {
-                if (m_relayedSessions.erase(channel) > 0) {
+                if (closedThere(m_relayChannels, channel.value())) {
                     onSessionClosed(engine, channel, now);
                 }
             });
@@ -157,13 +157,9 @@
     }
     if (const auto *ended = std::get_if<close_session>(&action); ended != nullptr && ended->session.value() >= channelIds) {
         const database_connection_id connection = connectionOf(ended->session);
-        m_relayedSessions.erase(ended->session);
-        // After the replies that were sent before.
-        events.emplace(now + relayDelay, [this, connection] {
-            if (m_openRelays.erase(connection) > 0) {
-                onConnectionClosed(*entry, connection, now);
-            }
-        });
+        if (const std::optional<std::uint32_t> handled = closeHere(m_relayChannels, ended->session.value())) {
+            relayClosed(connection, *handled);
+        }
         return true;
     }
     return false;
@@ -172,23 +168,43 @@
 void proxy_world::relay(const send_commands &sent)
 {
     const send_commands message = sent;
+    const std::uint32_t number = ++m_sentOnRelay[sent.connection];
     // What was sent arrives, also if the sender closes the channel meanwhile.
-    events.emplace(now + relayDelay, [this, message, link = m_relayLink] {
+    events.emplace(now + relayDelay, [this, message, number, link = m_relayLink] {
         if (relayLinkCut || link != m_relayLink) {
             return;
         }
-        whenRuns(engine, [this, message, link] {
+        whenRuns(engine, [this, message, number, link] {
             if (link == m_relayLink) {
-                receiveRelayed(message);
+                receiveRelayed(message, number);
             }
         });
     });
 }
 
-void proxy_world::receiveRelayed(const send_commands &message)
+void proxy_world::relayClosed(database_connection_id connection, std::uint32_t handled)
+{
+    events.emplace(now + relayDelay, [this, connection, handled] {
+        if (m_openRelays.erase(connection) > 0) {
+            onConnectionClosed(*entry, connection, now, workOf(handled, m_sentOnRelay[connection]));
+        }
+    });
+}
+
+void proxy_world::receiveRelayed(const send_commands &message, std::uint32_t number)
 {
     const session_id channel = channelOf(message.connection);
-    if (m_relayedSessions.insert(channel).second) {
+    const relay_arrival arrival = arrive(m_relayChannels, channel.value(), number);
+    if (arrival == relay_arrival::notHandled) {
+        relayClosed(message.connection, handledBefore(m_relayChannels, channel.value(), number));
+        return;
+    }
+    if (arrival == relay_arrival::outOfOrder) {
+        relayClosed(message.connection, closeHere(m_relayChannels, channel.value()).value_or(0));
+        onSessionClosed(engine, channel, now);
+        return;
+    }
+    if (arrival == relay_arrival::opens) {
         onRelayedSessionStarted(engine, channel, now);
     }
     for (const database_command &command : message.commands) {
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -34,6 +34,8 @@
 constexpr std::int64_t statementDrainTenths = 7;
 /// The instance accepts clients for at least this long after a stop request; the platform sends some until it notices.
 constexpr duration minAcceptTimeAfterStop = std::chrono::milliseconds(2600);
+/// Before it exits, an instance refuses what others relay for this long: twice the time to another region and back.
+constexpr duration relayQuietTime = std::chrono::milliseconds(80);
 
 proxy_settings toSettings(const platform::instance_environment &environment)
 {
@@ -96,25 +98,7 @@
     , m_engineTimer(m_context)
     , m_stopTimer(m_context)
     , m_settingsPollTimer(m_context)
-    , m_relayLinks(m_context,
-                   {[this](database_connection_id id) {
-                        onConnectionOpened(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id) {
-                        m_holderReplies.erase(id);
-                        onConnectionClosed(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id, std::string_view lines) {
-                        onHolderReplies(id, lines);
-                    },
-                    [this](const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines) {
-                        onRelayedLines(channel, route, timeLeft, lines);
-                    },
-                    [this](const relay_channel &channel) {
-                        onRelayChannelClosed(channel);
-                    }})
+    , m_relayLinks(m_context, relayHandlers())
     , m_storeHistory(historyHandlers())
     , m_registration(m_context,
                      m_environment.storeAddress,
@@ -128,6 +112,41 @@
 {
 }
 
+relay_links::handlers edge_instance::relayHandlers()
+{
+    relay_links::handlers handlers;
+    handlers.onOpened = [this](database_connection_id id) {
+        onConnectionOpened(m_engine, id, now());
+        performActions();
+    };
+    handlers.onClosed = [this](database_connection_id id, sent_work lastSent) {
+        m_holderReplies.erase(id);
+        onConnectionClosed(m_engine, id, now(), lastSent);
+        performActions();
+    };
+    handlers.onReplies = [this](database_connection_id id, std::string_view lines) {
+        onHolderReplies(id, lines);
+    };
+    handlers.onStatements =
+        [this](const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines) {
+            onRelayedLines(channel, opens, route, timeLeft, lines);
+        };
+    handlers.onChannelClosed = [this](const relay_channel &channel) {
+        onRelayChannelClosed(channel);
+    };
+    handlers.onNotHandled = [this](const relay_channel &channel, std::uint32_t number) {
+        m_engine.counters.relayedRefused += 1;
+        m_log.write(
+            "relayed_refused",
+            {{"link", std::to_string(channel.link)}, {"channel", std::to_string(channel.channel)}, {"number", std::to_string(number)}});
+    };
+    handlers.onHolderCloses = [this](const std::string &address) {
+        onHolderCloses(m_engine, address, now());
+        performActions();
+    };
+    return handlers;
+}
+
 time_point edge_instance::now() const
 {
     return bootTime();
@@ -344,15 +363,20 @@
     performActions();
 }
 
-void edge_instance::onRelayedLines(const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines)
+void edge_instance::onRelayedLines(
+    const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines)
 {
-    const auto [found, added] = m_sessionByChannel.try_emplace(channel, session_id(m_nextSession));
-    const session_id session = found->second;
-    if (added) {
-        m_nextSession += 1;
-        m_channelBySession[session] = channel;
-        onRelayedSessionStarted(m_engine, session, now());
+    if (opens) {
+        const session_id added(m_nextSession++);
+        m_sessionByChannel[channel] = added;
+        m_channelBySession[added] = channel;
+        onRelayedSessionStarted(m_engine, added, now());
     }
+    const auto found = m_sessionByChannel.find(channel);
+    if (found == m_sessionByChannel.end()) {
+        return;
+    }
+    const session_id session = found->second;
     forEachLine(lines, [&](std::string_view line) {
         platform::relayed_statement relayed = platform::decodeRelayedLine(line);
         onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now());
@@ -619,7 +643,14 @@
         m_acceptor.close(ignored);
     }
     const bool drained = m_clients.empty() && m_sessionByChannel.empty() && elapsed >= minAcceptTimeAfterStop;
-    if (drained || elapsed >= gracePeriod * forcedStopTenths / 10) {
+    if (drained && m_refusingSince == time_point{}) {
+        // What other instances relay from now on is not run, and they know.
+        m_refusingSince = now();
+        m_relayLinks.refuseNewChannels();
+    }
+    const time_point lastRelayed = std::max(m_refusingSince, m_relayLinks.lastRefusedAt());
+    const bool quiet = drained && now() - lastRelayed >= relayQuietTime;
+    if (quiet || elapsed >= gracePeriod * forcedStopTenths / 10) {
         m_context.stop();
         return;
     }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -52,6 +52,7 @@
     };
 
     time_point now() const;
+    relay_links::handlers relayHandlers();
     bool listenForClients();
     void acceptClient();
     void addClient(asio::ip::tcp::socket socket);
@@ -60,7 +61,7 @@
     void onDatabaseLine(database_connection_id id, std::string_view line);
     void onDatabaseClosed(database_connection_id id);
     void onHolderReplies(database_connection_id id, std::string_view lines);
-    void onRelayedLines(const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines);
+    void onRelayedLines(const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines);
     void onRelayChannelClosed(const relay_channel &channel);
 
     /// Performs the engine's pending actions and schedules its next timer.
@@ -135,6 +136,8 @@
     std::string m_settingsFingerprint;
     bool m_performingActions = false;
     bool m_stopping = false;
+    /// Since when new channels of other instances are refused; the epoch before.
+    time_point m_refusingSince{};
     time_point m_stopSince{};
 };
 
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -96,6 +96,8 @@
     appendMetric("replies_not_verified_total", "counter", counters.repliesNotVerified);
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
+    appendMetric("relayed_not_handled_total", "counter", counters.relayedNotHandled);
+    appendMetric("relayed_refused_total", "counter", counters.relayedRefused);
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -1,16 +1,36 @@
 #include "mustardrouter/Edge/relay_links.h"
 
+#include "mustardrouter/Edge/boot_time.h"
 #include "mustardrouter/Network/tcp_options.h"
 
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace mustardrouter
 {
 
+namespace
+{
+
+/// Stands for all channels of a link, in a message that closes; no channel has this number.
+constexpr std::uint64_t wholeLink = 0;
+
+relay::relay_message closing(std::uint64_t channel, std::optional<std::uint32_t> handled)
+{
+    relay::relay_message message;
+    message.mutable_closed()->set_channel(channel);
+    if (handled) {
+        message.mutable_closed()->set_handled(*handled);
+    }
+    return message;
+}
+
+} // namespace
+
 relay_links::relay_links(asio::io_context &context, handlers callbacks)
     : m_context(context)
     , m_handlers(std::move(callbacks))
@@ -56,7 +76,7 @@
 void relay_links::open(database_connection_id connection, const std::string &address)
 {
     outgoing_link &link = linkTo(address);
-    m_addressByChannel[connection] = address;
+    m_outgoingChannels[connection] = {address, 0};
     link.channels.insert(connection);
     link.waitingForOpen.insert(connection);
     if (link.frames->isConnected()) {
@@ -79,10 +99,11 @@
 
 void relay_links::send(database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines)
 {
-    const auto address = m_addressByChannel.find(connection);
-    if (address == m_addressByChannel.end()) {
+    const auto channel = m_outgoingChannels.find(connection);
+    if (channel == m_outgoingChannels.end()) {
         return;
     }
+    channel->second.sent += 1;
     relay::relay_message message;
     relay::relayed_statements &statements = *message.mutable_statements();
     statements.set_channel(connection.value());
@@ -90,17 +111,18 @@
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
     statements.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis)));
     statements.set_lines(lines);
-    m_outgoing.at(address->second).frames->send(message);
+    statements.set_number(channel->second.sent);
+    m_outgoing.at(channel->second.address).frames->send(message);
 }
 
 void relay_links::close(database_connection_id connection)
 {
-    const auto address = m_addressByChannel.find(connection);
-    if (address == m_addressByChannel.end()) {
+    const auto channel = m_outgoingChannels.find(connection);
+    if (channel == m_outgoingChannels.end()) {
         return;
     }
-    const auto link = m_outgoing.find(address->second);
-    m_addressByChannel.erase(address);
+    const auto link = m_outgoing.find(channel->second.address);
+    m_outgoingChannels.erase(channel);
     if (link == m_outgoing.end()) {
         return;
     }
@@ -119,19 +141,16 @@
 
 void relay_links::dropLink(const std::string &address)
 {
-    const auto link = m_outgoing.find(address);
-    if (link == m_outgoing.end()) {
+    // The argument may refer to the key that is taken out.
+    const auto link = m_outgoing.extract(address);
+    if (link.empty()) {
         return;
     }
-    const std::shared_ptr<frame_connection> frames = link->second.frames;
-    const std::string lost = address;
-    for (const database_connection_id connection : link->second.channels) {
-        m_addressByChannel.erase(connection);
+    for (const database_connection_id connection : link.mapped().channels) {
+        m_outgoingChannels.erase(connection);
     }
-    // The argument may refer to the key that is erased.
-    m_outgoing.erase(link);
-    frames->close(failure::connectionLost);
-    tellPeerLost(lost);
+    link.mapped().frames->close(failure::connectionLost);
+    tellPeerLost(link.key());
 }
 
 void relay_links::tellPeerLost(const std::string &address)
@@ -157,11 +176,17 @@
         if (link->second.channels.contains(connection)) {
             m_handlers.onReplies(connection, message.replies().lines());
         }
+    } else if (message.has_closed() && message.closed().channel() == wholeLink) {
+        if (m_handlers.onHolderCloses) {
+            m_handlers.onHolderCloses(address);
+        }
     } else if (message.has_closed()) {
         const database_connection_id connection(message.closed().channel());
         if (link->second.channels.erase(connection) > 0) {
-            m_addressByChannel.erase(connection);
-            m_handlers.onClosed(connection);
+            const std::uint32_t sent = m_outgoingChannels.at(connection).sent;
+            m_outgoingChannels.erase(connection);
+            const bool numbered = message.closed().has_handled();
+            m_handlers.onClosed(connection, numbered ? workOf(message.closed().handled(), sent) : sent_work::mayHaveRun);
         }
     } else if (m_handlers.onPeerMessage) {
         m_handlers.onPeerMessage(address, message);
@@ -177,10 +202,10 @@
     const std::set<database_connection_id> channels = link->second.channels;
     m_outgoing.erase(link);
     for (const database_connection_id connection : channels) {
-        m_addressByChannel.erase(connection);
+        m_outgoingChannels.erase(connection);
     }
     for (const database_connection_id connection : channels) {
-        m_handlers.onClosed(connection);
+        m_handlers.onClosed(connection, sent_work::mayHaveRun);
     }
     tellPeerLost(address);
 }
@@ -188,7 +213,9 @@
 void relay_links::accept(const std::shared_ptr<frame_connection> &frames)
 {
     const std::uint64_t number = m_nextLink++;
-    m_incoming[number].frames = frames;
+    incoming_link &link = m_incoming[number];
+    link.frames = frames;
+    link.channels.refusesNew = m_refusesNew;
     frames->start(
         [this, number](frame_connection &, std::string_view payload) {
             onIncomingFrame(number, payload);
@@ -210,12 +237,9 @@
         return;
     }
     if (message.has_statements()) {
-        const relay::relayed_statements &statements = message.statements();
-        found->second.channels.insert(statements.channel());
-        m_handlers.onStatements(
-            {link, statements.channel()}, statements.route(), std::chrono::milliseconds(statements.time_left_ms()), statements.lines());
+        onIncomingStatements(link, message.statements());
     } else if (message.has_closed()) {
-        if (found->second.channels.erase(message.closed().channel()) > 0) {
+        if (closedThere(found->second.channels, message.closed().channel())) {
             m_handlers.onChannelClosed({link, message.closed().channel()});
         }
     } else if (m_handlers.onIncomingMessage) {
@@ -223,15 +247,57 @@
     }
 }
 
+void relay_links::onIncomingStatements(std::uint64_t link, const relay::relayed_statements &statements)
+{
+    incoming_link &from = m_incoming.at(link);
+    const relay_channel channel{link, statements.channel()};
+    const std::uint32_t number = statements.number();
+    const relay_arrival arrival = arrive(from.channels, channel.channel, number);
+    if (arrival == relay_arrival::opens || arrival == relay_arrival::continues) {
+        m_handlers.onStatements(channel,
+                                arrival == relay_arrival::opens,
+                                statements.route(),
+                                std::chrono::milliseconds(statements.time_left_ms()),
+                                statements.lines());
+        return;
+    }
+    if (arrival == relay_arrival::outOfOrder) {
+        closeChannel(channel);
+        m_handlers.onChannelClosed(channel);
+        return;
+    }
+    m_lastRefusedAt = bootTime();
+    if (m_handlers.onNotHandled) {
+        m_handlers.onNotHandled(channel, number);
+    }
+    if (number > 0) {
+        from.frames->send(closing(channel.channel, handledBefore(from.channels, channel.channel, number)));
+    }
+}
+
+void relay_links::refuseNewChannels()
+{
+    m_refusesNew = true;
+    // Sending may close a link whose other end does not read.
+    std::vector<std::shared_ptr<frame_connection>> links;
+    for (auto &[number, link] : m_incoming) {
+        link.channels.refusesNew = true;
+        links.push_back(link.frames);
+    }
+    for (const std::shared_ptr<frame_connection> &frames : links) {
+        frames->send(closing(wholeLink, 0));
+    }
+}
+
 void relay_links::onIncomingClosed(std::uint64_t link)
 {
     const auto found = m_incoming.find(link);
     if (found == m_incoming.end()) {
         return;
     }
-    const std::set<std::uint64_t> channels = found->second.channels;
+    const relay_channels channels = std::move(found->second.channels);
     m_incoming.erase(found);
-    for (const std::uint64_t channel : channels) {
+    for (const auto &[channel, handled] : channels.open) {
         m_handlers.onChannelClosed({link, channel});
     }
     if (m_handlers.onIncomingLost) {
@@ -267,12 +333,14 @@
 void relay_links::closeChannel(const relay_channel &channel)
 {
     const auto found = m_incoming.find(channel.link);
-    if (found == m_incoming.end() || found->second.channels.erase(channel.channel) == 0) {
+    if (found == m_incoming.end()) {
         return;
     }
-    relay::relay_message message;
-    message.mutable_closed()->set_channel(channel.channel);
-    found->second.frames->send(message);
+    const std::optional<std::uint32_t> handled = closeHere(found->second.channels, channel.channel);
+    if (handled) {
+        const std::shared_ptr<frame_connection> frames = found->second.frames;
+        frames->send(closing(channel.channel, *handled > 0 ? handled : std::nullopt));
+    }
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -4,6 +4,8 @@
 #include "mustardrouter/Network/frame_connection.h"
 #include "mustardrouter/Network/frame_listener.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Proxy/relay_channels.h"
+#include "mustardrouter/Proxy/sent_work.h"
 #include "mustardrouter/Schema/relay.pb.h"
 
 #include <asio/io_context.hpp>
@@ -39,11 +41,11 @@
         /// A channel to a holder can be used.
         std::function<void(database_connection_id)> onOpened;
         /// A channel to a holder was closed by the holder, or its link was lost or could not be opened.
-        std::function<void(database_connection_id)> onClosed;
+        std::function<void(database_connection_id, sent_work)> onClosed;
         /// A holder sent replies.
         std::function<void(database_connection_id, std::string_view lines)> onReplies;
-        /// Another instance relays statements; the first ones open the channel.
-        std::function<void(relay_channel, const std::string &route, duration timeLeft, std::string_view lines)> onStatements;
+        /// Another instance relays statements; `opens` if they are the first ones of the channel.
+        std::function<void(relay_channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines)> onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
         /// A message other than statements and replies arrived on the link to the address.
@@ -54,6 +56,10 @@
         std::function<void(const std::string &address)> onPeerLost{};
         /// A link that another instance opened was lost.
         std::function<void(std::uint64_t link)> onIncomingLost{};
+        /// A message for a channel that is not open was not handled.
+        std::function<void(relay_channel, std::uint32_t number)> onNotHandled{};
+        /// The holder at the address opens no new channels on this link.
+        std::function<void(const std::string &address)> onHolderCloses{};
     };
 
     relay_links(asio::io_context &context, handlers callbacks);
@@ -77,6 +83,13 @@
     void reply(const relay_channel &channel, const std::string &lines);
     /// Closes a channel of another instance without a callback.
     void closeChannel(const relay_channel &channel);
+    /// From now on opens no channel for other instances that number their messages, and tells them so.
+    void refuseNewChannels();
+    /// When a message for a channel that is not open arrived last; the epoch if none did.
+    time_point lastRefusedAt() const
+    {
+        return m_lastRefusedAt;
+    }
 
 private:
     struct outgoing_link {
@@ -86,7 +99,12 @@
     };
     struct incoming_link {
         std::shared_ptr<frame_connection> frames;
-        std::set<std::uint64_t> channels;
+        relay_channels channels;
+    };
+    struct outgoing_channel {
+        std::string address;
+        /// Number of the last message.
+        std::uint32_t sent = 0;
     };
 
     outgoing_link &linkTo(const std::string &address);
@@ -96,15 +114,18 @@
     void onOutgoingClosed(const std::string &address, const frame_connection &frames);
     void accept(const std::shared_ptr<frame_connection> &frames);
     void onIncomingFrame(std::uint64_t link, std::string_view payload);
+    void onIncomingStatements(std::uint64_t link, const relay::relayed_statements &statements);
     void onIncomingClosed(std::uint64_t link);
 
     asio::io_context &m_context;
     handlers m_handlers;
     frame_listener m_listener;
     std::map<std::string, outgoing_link> m_outgoing;
-    std::unordered_map<database_connection_id, std::string> m_addressByChannel;
+    std::unordered_map<database_connection_id, outgoing_channel> m_outgoingChannels;
     std::unordered_map<std::uint64_t, incoming_link> m_incoming;
     std::uint64_t m_nextLink = 1;
+    bool m_refusesNew = false;
+    time_point m_lastRefusedAt{};
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -152,8 +152,10 @@
 }
 
 /// Retries, refuses or reports in doubt the statement or transaction that used the lost connection.
-void connectionLost(proxy_engine &engine, client_session &session, const database_connection &lostConnection, time_point now)
+void connectionLost(
+    proxy_engine &engine, client_session &session, const database_connection &lostConnection, sent_work lastSent, time_point now)
 {
+    const bool notRun = lastSent != sent_work::mayHaveRun;
     if (session.transaction && session.transaction->connection == lostConnection.id) {
         session.transaction->connection = database_connection_id{};
         if (session.transaction->phase == transaction_phase::beginning) {
@@ -167,7 +169,10 @@
             session.failureUntold = true;
             return;
         }
-        if (session.current->statement.verb == client_verb::commit && session.transaction->wrote) {
+        if (notRun && beginElsewhere(engine, lostConnection, session, {}, now)) {
+            return;
+        }
+        if (!notRun && session.current->statement.verb == client_verb::commit && session.transaction->wrote) {
             inDoubt(engine, session, lostConnection.database, "connection lost at the commit", now);
             return;
         }
@@ -178,6 +183,11 @@
         return;
     }
     session.current->connection = database_connection_id{};
+    if (notRun) {
+        session.current->excludedDatabases.push_back(lostConnection.database);
+        retry(engine, session, lostConnection.database, "not handled by the holder", {}, now);
+        return;
+    }
     if (session.current->writes) {
         inDoubt(engine, session, lostConnection.database, "connection lost after the write was sent", now);
         return;
@@ -244,7 +254,7 @@
     dispatchReadyGroups(engine, now);
 }
 
-void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now)
+void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now, sent_work lastSent)
 {
     const auto found = engine.connections.find(id);
     if (found == engine.connections.end()) {
@@ -259,6 +269,8 @@
         }
         if (!connection.toHolder) {
             markSuspected(engine, group, *database, "connection lost", now);
+        } else if (lastSent != sent_work::mayHaveRun) {
+            workNotHandled(engine, *database, connection, lastSent, now);
         } else if (connection.state != database_connection_state::idle) {
             // A holder that stops closes its idle connections.
             suspectHolder(engine, connection.database, "connection lost", now);
@@ -266,7 +278,7 @@
     }
     removeConnection(engine, id);
     if (client_session *session = sessionOf(engine, connection)) {
-        connectionLost(engine, *session, connection, now);
+        connectionLost(engine, *session, connection, lastSent, now);
     }
     dispatchReadyGroups(engine, now);
 }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -80,6 +80,12 @@
 /// Begins the session's transaction at another holder if the first one has refused its first statement for lack of the primary.
 /// Returns false if that is not so.
 bool restartElsewhere(proxy_engine &engine, database_connection &connection, client_session &session, reply_code code, time_point now);
+/// Begins the transaction again elsewhere if its first statement, which has not run, is the only one; returns false otherwise. The
+/// connection that it used is no longer its.
+bool beginElsewhere(proxy_engine &engine, const database_connection &connection, client_session &session, duration pause, time_point now);
+/// A holder closed a channel before it handled the last message on it.
+void workNotHandled(
+    proxy_engine &engine, database_state &holder, const database_connection &connection, sent_work lastSent, time_point now);
 /// A connection to a holder can be used.
 void channelOpened(proxy_engine &engine, database_connection &connection, time_point now);
 /// Handles a reply from a holder that is overdue. Returns false when the holder has to be given up.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -47,6 +47,9 @@
 constexpr duration slowOpenThreshold = std::chrono::milliseconds(100);
 constexpr double slowOpenPenaltyMicros = 1e6;
 
+/// A holder that opens no new channels ends; it gets no work for this time.
+constexpr duration closingHolderBackoff = std::chrono::seconds(2);
+
 bool isUsable(const database_state &holder, time_point now)
 {
     return !holder.listed.leaving && holder.suspectedSince == time_point{} && now >= holder.openNotBefore;
@@ -128,6 +131,14 @@
     });
 }
 
+/// Gives a holder that ends no work until its entry in the list should have gone.
+void avoidClosingHolder(proxy_engine &engine, database_state &holder, time_point now)
+{
+    holder.openNotBefore = std::max(holder.openNotBefore, now + closingHolderBackoff);
+    scheduleTimer(engine, holder.openNotBefore, timer_kind::dispatch, 0, holder.listed.group);
+    engine.groupsToDispatch.insert(holder.listed.group);
+}
+
 /// Removes the holders that are not among the given ones.
 void removeHolders(proxy_engine &engine, group_state &group, const std::vector<const listed_instance *> &kept)
 {
@@ -205,6 +216,19 @@
     onStatement(engine, id, std::move(statement), now);
 }
 
+void onHolderCloses(proxy_engine &engine, const std::string &address, time_point now)
+{
+    reportEvent(engine, "holder_closes", {{"address", address}});
+    for (auto &[name, group] : engine.groups) {
+        for (auto &[holderName, holder] : group.holders) {
+            if (holder.listed.address == address) {
+                avoidClosingHolder(engine, holder, now);
+            }
+        }
+    }
+    dispatchReadyGroups(engine, now);
+}
+
 namespace proxying
 {
 
@@ -364,24 +388,50 @@
 
 bool restartElsewhere(proxy_engine &engine, database_connection &connection, client_session &session, reply_code code, time_point now)
 {
-    client_transaction &transaction = *session.transaction;
-    const bool first = transaction.statements == 1 && transaction.excludedDatabases.size() < maxRestarts;
-    if (!connection.toHolder || code != reply_code::misrouted || !first) {
+    if (!connection.toHolder || code != reply_code::misrouted) {
+        return false;
+    }
+    const duration pause = pauseBeforeNextHolder(session.transaction->excludedDatabases.size() + 1);
+    if (!beginElsewhere(engine, connection, session, pause, now)) {
         return false;
     }
     holderLacksPrimary(engine, connection, now);
+    releaseConnection(engine, connection.id, now);
+    return true;
+}
+
+bool beginElsewhere(proxy_engine &engine, const database_connection &connection, client_session &session, duration pause, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    if (transaction.statements != 1 || transaction.excludedDatabases.size() >= maxRestarts) {
+        return false;
+    }
     transaction.excludedDatabases.push_back(connection.database);
     transaction.statements = 0;
-    transaction.notBefore = now + pauseBeforeNextHolder(transaction.excludedDatabases.size());
+    transaction.notBefore = now + pause;
     scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, connection.group);
     transaction.connection = database_connection_id{};
     transaction.phase = transaction_phase::waitingForConnection;
     session.current->connection = database_connection_id{};
-    releaseConnection(engine, connection.id, now);
     queueForConnection(engine, session, now);
     return true;
 }
 
+void workNotHandled(proxy_engine &engine, database_state &holder, const database_connection &connection, sent_work lastSent, time_point now)
+{
+    engine.counters.relayedNotHandled += 1;
+    reportEvent(engine,
+                "relayed_not_handled",
+                {{"holder", connection.database.value()},
+                 {"session", std::to_string(connection.session.value())},
+                 {"why", lastSent == sent_work::notTaken ? "no new channels" : "channel closed"}});
+    // It is alive: it has replied.
+    holder.lastReplyAt = now;
+    if (lastSent == sent_work::notTaken) {
+        avoidClosingHolder(engine, holder, now);
+    }
+}
+
 bool awaitHolder(proxy_engine &engine, group_state &group, database_state &holder, const running_statement &running, time_point now)
 {
     // The statement may wait at the holder for as long as its deadline allows; only the holder itself must be responsive.
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -31,6 +31,10 @@
     std::uint64_t storeHistoriesLost = 0;
     /// Statements and transactions sent to holders.
     std::uint64_t statementsRelayed = 0;
+    /// Of these, those that the holder did not handle as it had closed the channel.
+    std::uint64_t relayedNotHandled = 0;
+    /// Messages that other instances relayed to a channel that was not open here; they were not handled.
+    std::uint64_t relayedRefused = 0;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -12,6 +12,7 @@
 #include "mustardrouter/Proxy/proxy_counters.h"
 #include "mustardrouter/Proxy/proxy_settings.h"
 #include "mustardrouter/Proxy/route_table.h"
+#include "mustardrouter/Proxy/sent_work.h"
 
 #include <deque>
 #include <map>
@@ -160,7 +161,9 @@
 /// A database refused a connection.
 void onConnectionRefused(proxy_engine &engine, database_connection_id id, reply_code code, time_point now);
 /// A connection was lost or could not be opened.
-void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now);
+void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now, sent_work lastSent = sent_work::mayHaveRun);
+/// The holder at the address opens no new channels on the present link.
+void onHolderCloses(proxy_engine &engine, const std::string &address, time_point now);
 /// A database replied to a command.
 void onDatabaseReply(proxy_engine &engine, database_connection_id id, database_reply reply, time_point now);
 
