--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -61,15 +61,52 @@
 void proxy_world::resetRelayLink()
 {
     const std::set<database_connection_id> relays = std::exchange(m_openRelays, {});
+    m_relayLink += 1;
     for (const database_connection_id connection : relays) {
         onConnectionClosed(*entry, connection, now);
-        if (m_relayedSessions.erase(channelOf(connection)) > 0) {
-            onSessionClosed(engine, channelOf(connection), now);
-        }
+    }
+    for (const auto &[channel, handled] : std::exchange(m_relayChannels, {}).open) {
+        onSessionClosed(engine, session_id(channel), now);
+    }
+    performActions();
+}
+
+void proxy_world::closeRelayedSessions()
+{
+    for (const auto &[channel, handled] : m_relayChannels.open) {
+        engine.actions.emplace_back(close_session{session_id(channel), reply_code::done, {}});
+        onSessionClosed(engine, session_id(channel), now);
     }
     performActions();
 }
 
+void proxy_world::standStill()
+{
+    holderStandsStill = true;
+}
+
+void proxy_world::thaw()
+{
+    holderStandsStill = false;
+    onTimer(engine, now);
+    performActions();
+    while (!m_unreadByHolder.empty()) {
+        const std::function<void()> handle = std::move(m_unreadByHolder.front());
+        m_unreadByHolder.pop_front();
+        handle();
+        performActions();
+    }
+}
+
+void proxy_world::whenRuns(const proxy_engine &receiver, std::function<void()> handle)
+{
+    if (holderStandsStill && &receiver == &engine) {
+        m_unreadByHolder.push_back(std::move(handle));
+        return;
+    }
+    handle();
+}
+
 proxy_engine &proxy_world::engineOf(database_connection_id connection)
 {
     return connection.value() >= entryIds ? *entry : engine;
@@ -103,9 +140,11 @@
         closed != nullptr && m_openRelays.erase(closed->connection) > 0) {
         const session_id channel = channelOf(closed->connection);
         events.emplace(now + relayDelay, [this, channel] {
-            if (m_relayedSessions.erase(channel) > 0) {
-                onSessionClosed(engine, channel, now);
-            }
+            whenRuns(engine, [this, channel] {
+                if (closedThere(m_relayChannels, channel.value())) {
+                    onSessionClosed(engine, channel, now);
+                }
+            });
         });
         return true;
     }
@@ -118,13 +157,9 @@
     }
     if (const auto *ended = std::get_if<close_session>(&action); ended != nullptr && ended->session.value() >= channelIds) {
         const database_connection_id connection = connectionOf(ended->session);
-        m_relayedSessions.erase(ended->session);
-        // After the replies that were sent before.
-        events.emplace(now + relayDelay, [this, connection] {
-            if (m_openRelays.erase(connection) > 0) {
-                onConnectionClosed(*entry, connection, now);
-            }
-        });
+        if (const std::optional<std::uint32_t> handled = closeHere(m_relayChannels, ended->session.value())) {
+            relayClosed(connection, *handled);
+        }
         return true;
     }
     return false;
@@ -133,23 +168,53 @@
 void proxy_world::relay(const send_commands &sent)
 {
     const send_commands message = sent;
-    events.emplace(now + relayDelay, [this, message] {
-        if (relayLinkCut || !m_openRelays.contains(message.connection)) {
+    const std::uint32_t number = ++m_sentOnRelay[sent.connection];
+    // What was sent arrives, also if the sender closes the channel meanwhile.
+    events.emplace(now + relayDelay, [this, message, number, link = m_relayLink] {
+        if (relayLinkCut || link != m_relayLink) {
             return;
         }
-        const session_id channel = channelOf(message.connection);
-        if (m_relayedSessions.insert(channel).second) {
-            onRelayedSessionStarted(engine, channel, now);
-        }
-        for (const database_command &command : message.commands) {
-            std::string line;
-            platform::encodeCommand(line, command);
-            platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
-            onRelayedStatement(engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now);
+        whenRuns(engine, [this, message, number, link] {
+            if (link == m_relayLink) {
+                receiveRelayed(message, number);
+            }
+        });
+    });
+}
+
+void proxy_world::relayClosed(database_connection_id connection, std::uint32_t handled)
+{
+    events.emplace(now + relayDelay, [this, connection, handled] {
+        if (m_openRelays.erase(connection) > 0) {
+            onConnectionClosed(*entry, connection, now, workOf(handled, m_sentOnRelay[connection]));
         }
     });
 }
 
+void proxy_world::receiveRelayed(const send_commands &message, std::uint32_t number)
+{
+    const session_id channel = channelOf(message.connection);
+    const relay_arrival arrival = arrive(m_relayChannels, channel.value(), number);
+    if (arrival == relay_arrival::notHandled) {
+        relayClosed(message.connection, handledBefore(m_relayChannels, channel.value(), number));
+        return;
+    }
+    if (arrival == relay_arrival::outOfOrder) {
+        relayClosed(message.connection, closeHere(m_relayChannels, channel.value()).value_or(0));
+        onSessionClosed(engine, channel, now);
+        return;
+    }
+    if (arrival == relay_arrival::opens) {
+        onRelayedSessionStarted(engine, channel, now);
+    }
+    for (const database_command &command : message.commands) {
+        std::string line;
+        platform::encodeCommand(line, command);
+        platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
+        onRelayedStatement(engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now);
+    }
+}
+
 void proxy_world::relayReply(database_connection_id connection, const client_reply &reply)
 {
     events.emplace(now + relayDelay, [this, connection, reply] {
