Workspaces: who is calling, and connections that belong to a workspace

A connection to a database belongs to one workspace for its life; at the limit the least recently used idle one of another is closed for a workspace without any, and a claim keeps a large workspace from holding all (Workspaces/connection_share). Relayed messages carry the workspace and the key's digest; the holder checks both against its own configuration and refuses what it does not know as not run. Each workspace is served first by a few holders (Workspaces/holder_affinity). The table keeps each digest with its workspace, since with one workspace for each digest two keys with the same one shut a workspace out. No test of the new parts yet.

--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -44,7 +44,7 @@
             [&](database_connection_id id, std::string_view lines) {
                 record.replies[id.value()] += lines;
             },
-            [&](const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines) {
+            [&](const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &, std::string_view lines) {
                 const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
                 record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
                 record.channels.push_back(channel);
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -145,7 +145,8 @@
             std::string line;
             platform::encodeCommand(line, command);
             platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
-            onRelayedStatement(engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now);
+            onRelayedStatement(
+                engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now, message.caller);
         }
     });
 }
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -109,8 +109,12 @@
                     [this](database_connection_id id, std::string_view lines) {
                         onHolderReplies(id, lines);
                     },
-                    [this](const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines) {
-                        onRelayedLines(channel, route, timeLeft, lines);
+                    [this](const relay_channel &channel,
+                           const std::string &route,
+                           duration timeLeft,
+                           const caller_identity &caller,
+                           std::string_view lines) {
+                        onRelayedLines(channel, route, timeLeft, caller, lines);
                     },
                     [this](const relay_channel &channel) {
                         onRelayChannelClosed(channel);
@@ -236,7 +240,8 @@
         onSessionClosed(m_engine, id, now());
     } else if (isStart && !found->second.startupReceived) {
         found->second.startupReceived = true;
-        onSessionStarted(m_engine, id, std::get<platform::client_start>(message).database, now());
+        const platform::client_start &start = std::get<platform::client_start>(message);
+        onSessionStarted(m_engine, id, start.database, now(), start.key);
     } else if (std::holds_alternative<client_statement>(message) && found->second.startupReceived) {
         found->second.statementReceivedAt = now();
         onStatement(m_engine, id, std::move(std::get<client_statement>(message)), now());
@@ -344,7 +349,8 @@
     performActions();
 }
 
-void edge_instance::onRelayedLines(const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines)
+void edge_instance::onRelayedLines(
+    const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)
 {
     const auto [found, added] = m_sessionByChannel.try_emplace(channel, session_id(m_nextSession));
     const session_id session = found->second;
@@ -355,7 +361,7 @@
     }
     forEachLine(lines, [&](std::string_view line) {
         platform::relayed_statement relayed = platform::decodeRelayedLine(line);
-        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now());
+        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now(), caller);
     });
     performActions();
 }
@@ -482,7 +488,8 @@
     auto stream = std::make_shared<line_stream>(asio::ip::tcp::socket(m_context), maxLineBytes, std::move(callbacks));
     m_databases[id] = {stream, {}, action.database, false};
     std::string startupMessage;
-    platform::encodeDatabaseStart(startupMessage, action.group, m_environment.instance, action.database);
+    const std::string &caller = action.workspace.value().empty() ? m_environment.instance : action.workspace.value();
+    platform::encodeDatabaseStart(startupMessage, action.group, caller, action.database);
     stream->connect(endpointOrUnspecified(action.address), std::move(startupMessage));
 }
 
@@ -493,7 +500,7 @@
         for (const database_command &command : action.commands) {
             platform::encodeCommand(lines, command);
         }
-        m_relayLinks.send(action.connection, action.route, action.timeLeft, lines);
+        m_relayLinks.send(action.connection, action.route, action.timeLeft, lines, action.caller);
         return;
     }
     const auto found = m_databases.find(action.connection);
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -60,7 +60,8 @@
     void onDatabaseLine(database_connection_id id, std::string_view line);
     void onDatabaseClosed(database_connection_id id);
     void onHolderReplies(database_connection_id id, std::string_view lines);
-    void onRelayedLines(const relay_channel &channel, const std::string &route, duration timeLeft, std::string_view lines);
+    void onRelayedLines(
+        const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines);
     void onRelayChannelClosed(const relay_channel &channel);
 
     /// Performs the engine's pending actions and schedules its next timer.
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -77,7 +77,8 @@
     }
 }
 
-void relay_links::send(database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines)
+void relay_links::send(
+    database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines, const caller_identity &caller)
 {
     const auto address = m_addressByChannel.find(connection);
     if (address == m_addressByChannel.end()) {
@@ -90,6 +91,8 @@
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
     statements.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis)));
     statements.set_lines(lines);
+    statements.set_workspace(caller.workspace.value());
+    statements.set_key_digest(caller.key.value());
     m_outgoing.at(address->second).frames->send(message);
 }
 
@@ -212,8 +215,11 @@
     if (message.has_statements()) {
         const relay::relayed_statements &statements = message.statements();
         found->second.channels.insert(statements.channel());
-        m_handlers.onStatements(
-            {link, statements.channel()}, statements.route(), std::chrono::milliseconds(statements.time_left_ms()), statements.lines());
+        m_handlers.onStatements({link, statements.channel()},
+                                statements.route(),
+                                std::chrono::milliseconds(statements.time_left_ms()),
+                                {workspace_name(statements.workspace()), key_digest(statements.key_digest())},
+                                statements.lines());
     } else if (message.has_closed()) {
         if (found->second.channels.erase(message.closed().channel()) > 0) {
             m_handlers.onChannelClosed({link, message.closed().channel()});
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Network/frame_listener.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 #include "mustardrouter/Schema/relay.pb.h"
+#include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <asio/io_context.hpp>
 
@@ -43,7 +44,9 @@
         /// A holder sent replies.
         std::function<void(database_connection_id, std::string_view lines)> onReplies;
         /// Another instance relays statements; the first ones open the channel.
-        std::function<void(relay_channel, const std::string &route, duration timeLeft, std::string_view lines)> onStatements;
+        std::function<void(
+            relay_channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)>
+            onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
         /// A message other than statements and replies arrived on the link to the address.
@@ -63,7 +66,11 @@
 
     /// Opens a channel to the holder at the address; calls onOpened or onClosed later.
     void open(database_connection_id connection, const std::string &address);
-    void send(database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines);
+    void send(database_connection_id connection,
+              const std::string &route,
+              duration timeLeft,
+              const std::string &lines,
+              const caller_identity &caller = {});
     /// Closes a channel without a callback.
     void close(database_connection_id connection);
     /// Closes the link to the address without callbacks; its channels must have been closed.
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -6,6 +6,7 @@
 #include "mustardrouter/Proxy/database_reply.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 #include "mustardrouter/Proxy/route_table.h"
+#include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <deque>
 #include <map>
@@ -61,6 +62,8 @@
     std::string beginStatementId;
     /// The client began it as read-only.
     bool readOnly = false;
+    /// Under which BEGIN was sent.
+    workspace_name workspace;
     bool wrote = false;
     time_point beganAt{};
     transaction_phase phase = transaction_phase::waitingForConnection;
@@ -81,6 +84,12 @@
     session_id id;
     /// Database name that the client requested.
     std::string database;
+    /// As the client gave it; not for relayed sessions.
+    api_key key;
+    /// Whose statements these are, as found when the last one was checked.
+    caller_identity caller;
+    /// For a relayed session: what the relaying instance says of the client of its current statement.
+    caller_identity relayedCaller;
     bool accepted = false;
     /// Statements of another instance's clients, which that instance relays one at a time.
     bool relayed = false;
--- a/mustardrouter/Proxy/connection_budget.cpp
+++ b/mustardrouter/Proxy/connection_budget.cpp
@@ -18,6 +18,10 @@
     duration timeout;
 };
 
+/// Up to this share a holder keeps the connections of its workspaces: their number is bounded by the choice of the holders, who use up to
+/// three quarters of the limit, and each that is closed would be opened again for the workspace's next statement.
+constexpr double placedShare = 0.85;
+
 /// The timeout shrinks towards the limit; reopening a connection costs 10 to 30 ms of a slot. Some connections are
 /// kept free because after a power loss of many instances their old connections still count for 3 s, while the
 /// restarted instances need new ones.
@@ -47,6 +51,9 @@
     }
     const double share =
         budget.totalLimit == 0 ? 1.0 : static_cast<double>(budget.totalConnections) / static_cast<double>(budget.totalLimit);
+    if (budget.holdsForWorkspaces && share <= placedShare) {
+        return idleTimeoutSteps[0].timeout;
+    }
     for (const idle_timeout_step &step : idleTimeoutSteps) {
         if (share <= step.maxShareInUse) {
             return step.timeout;
--- a/mustardrouter/Proxy/connection_budget.h
+++ b/mustardrouter/Proxy/connection_budget.h
@@ -21,6 +21,8 @@
     std::uint32_t totalLimit = 1;
     /// The database recently refused work for lack of capacity: another connection would only add its own cost.
     bool recentlyOverloaded = false;
+    /// Instances were chosen to hold the connections for all workspaces, this one among them.
+    bool holdsForWorkspaces = false;
 };
 
 /// Whether one more connection may be opened for a waiting statement.
--- a/mustardrouter/Proxy/connection_choice.cpp
+++ b/mustardrouter/Proxy/connection_choice.cpp
@@ -29,7 +29,10 @@
         return choice;
     }
     for (std::size_t index = 0; index < std::min(choice.idleIndex, none); ++index) {
-        const bool isWorthOpening = idle == options.end() || options[index].expectedMicros < maxExpectedTimeRatio * idle->expectedMicros;
+        // A connection of another workspace is closed only for one that is needed.
+        const bool isWorthOpening =
+            idle == options.end()
+            || (!options[index].replaces && options[index].expectedMicros < maxExpectedTimeRatio * idle->expectedMicros);
         if (options[index].mayOpen && isWorthOpening) {
             choice.openIndex = index;
             break;
--- a/mustardrouter/Proxy/connection_choice.h
+++ b/mustardrouter/Proxy/connection_choice.h
@@ -22,6 +22,8 @@
     bool idle = false;
     /// One more connection may be opened.
     bool mayOpen = false;
+    /// For that, an idle connection of another workspace has to be closed.
+    bool replaces = false;
     /// A connection is being opened, and for how long.
     bool opening = false;
     duration openingFor{};
--- a/mustardrouter/Proxy/database_connection.h
+++ b/mustardrouter/Proxy/database_connection.h
@@ -48,6 +48,8 @@
     database_connection_id id;
     database_name database;
     group_name group;
+    /// Whose statements it carries for its whole life. Empty for those of callers without a workspace, and where it leads to a holder.
+    workspace_name workspace;
     /// Leads to the holder of this name instead of to a database; a statement sent on it is relayed there.
     bool toHolder = false;
     database_connection_state state = database_connection_state::opening;
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Proxy/database_listing.h"
 #include "mustardrouter/Proxy/database_status.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Workspaces/connection_share.h"
 
 #include <optional>
 #include <vector>
@@ -18,6 +19,8 @@
     /// Since when it is missing from the platform's list; the epoch while it is listed.
     time_point unlistedSince{};
     std::vector<database_connection_id> connections;
+    /// Workspaces that wait for their first connection.
+    std::vector<connection_claim> claims;
     /// Statements of this instance that it is running.
     std::uint32_t inFlight = 0;
     /// Since when it is suspected to be unresponsive; the epoch while it is trusted.
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -435,7 +435,8 @@
 
 } // namespace
 
-database_connection &openConnection(proxy_engine &engine, group_state &group, database_state &database, time_point now, bool toHolder)
+database_connection &openConnection(
+    proxy_engine &engine, group_state &group, database_state &database, time_point now, bool toHolder, const workspace_name &workspace)
 {
     const database_connection_id id(engine.nextConnectionId++);
     database_connection &connection = engine.connections[id];
@@ -443,10 +444,12 @@
     connection.database = database.listed.name;
     connection.group = group.name;
     connection.toHolder = toHolder;
+    connection.workspace = workspace;
     connection.since = now;
     database.connections.push_back(id);
     engine.counters.connectionsOpened += toHolder ? 0 : 1;
-    engine.actions.emplace_back(open_database_connection{id, connection.database, group.name, database.listed.address, toHolder});
+    engine.actions.emplace_back(
+        open_database_connection{id, connection.database, group.name, database.listed.address, toHolder, workspace});
     scheduleTimer(engine, now + openTimeoutOf(engine, connection), timer_kind::connection, id.value());
     return connection;
 }
@@ -461,9 +464,10 @@
     for (const reply_purpose purpose : purposes) {
         connection.expected.push_back({purpose, now});
     }
-    send_commands action{connection.id, std::move(commands), {}, {}};
+    send_commands action{connection.id, std::move(commands), {}, {}, {}};
     if (const client_session *session = connection.toHolder ? sessionOf(engine, connection) : nullptr) {
         action.route = session->database;
+        action.caller = session->caller;
         // The holder's refusal is to arrive before the deadline here.
         action.timeLeft = session->current ? std::max(session->current->deadline - now - relayReplyMargin, relayReplyMargin) : duration{};
     }
@@ -575,12 +579,13 @@
 database_connection *findIdle(proxy_engine &engine,
                               const database_state &database,
                               const std::map<std::string, std::string> &values,
-                              time_point now)
+                              time_point now,
+                              const workspace_name *workspace)
 {
     database_connection *best = nullptr;
     for (const database_connection_id id : database.connections) {
         database_connection &connection = engine.connections.at(id);
-        if (!isUsableIdle(engine, connection, now)) {
+        if (!isUsableIdle(engine, connection, now) || (workspace != nullptr && connection.workspace != *workspace)) {
             continue;
         }
         if (!connection.valuesUncertain && connection.values == values) {
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -2,6 +2,7 @@
 #include "mustardrouter/Proxy/connection_choice.h"
 #include "mustardrouter/Proxy/connection_setup.h"
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/group_holders.h"
 #include "mustardrouter/Proxy/overload_admission.h"
 #include "mustardrouter/Proxy/read_ranking.h"
@@ -112,6 +113,7 @@
     client_transaction &transaction = *session.transaction;
     transaction.phase = transaction_phase::beginning;
     transaction.connection = connection.id;
+    transaction.workspace = session.caller.workspace;
     connection.session = session.id;
     connection.state = database_connection_state::held;
     connection.inTransaction = true;
@@ -145,26 +147,22 @@
     if (found == group.databases.end() || !acceptsWork(engine, found->second, now)) {
         return nullptr;
     }
-    database_state &database = found->second;
-    if (database_connection *idle = findIdle(engine, database, session.values, now)) {
-        return idle;
-    }
-    if (now >= database.openNotBefore && mayOpenConnection(budgetOf(engine, group, database, now))) {
-        openConnection(engine, group, database, now);
-    }
-    return nullptr;
+    return findOrOpenShared(engine, group, found->second, session, now);
 }
 
-connection_option optionOf(const proxy_engine &engine, const group_state &group, const ranked_database &candidate, time_point now)
+connection_option optionOf(
+    const proxy_engine &engine, const group_state &group, const ranked_database &candidate, const client_session &session, time_point now)
 {
     const database_state &database = *candidate.database;
+    const shared_option shared = sharedOptionOf(engine, group, database, session, now);
     connection_option option;
     option.expectedMicros = candidate.expectedMicros;
-    option.mayOpen = now >= database.openNotBefore && mayOpenConnection(budgetOf(engine, group, database, now));
+    option.idle = shared.idle;
+    option.mayOpen = shared.mayOpen;
+    option.replaces = shared.replaces;
     for (const database_connection_id id : database.connections) {
         const database_connection &connection = engine.connections.at(id);
-        option.idle = option.idle || isUsableIdle(engine, connection, now);
-        if (connection.state == database_connection_state::opening) {
+        if (connection.state == database_connection_state::opening && connection.workspace == session.caller.workspace) {
             option.opening = true;
             option.openingFor = std::max(option.openingFor, now - connection.since);
         }
@@ -221,18 +219,23 @@
     std::vector<connection_option> options;
     options.reserve(ranked.size());
     for (const ranked_database &candidate : ranked) {
-        options.push_back(optionOf(engine, group, candidate, now));
+        options.push_back(optionOf(engine, group, candidate, session, now));
     }
     const connection_choice choice = chooseConnection(options);
     if (choice.openIndex < ranked.size()) {
-        openConnection(engine, group, group.databases.at(ranked[choice.openIndex].database->listed.name), now);
+        findOrOpenShared(engine, group, group.databases.at(ranked[choice.openIndex].database->listed.name), session, now);
+    } else if (choice.idleIndex == ranked.size() && !ranked.empty() && std::ranges::none_of(options, &connection_option::opening)) {
+        claimShared(engine, group.databases.at(ranked.front().database->listed.name), session, now);
     }
     if (choice.idleIndex == ranked.size() && choice.openIndex == ranked.size() && group.dispatchAt <= now) {
         // The connection that is being opened may fail.
         group.dispatchAt = now + slowOpenThreshold;
         scheduleTimer(engine, group.dispatchAt, timer_kind::dispatch, 0, group.name);
     }
-    return choice.idleIndex < ranked.size() ? findIdle(engine, *ranked[choice.idleIndex].database, session.values, now) : nullptr;
+    if (choice.idleIndex == ranked.size()) {
+        return nullptr;
+    }
+    return findOrOpenShared(engine, group, group.databases.at(ranked[choice.idleIndex].database->listed.name), session, now);
 }
 
 /// Whether a read may be sent to a database that may be overloaded.
@@ -433,6 +436,17 @@
     return true;
 }
 
+/// Refuses a transaction whose BEGIN waits and whose key is in no workspace any more. Returns whether the session no longer waits: the
+/// refusal is the reply to its first statement, which may be yet to come.
+bool refuseWaiting(proxy_engine &engine, client_session &session, time_point now)
+{
+    if (!session.current) {
+        return false;
+    }
+    refuseUnidentified(engine, session, now);
+    return true;
+}
+
 /// Dispatches the session's statement or transaction. Returns whether the session no longer waits, which is also true when it
 /// has nothing to dispatch.
 bool dispatchSession(proxy_engine &engine, group_state &group, client_session &session, time_point now)
@@ -441,6 +455,9 @@
         if (session.transaction->phase != transaction_phase::waitingForConnection) {
             return true;
         }
+        if (!identify(engine, session)) {
+            return refuseWaiting(engine, session, now);
+        }
         if (isToBeRelayed(group, session, now)) {
             return dispatchRelayed(engine, group, session, session.transaction->sessionRoute, now);
         }
@@ -457,6 +474,10 @@
         refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
         return true;
     }
+    if (!identify(engine, session)) {
+        refuseUnidentified(engine, session, now);
+        return true;
+    }
     if (isToBeRelayed(group, session, now)) {
         return dispatchRelayed(engine, group, session, sessionRoute->second, now);
     }
@@ -499,6 +520,7 @@
     if (engine.sharedGroups.contains(group.name)) {
         budget.ownLimit = group.holders.empty() ? connectionsPerHolder : 1;
     }
+    budget.holdsForWorkspaces = engine.routes.workspaces.enabled && engine.sharedGroups.contains(group.name) && group.holders.empty();
     budget.totalConnections = database.connectionsInUse;
     budget.totalLimit = group.limits.connections;
     budget.recentlyOverloaded = database.overloadedAt != time_point{} && now - database.overloadedAt < engine.settings.overloadValidFor;
@@ -536,6 +558,10 @@
 
 void sendInTransaction(proxy_engine &engine, client_session &session, time_point now)
 {
+    if (!mayContinueTransaction(engine, session)) {
+        refuseStatement(engine, session, reply_code::aborted, "the workspace of the transaction has changed", now);
+        return;
+    }
     database_connection &connection = engine.connections.at(session.transaction->connection);
     session.transaction->statements += 1;
     session.current->floor.reset();
@@ -566,6 +592,7 @@
 
 void dispatch(proxy_engine &engine, group_state &group, time_point now)
 {
+    recordWaitingWorkspaces(engine, group);
     std::deque<session_id> stillWaiting;
     std::deque<session_id> waiting = std::exchange(group.waiting, {});
     // Urgent sessions come first; within each class the oldest.
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/engine_workspaces.h"
 
 #include <algorithm>
 #include <utility>
@@ -319,6 +320,7 @@
     const bool first = !std::exchange(engine.configurationReceived, true);
     updateLimits(engine);
     updateHolders(engine);
+    applyWorkspaces(engine, now);
     scheduleWarmUp(engine, now);
     if (first) {
         for (auto &[id, session] : engine.sessions) {
@@ -638,7 +640,8 @@
 void warmUp(proxy_engine &engine, group_state &group, const database_name &name, time_point now)
 {
     const auto found = group.databases.find(name);
-    const bool wanted = group.holders.empty() && found != group.databases.end();
+    // It is not known yet which workspace will need one.
+    const bool wanted = group.holders.empty() && found != group.databases.end() && !engine.routes.workspaces.enabled;
     if (wanted && found->second.connections.empty() && !found->second.listed.leaving) {
         openConnection(engine, group, found->second, now);
     }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -80,6 +80,8 @@
 /// Begins the session's transaction at another holder if the first one has refused its first statement for lack of the primary.
 /// Returns false if that is not so.
 bool restartElsewhere(proxy_engine &engine, database_connection &connection, client_session &session, reply_code code, time_point now);
+/// A holder refused the BEGIN of a transaction: schedules the next attempt, at another holder if there is one.
+void delayBegin(proxy_engine &engine, const group_state &group, client_transaction &transaction, reply_code code, time_point now);
 /// A connection to a holder can be used.
 void channelOpened(proxy_engine &engine, database_connection &connection, time_point now);
 /// Handles a reply from a holder that is overdue. Returns false when the holder has to be given up.
@@ -115,9 +117,13 @@
 
 /// Sends the probe on the connection; its replies precede those of commands that are sent later.
 void sendProbe(proxy_engine &engine, database_connection &connection, const probe_request &probe, time_point now);
-/// Starts opening a connection to the database, or to the holder.
-database_connection &openConnection(
-    proxy_engine &engine, group_state &group, database_state &database, time_point now, bool toHolder = false);
+/// Starts opening a connection to the database, or to the holder. It belongs to the workspace for its life.
+database_connection &openConnection(proxy_engine &engine,
+                                    group_state &group,
+                                    database_state &database,
+                                    time_point now,
+                                    bool toHolder = false,
+                                    const workspace_name &workspace = {});
 /// Sends commands and records the replies to expect, one purpose for each command.
 void sendOn(proxy_engine &engine,
             database_connection &connection,
@@ -130,11 +136,13 @@
 void discardConnection(proxy_engine &engine, database_connection_id id);
 /// Handles the timer of a connection: opening, missing reply, idle timeout, or retry inside a transaction.
 void checkConnection(proxy_engine &engine, database_connection &connection, time_point now);
-/// Returns an idle connection to the database, preferably one with exactly these session values; nullptr without one.
+/// Returns an idle connection to the database, preferably one with exactly these session values; nullptr without one. For a
+/// client's statement, `workspace` names the one that the connection must belong to.
 database_connection *findIdle(proxy_engine &engine,
                               const database_state &database,
                               const std::map<std::string, std::string> &values,
-                              time_point now);
+                              time_point now,
+                              const workspace_name *workspace = nullptr);
 /// Whether the connection is idle and no reply to a probe on it is overdue.
 bool isUsableIdle(const proxy_engine &engine, const database_connection &connection, time_point now);
 
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/group_holders.h"
 #include "mustardrouter/Proxy/read_ranking.h"
 
@@ -46,6 +47,9 @@
 /// A link that takes longer than this to open probably never will; other holders come first.
 constexpr duration slowOpenThreshold = std::chrono::milliseconds(100);
 constexpr double slowOpenPenaltyMicros = 1e6;
+/// A holder that does not serve the workspace first has to open a connection for it: up to three crossings between regions, and a slot
+/// of the database, which may have to wait for it.
+constexpr double otherHolderMicros = 100'000;
 
 bool isUsable(const database_state &holder, time_point now)
 {
@@ -82,10 +86,15 @@
 }
 
 /// The holder with the shortest expected time that has not refused the statement and, if that matters, reaches the primary; any
-/// other if there is none.
-database_state *nearestHolder(
-    proxy_engine &engine, group_state &group, const std::vector<database_name> &excluded, bool primaryNeeded, time_point now)
+/// other if there is none. With workspaces, those that serve the session's workspace first are preferred.
+database_state *nearestHolder(proxy_engine &engine,
+                              group_state &group,
+                              const client_session &session,
+                              const std::vector<database_name> &excluded,
+                              bool primaryNeeded,
+                              time_point now)
 {
+    const std::set<database_name> *preferred = preferredHoldersOf(engine, group, session);
     database_state *best = nullptr;
     double bestMicros = std::numeric_limits<double>::max();
     for (auto &[name, holder] : group.holders) {
@@ -95,7 +104,8 @@
         constexpr double refusedPenaltyMicros = 1e9;
         const bool lacksPrimary = primaryNeeded && now < holder.lacksPrimaryUntil;
         const bool refused = lacksPrimary || std::ranges::find(excluded, name) != excluded.end();
-        const double micros = expectedMicros(engine, holder, now) + (refused ? refusedPenaltyMicros : 0);
+        const bool other = preferred != nullptr && !preferred->contains(name);
+        const double micros = expectedMicros(engine, holder, now) + (refused ? refusedPenaltyMicros : 0) + (other ? otherHolderMicros : 0);
         if (micros < bestMicros) {
             best = &holder;
             bestMicros = micros;
@@ -153,6 +163,7 @@
 
 void setHolders(proxy_engine &engine, group_state &group, const std::vector<const listed_instance *> &holders)
 {
+    group.preferredHolders.clear();
     removeHolders(engine, group, holders);
     for (const listed_instance *instance : holders) {
         database_state &holder = group.holders[database_name(instance->name.value())];
@@ -190,13 +201,20 @@
                         duration timeLeft,
                         const std::optional<log_entry> &floor,
                         client_statement statement,
-                        time_point now)
+                        time_point now,
+                        const caller_identity &caller)
 {
     const auto found = engine.sessions.find(id);
     if (found == engine.sessions.end()) {
         return;
     }
     client_session &session = found->second;
+    if (!acceptRelayedCaller(session, caller, statement.verb)) {
+        reportEvent(engine, "relayed_caller_mixed", {{"session", std::to_string(id.value())}});
+        engine.actions.emplace_back(close_session{id, reply_code::malformed, {}});
+        onSessionClosed(engine, id, now);
+        return;
+    }
     session.relayedTimeout = timeLeft;
     if (!session.transaction && !session.current) {
         session.database = database;
@@ -273,7 +291,7 @@
         return true;
     }
     const std::vector<database_name> &excluded = begins ? session.transaction->excludedDatabases : session.current->excludedDatabases;
-    database_state *holder = nearestHolder(engine, group, excluded, needsPrimary(session, sessionRoute), now);
+    database_state *holder = nearestHolder(engine, group, session, excluded, needsPrimary(session, sessionRoute), now);
     database_connection *connection = holder == nullptr ? nullptr : findOrOpenToHolder(engine, group, *holder, session.values, now);
     if (connection == nullptr) {
         return false;
@@ -297,6 +315,7 @@
     running_statement &running = *session.current;
     switch (reply.code) {
     case reply_code::unknownDatabase:
+    case reply_code::unauthorized:
         running.excludedDatabases.push_back(connection.database);
         retry(engine, session, connection.database, "holder has another configuration", otherConfigurationBackoff, now);
         return;
@@ -366,13 +385,17 @@
 {
     client_transaction &transaction = *session.transaction;
     const bool first = transaction.statements == 1 && transaction.excludedDatabases.size() < maxRestarts;
-    if (!connection.toHolder || code != reply_code::misrouted || !first) {
+    const bool otherConfiguration = code == reply_code::unauthorized;
+    if (!connection.toHolder || (code != reply_code::misrouted && !otherConfiguration) || !first) {
         return false;
     }
-    holderLacksPrimary(engine, connection, now);
+    if (!otherConfiguration) {
+        holderLacksPrimary(engine, connection, now);
+    }
     transaction.excludedDatabases.push_back(connection.database);
     transaction.statements = 0;
-    transaction.notBefore = now + pauseBeforeNextHolder(transaction.excludedDatabases.size());
+    transaction.notBefore =
+        now + (otherConfiguration ? otherConfigurationBackoff : pauseBeforeNextHolder(transaction.excludedDatabases.size()));
     scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, connection.group);
     transaction.connection = database_connection_id{};
     transaction.phase = transaction_phase::waitingForConnection;
@@ -382,6 +405,13 @@
     return true;
 }
 
+void delayBegin(proxy_engine &engine, const group_state &group, client_transaction &transaction, reply_code code, time_point now)
+{
+    const bool otherConfiguration = code == reply_code::unauthorized;
+    transaction.notBefore = now + (otherConfiguration ? otherConfigurationBackoff : engine.settings.overloadBackoff);
+    scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, group.name);
+}
+
 bool awaitHolder(proxy_engine &engine, group_state &group, database_state &holder, const running_statement &running, time_point now)
 {
     // The statement may wait at the holder for as long as its deadline allows; only the holder itself must be responsive.
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -276,8 +276,7 @@
         group.lagRefusedAt = reply.code == reply_code::lagging ? now : group.lagRefusedAt;
         transaction.excludedDatabases.push_back(connection.database);
         if (connection.toHolder) {
-            transaction.notBefore = now + engine.settings.overloadBackoff;
-            scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, group.name);
+            delayBegin(engine, group, transaction, reply.code, now);
         }
     }
     connection.inTransaction = reply.state != transaction_state::none;
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/read_ranking.h"
 
 #include <algorithm>
@@ -53,6 +54,12 @@
         engine.sessions.erase(session.id);
         return;
     }
+    if (!identify(engine, session)) {
+        reportUnknownKey(engine, session, now);
+        engine.actions.emplace_back(close_session{session.id, reply_code::unauthorized, "the key is not known"});
+        engine.sessions.erase(session.id);
+        return;
+    }
     session.accepted = true;
     session.idleSince = now;
     engine.actions.emplace_back(accept_session{session.id});
@@ -66,6 +73,10 @@
         sendReply(engine, session, localReply(session, reply_code::unknownDatabase, "no route has this name"));
         return;
     }
+    if (session.relayed && !identify(engine, session)) {
+        sendReply(engine, session, localReply(session, reply_code::unauthorized, "the caller's key is not known here"));
+        return;
+    }
     client_transaction transaction;
     transaction.sessionRoute = *sessionRoute;
     transaction.beginStatementId = statement.id;
@@ -213,7 +224,10 @@
     while (!session.current && !session.queuedStatements.empty()) {
         client_statement statement = std::move(session.queuedStatements.front());
         session.queuedStatements.pop_front();
-        if (!replyLocally(engine, session, statement, now)) {
+        if (!session.relayed && !identify(engine, session)) {
+            engine.counters.statements += 1;
+            replyUnidentified(engine, session, now);
+        } else if (!replyLocally(engine, session, statement, now)) {
             startStatement(engine, session, std::move(statement), now);
         }
     }
@@ -255,11 +269,12 @@
 
 } // namespace
 
-void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now)
+void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now, const api_key &key)
 {
     client_session &session = engine.sessions[id];
     session.id = id;
     session.database = database;
+    session.key = key;
     session.startedAt = now;
     if (engine.stoppingSince != time_point{}) {
         scheduleSessionClose(engine, session, now);
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -6,6 +6,7 @@
 #include "mustardrouter/Proxy/database_command.h"
 #include "mustardrouter/Proxy/failover_state.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <string>
 #include <utility>
@@ -41,6 +42,8 @@
     std::string address;
     /// The address is that of an instance that holds connections to the group.
     bool toHolder = false;
+    /// The workspace that it belongs to; empty for none.
+    workspace_name workspace{};
 };
 
 /// Sends commands to a database in one packet.
@@ -50,6 +53,7 @@
     /// Only to a holder: the database name that the client requested, and the time left for the statement.
     std::string route;
     duration timeLeft{};
+    caller_identity caller{};
 };
 
 /// Closes a connection; the database rolls back an open transaction.
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -31,6 +31,11 @@
     std::uint64_t storeHistoriesLost = 0;
     /// Statements and transactions sent to holders.
     std::uint64_t statementsRelayed = 0;
+    /// Sessions refused because their key is in no workspace, and those whose key was withdrawn later.
+    std::uint64_t unknownKeys = 0;
+    std::uint64_t keysWithdrawn = 0;
+    /// Connections closed to open one for another workspace.
+    std::uint64_t connectionsReplaced = 0;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -44,6 +44,8 @@
     /// state is kept like that of a database.
     std::map<database_name, database_state> holders;
     holder_inputs holdersComputedFrom;
+    /// The holders that serve each workspace first, as far as they were needed.
+    std::map<workspace_name, std::set<database_name>> preferredHolders;
     /// The database believed to be primary; replies confirm or refute it.
     std::optional<database_name> primary;
     term_number primaryTerm;
@@ -57,6 +59,8 @@
     double smoothedReadMicros = 0;
     /// Sessions whose statement or transaction waits for a connection, oldest first.
     std::deque<session_id> waiting;
+    /// Their workspaces, as of the last dispatch.
+    std::set<workspace_name> waitingWorkspaces;
     failover_state failover;
     std::optional<primary_outage> outage;
     primary_verification verification;
@@ -118,6 +122,7 @@
     bool warmedUp = false;
     std::vector<proxy_action> actions;
     proxy_counters counters;
+    time_point unknownKeyReportedAt{};
     std::mt19937_64 random;
     std::uint64_t nextConnectionId = 1;
     /// When the stop request arrived; the epoch before.
@@ -139,17 +144,18 @@
 /// Another instance opened a channel for statements that it relays.
 void onRelayedSessionStarted(proxy_engine &engine, session_id id, time_point now);
 /// Another instance relayed a statement of a client that had requested `database`. `floor` is the log entry up to which the client's
-/// own commits go.
+/// own commits go; `caller` is what that instance has found the client to be.
 void onRelayedStatement(proxy_engine &engine,
                         session_id id,
                         const std::string &database,
                         duration timeLeft,
                         const std::optional<log_entry> &floor,
                         client_statement statement,
-                        time_point now);
+                        time_point now,
+                        const caller_identity &caller = {});
 
-/// A client requests a session with a database.
-void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now);
+/// A client requests a session with a database, and shows who it is by its key.
+void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now, const api_key &key = {});
 /// A client sent a statement.
 void onStatement(proxy_engine &engine, session_id id, client_statement statement, time_point now);
 /// A client's connection was closed or lost.
--- a/mustardrouter/Proxy/reply_code.h
+++ b/mustardrouter/Proxy/reply_code.h
@@ -25,6 +25,9 @@
     unknownDatabase,
     malformed,
     tooLarge,
+    /// The client's key is in no workspace. From a holder: its configuration does not know the caller, and it has run nothing. By
+    /// itself not a promise that nothing ran.
+    unauthorized,
     /// An unknown code: the statement may or may not have been committed.
     other,
 };
@@ -46,6 +49,7 @@
                                           "unknown_database",
                                           "malformed",
                                           "too_large",
+                                          "unauthorized",
                                           "other"};
     return names[static_cast<std::size_t>(code)];
 }
--- a/mustardrouter/Proxy/route_table.h
+++ b/mustardrouter/Proxy/route_table.h
@@ -3,6 +3,7 @@
 #include "mustardrouter/Core/ids.h"
 #include "mustardrouter/Core/statement.h"
 #include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Workspaces/workspace_table.h"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +24,8 @@
     duration latencyTarget{};
     /// 0 is served first.
     std::uint32_t priority = 0;
+    /// Serves also callers whose key is in no workspace.
+    bool isPublic = false;
 
     bool operator==(const route &) const = default;
 };
@@ -43,6 +46,7 @@
     /// By the database name that clients connect with.
     std::unordered_map<std::string, route> routes;
     std::unordered_map<group_name, group_limits> groups;
+    workspace_table workspaces;
     /// A transaction that is idle for longer may be ended.
     duration idleInTransactionTimeout = std::chrono::seconds(3);
 };
--- a/mustardrouter/Workspaces/workspace_table.cpp
+++ b/mustardrouter/Workspaces/workspace_table.cpp
@@ -15,12 +15,8 @@
 
 const workspace *findWorkspace(const workspace_table &table, key_digest digest, const workspace_name &name)
 {
-    const auto holder = table.workspaceByDigest.find(digest);
-    if (holder == table.workspaceByDigest.end() || holder->second != name) {
-        return nullptr;
-    }
     const auto found = table.workspaces.find(name);
-    return found == table.workspaces.end() ? nullptr : &found->second;
+    return found == table.workspaces.end() || !table.digests.contains({digest, name}) ? nullptr : &found->second;
 }
 
 bool addWorkspace(workspace_table &table, const workspace &added, const std::vector<api_key> &keys)
@@ -34,9 +30,34 @@
             complete = false;
             continue;
         }
-        table.workspaceByDigest[digestOf(key)] = added.name;
+        table.digests.emplace(digestOf(key), added.name);
     }
     return complete;
 }
 
+std::optional<workspace_name> workspaceOf(const workspace_table &table, const api_key &key, bool isPublicRoute)
+{
+    if (!table.enabled) {
+        return workspace_name();
+    }
+    if (const workspace *holder = findWorkspace(table, key)) {
+        return holder->name;
+    }
+    return isPublicRoute ? std::optional(workspace_name()) : std::nullopt;
+}
+
+std::optional<workspace_name> workspaceOf(const workspace_table &table, const caller_identity &caller, bool isPublicRoute)
+{
+    if (!caller.workspace.value().empty()) {
+        const bool agrees = table.enabled && findWorkspace(table, caller.key, caller.workspace) != nullptr;
+        return agrees ? std::optional(caller.workspace) : std::nullopt;
+    }
+    if (!table.enabled) {
+        return workspace_name();
+    }
+    const auto withDigest = table.digests.lower_bound({caller.key, workspace_name()});
+    const bool isKnownHere = withDigest != table.digests.end() && withDigest->first == caller.key;
+    return isPublicRoute && !isKnownHere ? std::optional(workspace_name()) : std::nullopt;
+}
+
 } // namespace mustardrouter
