Tests of workspaces: keys, connections, holders, bad input

Change: the simulated databases know the workspace that a connection was opened for; each client's statement that an instance sends is checked against the configuration that this instance has.

--- a/UnitTests/PlatformAdapter/line_codec_test.cpp
+++ b/UnitTests/PlatformAdapter/line_codec_test.cpp
@@ -75,6 +75,23 @@
     }
 }
 
+TEST(line_codec, theKeyOfAClientIsTheRestOfItsFirstLine)
+{
+    const auto startOf = [](const std::string &line) {
+        return std::get<client_start>(decodeClientLine(line));
+    };
+    CHECK_EQUAL(std::string("lepu270"), startOf("STARTUP lepu270 u3f1").database);
+    CHECK_EQUAL(std::string("u3f1"), startOf("STARTUP lepu270 u3f1").key.value());
+    CHECK_EQUAL(std::string("a b"), startOf("STARTUP lepu270 a b").key.value());
+    CHECK_EQUAL(std::string("\xff\x01"), startOf("STARTUP lepu270 \xff\x01").key.value());
+    CHECK_EQUAL(std::string(), startOf("STARTUP lepu270").key.value());
+    CHECK_EQUAL(std::string(), startOf("STARTUP lepu270 ").key.value());
+    std::string out;
+    encodeSessionRefused(out, reply_code::unauthorized, "the key is not known");
+    CHECK_EQUAL(std::string("ERROR NOAUTH the key is not known\r\n"), out);
+    CHECK_TRUE(assembleAll({"ERROR NOAUTH x", "READY I -"})->code == reply_code::unauthorized);
+}
+
 TEST(line_codec, startupAndCommandsAreEncodedAsSpecified)
 {
     std::string out;
--- a/UnitTests/PlatformAdapter/stored_objects_test.cpp
+++ b/UnitTests/PlatformAdapter/stored_objects_test.cpp
@@ -155,3 +155,110 @@
     CHECK_TRUE(contentOf(0) != contentOf(24));
     CHECK_TRUE(contentOf(24) != contentOf(25));
 }
+
+namespace
+{
+
+/// A configuration with one route and these workspaces.
+std::optional<route_table> withWorkspaces(const std::string &workspaces, std::string &problem)
+{
+    problem.clear();
+    return decodeConfiguration(objectOf(R"({"version":7,"routes":[{"host":"h1","type":"primary","service":"g"},
+{"host":"h2","type":"primary","service":"g","public":true},{"host":"h3","type":"primary","service":"g","public":"yes"}],"services":[],
+"tenants":)" + workspaces + "}"),
+                               problem);
+}
+
+const workspace *workspaceWithKey(const std::optional<route_table> &table, const std::string &key)
+{
+    return findWorkspace(table->workspaces, api_key(key));
+}
+
+} // namespace
+
+TEST(stored_objects, workspacesKeysAndLimitsAreDecoded)
+{
+    std::string problem;
+    const auto table = withWorkspaces(R"([{"name":"red","api_keys":["r1","r \u00e9\u0001"],"priority":2,"rate_per_s":12.5,"burst":30},
+{"name":"blue","api_keys":["b1"]}])",
+                                      problem);
+    CHECK_TRUE(table->workspaces.enabled);
+    const workspace *red = workspaceWithKey(table, "r1");
+    CHECK_TRUE(red->name == workspace_name("red") && red->priority == 2);
+    CHECK_TRUE(red->limit == (workspace_limit{12.5, 30}));
+    CHECK_TRUE(workspaceWithKey(table, "r \xc3\xa9\x01") == red);
+    CHECK_FALSE(workspaceWithKey(table, "b1")->limit.has_value());
+    CHECK_FALSE(table->routes.at("h1").isPublic);
+    CHECK_TRUE(table->routes.at("h2").isPublic);
+    CHECK_FALSE(table->routes.at("h3").isPublic);
+    CHECK_FALSE(problem.empty());
+}
+
+TEST(stored_objects, withoutWorkspacesNothingIsSwitchedOn)
+{
+    std::string problem;
+    const auto table = decodeConfiguration(objectOf(R"({"version":7,"routes":[],"services":[]})"), problem);
+    CHECK_FALSE(table->workspaces.enabled);
+    CHECK_TRUE(problem.empty());
+    CHECK_FALSE(withWorkspaces("null", problem)->workspaces.enabled);
+    // All workspaces are gone: nobody is served but on public routes.
+    CHECK_TRUE(withWorkspaces("[]", problem)->workspaces.enabled);
+}
+
+TEST(stored_objects, aListOfWorkspacesOfAnotherTypeMakesTheConfigurationInvalid)
+{
+    for (const char *list : {"{}", "true", "1", R"("red")"}) {
+        std::string problem;
+        CHECK_FALSE(withWorkspaces(list, problem).has_value());
+        CHECK_FALSE(problem.empty());
+    }
+}
+
+TEST(stored_objects, damagedWorkspacesArePassedOverAndKeysNeverNamed)
+{
+    for (const char *damaged : {"1",
+                                R"({"api_keys":["secret"]})",
+                                R"({"name":"","api_keys":["secret"]})",
+                                R"({"name":"two words","api_keys":["secret"]})",
+                                R"({"name":"line\r\nend","api_keys":["secret"]})",
+                                R"({"name":7,"api_keys":["secret"]})",
+                                R"({"name":"red","api_keys":["secret"]})",
+                                R"({"name":"green","api_keys":"secret"})",
+                                R"({"name":"green","api_keys":[1,{"a":"secret"},null]})"}) {
+        std::string problem;
+        const auto table = withWorkspaces(
+            std::string(R"([{"name":"red","api_keys":["r1"]},)") + damaged + R"(,{"name":"blue","api_keys":["b1"]}])", problem);
+        CHECK_TRUE(workspaceWithKey(table, "secret") == nullptr);
+        CHECK_TRUE(workspaceWithKey(table, "r1")->name == workspace_name("red"));
+        CHECK_TRUE(workspaceWithKey(table, "b1")->name == workspace_name("blue"));
+        CHECK_FALSE(problem.empty());
+        CHECK_TRUE(problem.find("secret") == std::string::npos);
+    }
+    std::string problem;
+    const auto twice = withWorkspaces(R"([{"name":"red","api_keys":["secret",""]},{"name":"blue","api_keys":["secret","b1"]}])", problem);
+    CHECK_TRUE(workspaceWithKey(twice, "secret")->name == workspace_name("red"));
+    CHECK_TRUE(workspaceWithKey(twice, "b1")->name == workspace_name("blue"));
+    CHECK_TRUE(workspaceWithKey(twice, "") == nullptr);
+    CHECK_FALSE(problem.empty());
+    CHECK_TRUE(problem.find("secret") == std::string::npos);
+}
+
+TEST(stored_objects, aDamagedLimitAllowsNothingAndAMissingOneEverything)
+{
+    const auto limitOf = [](const std::string &fields, bool damaged) {
+        std::string problem;
+        const auto table = withWorkspaces(R"([{"name":"red","api_keys":["r1"])" + fields + "}]", problem);
+        CHECK_EQUAL(damaged, problem.find("rate or burst") != std::string::npos);
+        return workspaceWithKey(table, "r1")->limit;
+    };
+    CHECK_FALSE(limitOf("", false).has_value());
+    CHECK_FALSE(limitOf(R"(,"rate_per_s":null,"burst":null)", false).has_value());
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":0,"burst":0)", false) == (workspace_limit{0, 0}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":5)", false) == (workspace_limit{5, 0}));
+    CHECK_TRUE(limitOf(R"(,"burst":5)", true) == (workspace_limit{0, 5}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":-1,"burst":5)", true) == (workspace_limit{0, 5}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":"5","burst":5)", true) == (workspace_limit{0, 5}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":true,"burst":-5)", true) == (workspace_limit{0, 0}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":[5],"burst":{})", true) == (workspace_limit{0, 0}));
+    CHECK_TRUE(limitOf(R"(,"rate_per_s":1e300,"burst":1e30)", false) == (workspace_limit{4294967295.0, 4294967295.0}));
+}
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -72,20 +72,28 @@
 }
 
 void proxy_world::configure(std::uint64_t version)
+{
+    configure(engine, version);
+    if (entry) {
+        configure(*entry, version);
+    }
+}
+
+void proxy_world::configure(proxy_engine &instance, std::uint64_t version)
 {
     route_table table;
     table.version = revision_number(version);
     table.groups[group_name("g")] = {connectionLimit, 0};
     const auto add = [&](const char *name, read_rule rule, duration maxAge) {
-        table.routes[name] = {group_name("g"), rule, maxAge, 1000ms, 600ms, 2};
+        table.routes[name] = {group_name("g"), rule, maxAge, 1000ms, 600ms, 2, false};
     };
     add("latest", read_rule::latest, 0ms);
     add("session", read_rule::session, 2500ms);
     add("age", read_rule::age, 1500ms);
-    onConfiguration(engine, table, now);
-    if (entry) {
-        onConfiguration(*entry, table, now);
-    }
+    add("open", read_rule::age, 2500ms);
+    table.routes["open"].isPublic = true;
+    table.workspaces = workspaces;
+    onConfiguration(instance, table, now);
     performActions();
 }
 
@@ -118,13 +126,14 @@
     now = end;
 }
 
-fake_client &proxy_world::connect(const std::string &database)
+fake_client &proxy_world::connect(const std::string &database, const std::string &key)
 {
     const session_id id(nextSession++);
     fake_client &client = clients[id];
     client.id = id;
     client.database = database;
-    onSessionStarted(engine, id, database, now);
+    client.key = api_key(key);
+    onSessionStarted(engine, id, database, now, client.key);
     performActions();
     return client;
 }
@@ -140,6 +149,7 @@
     statement.text = verb == client_verb::commit ? "COMMIT" : verb == client_verb::write ? "WRITE " + name + " " + value : "READ " + name;
     client.sent = statement;
     m_sentIds.insert(statement.id);
+    m_senders[statement.id] = client.id;
     client.sentAt = now;
     client.awaitsReply = true;
     onStatement(engineOf(client.id), client.id, statement, now);
@@ -261,6 +271,7 @@
         client.awaitsReply = false;
     } else if (auto *open = std::get_if<open_database_connection>(&action)) {
         databaseByConnection[open->connection] = open->database;
+        workspaceByConnection[open->connection] = open->workspace;
         const database_connection_id connection = open->connection;
         const auto found = databases.find(open->database);
         if (found == databases.end() || found->second.unresponsive) {
@@ -274,6 +285,7 @@
             }
         });
     } else if (auto *sent = std::get_if<send_commands>(&action)) {
+        checkCallers(from, *sent);
         const database_connection_id connection = sent->connection;
         const std::vector<database_command> commands = sent->commands;
         events.emplace(now + databases.at(databaseByConnection.at(connection)).networkDelay, [this, connection, commands] {
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -66,6 +66,7 @@
 struct fake_client {
     session_id id;
     std::string database;
+    api_key key;
     bool accepted = false;
     bool closed = false;
     reply_code closedWith = reply_code::done;
@@ -103,6 +104,10 @@
     std::multimap<time_point, std::function<void()>> events;
     std::map<database_name, fake_database> databases;
     std::map<database_connection_id, database_name> databaseByConnection;
+    /// The workspace that each connection was opened for.
+    std::map<database_connection_id, workspace_name> workspaceByConnection;
+    /// Workspaces of the next configuration; none for a deployment without.
+    workspace_table workspaces;
     std::map<session_id, fake_client> clients;
     std::vector<acknowledged_commit> acknowledged;
     std::set<std::string> rolledBack;
@@ -124,17 +129,21 @@
     /// Adds the instance that relays. Limits the databases to `connections`, so that it does.
     void addEntry(std::uint32_t connections);
     /// Connects a client to the instance that relays.
-    fake_client &connectToEntry(const std::string &database);
+    fake_client &connectToEntry(const std::string &database, const std::string &key = {});
     /// Closes all connections between the instances, as when the holder's process ends.
     void resetRelayLink();
     /// Adds one group of three databases; the first is primary.
     void addGroup();
     /// Tells the engine of the databases' entries, which may have changed `age` ago.
     void publishListing(duration age = {});
-    /// Configures the routes "latest", "session" and "age" of the group, in this version.
+    /// Configures the routes "latest", "session" and "age" of the group, and the public route "open", in this version.
     void configure(std::uint64_t version);
+    /// The same for one of the instances only.
+    void configure(proxy_engine &instance, std::uint64_t version);
+    /// Sets `workspaces`, given as "NAME KEY KEY".
+    void setWorkspaces(const std::vector<std::string> &all);
     void runFor(duration span);
-    fake_client &connect(const std::string &database);
+    fake_client &connect(const std::string &database, const std::string &key = {});
     /// Sends a statement as the client, with a new id.
     void send(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
     /// Sends a statement and runs until its reply arrives, for at most 10 s.
@@ -165,6 +174,8 @@
 
 private:
     void perform(proxy_engine &from, proxy_action &action);
+    /// Checks that the instance's configuration lets the clients of these statements use the connection.
+    void checkCallers(const proxy_engine &from, const send_commands &sent);
     bool performRelayed(proxy_action &action);
     proxy_engine &engineOf(database_connection_id connection);
     proxy_engine &engineOf(session_id session);
@@ -185,6 +196,7 @@
     /// Commits of a primary that had already been replaced.
     std::set<std::string> m_committedAfterReplacement;
     std::set<std::string> m_sentIds;
+    std::map<std::string, session_id> m_senders;
     std::set<database_connection_id> m_openRelays;
     std::set<session_id> m_relayedSessions;
 };
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -47,13 +47,14 @@
     performActions();
 }
 
-fake_client &proxy_world::connectToEntry(const std::string &database)
+fake_client &proxy_world::connectToEntry(const std::string &database, const std::string &key)
 {
     const session_id id(entryIds + nextSession++);
     fake_client &client = clients[id];
     client.id = id;
     client.database = database;
-    onSessionStarted(*entry, id, database, now);
+    client.key = api_key(key);
+    onSessionStarted(*entry, id, database, now, client.key);
     performActions();
     return client;
 }
@@ -96,6 +97,7 @@
         return true;
     }
     if (const auto *sent = std::get_if<send_commands>(&action); sent != nullptr && m_openRelays.contains(sent->connection)) {
+        checkCallers(*entry, *sent);
         relay(*sent);
         return true;
     }
