Random scenarios: keys are withdrawn, added and moved

Cause: the protections of workspaces meet faults, relays and replaced primaries only in random histories.

--- a/UnitTests/Proxy/proxy_random_test.cpp
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -91,37 +91,76 @@
     }
 }
 
+/// Withdraws, adds or moves a key. Each instance reads the version up to half a second after the operator wrote it.
+void changeKeys(proxy_world &world)
+{
+    const char *keys[] = {"key-0", "key-1", "key-2"};
+    std::vector<std::string> all{"red", "blue", "green"};
+    for (const char *key : keys) {
+        if (world.random() % 4 != 0) {
+            all[world.random() % 3] += std::string(" ") + key;
+        }
+    }
+    world.setWorkspaces(all);
+    world.lastVersion += 1;
+    for (proxy_engine *instance : {&world.engine, world.entry.get()}) {
+        if (instance == nullptr) {
+            continue;
+        }
+        const duration wait = 1ms * static_cast<int>(world.random() % 500);
+        world.events.emplace(world.now + wait, [&world, instance, table = world.workspaces, version = world.lastVersion] {
+            world.workspaces = table;
+            world.configure(*instance, version);
+        });
+    }
+}
+
 /// What a replaced primary does, what the engine expects of it, and which instances there are.
 struct scenario_kind {
     bool continues = false;
     bool engineExpectsThat = false;
     /// A second instance relays the statements of half the clients.
     bool relays = false;
+    /// Clients have keys, which are withdrawn, added and moved.
+    bool workspaces = false;
 };
 
+const std::vector<std::string> allKeys{"red key-0", "blue key-1", "green key-2"};
+
 /// Runs clients with all read rules under random faults and then without. Returns the first violation, or an empty string.
 std::string runScenario(std::uint64_t seed, scenario_kind kind)
 {
     proxy_world world(seed);
     world.replacedPrimariesContinue = kind.continues;
     world.engine.settings.replacedPrimariesStepDown = !kind.engineExpectsThat;
+    if (kind.workspaces) {
+        world.setWorkspaces(allKeys);
+    }
     world.addGroup();
     world.configure(1);
     const char *routes[] = {"latest", "session", "age"};
     if (kind.relays) {
         world.addEntry(1);
     }
+    const auto connect = [&](int index) {
+        const std::string key = kind.workspaces ? "key-" + std::to_string(index / 3) : std::string();
+        return kind.relays && index >= 4 ? &world.connectToEntry(routes[index % 3], key) : &world.connect(routes[index % 3], key);
+    };
+    std::vector<fake_client *> present;
     for (int index = 0; index < 9; ++index) {
-        if (kind.relays && index >= 4) {
-            world.connectToEntry(routes[index % 3]);
-        } else {
-            world.connect(routes[index % 3]);
-        }
+        present.push_back(connect(index));
     }
     world.runFor(5s);
+    world.lastVersion = world.engine.routes.version.value();
     for (int step = 0; step < 400; ++step) {
-        for (auto &[id, client] : world.clients) {
-            sendRandomStatement(world, client);
+        for (std::size_t index = 0; index < present.size(); ++index) {
+            if (present[index]->closed && step % 10 == 0) {
+                present[index] = connect(static_cast<int>(index));
+            }
+            sendRandomStatement(world, *present[index]);
+        }
+        if (kind.workspaces && step > 40 && step < 300 && world.random() % 15 == 0) {
+            changeKeys(world);
         }
         world.writeFromOtherInstance();
         world.runFor(20ms);
@@ -132,6 +171,11 @@
             world.storeUnavailable = false;
             world.promotionRepliesLost = false;
             world.relayLinkCut = false;
+            if (kind.workspaces) {
+                world.runFor(500ms);
+                world.setWorkspaces(allKeys);
+                world.configure(world.lastVersion + 1);
+            }
             for (auto &[name, database] : world.databases) {
                 world.restart(database);
                 database.full = false;
@@ -163,7 +207,7 @@
         }
     }
     for (const char *name : routes) {
-        fake_client &client = world.connect(name);
+        fake_client &client = world.connect(name, kind.workspaces ? "key-1" : "");
         if (world.sendAndWait(client, client_verb::read, "item").code != reply_code::done
             || world.sendAndWait(client, client_verb::write, "item", "x").code != reply_code::done) {
             return "seed " + std::to_string(seed) + ": not served after the faults ended, on route " + name;
@@ -205,6 +249,19 @@
     }
 }
 
+TEST(proxy_random, guaranteesHoldWhileKeysAreWithdrawnAndMoved)
+{
+    constexpr std::uint64_t scenarios = 40;
+    for (std::uint64_t seed = 1; seed <= scenarios; ++seed) {
+        for (const bool relays : {false, true}) {
+            const bool continues = seed % 2 == 0;
+            const std::string problem =
+                runScenario(seed, {.continues = continues, .engineExpectsThat = continues, .relays = relays, .workspaces = true});
+            CHECK_TRUE_TEXT(problem.empty(), problem.c_str());
+        }
+    }
+}
+
 TEST(proxy_random, withoutVerificationReplacedPrimariesViolateTheGuarantees)
 {
     constexpr std::uint64_t scenarios = 80;
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -108,6 +108,8 @@
     std::map<database_connection_id, workspace_name> workspaceByConnection;
     /// Workspaces of the next configuration; none for a deployment without.
     workspace_table workspaces;
+    /// The latest version that the operator wrote, where instances read it at different times.
+    std::uint64_t lastVersion = 1;
     std::map<session_id, fake_client> clients;
     std::vector<acknowledged_commit> acknowledged;
     std::set<std::string> rolledBack;
