--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -68,6 +68,7 @@
 struct fake_client {
     session_id id;
     std::string database;
+    api_key key;
     bool accepted = false;
     bool closed = false;
     reply_code closedWith = reply_code::done;
@@ -107,6 +108,12 @@
     std::multimap<time_point, std::function<void()>> events;
     std::map<database_name, fake_database> databases;
     std::map<database_connection_id, database_name> databaseByConnection;
+    /// The workspace that each connection was opened for.
+    std::map<database_connection_id, workspace_name> workspaceByConnection;
+    /// Workspaces of the next configuration; none for a deployment without.
+    workspace_table workspaces;
+    /// The latest version that the operator wrote, where instances read it at different times.
+    std::uint64_t lastVersion = 1;
     std::map<session_id, fake_client> clients;
     std::vector<acknowledged_commit> acknowledged;
     std::set<std::string> rolledBack;
@@ -128,7 +135,7 @@
     /// Adds the instance that relays. Limits the databases to `connections`, so that it does.
     void addEntry(std::uint32_t connections);
     /// Connects a client to the instance that relays.
-    fake_client &connectToEntry(const std::string &database);
+    fake_client &connectToEntry(const std::string &database, const std::string &key = {});
     /// Closes all connections between the instances, as when the holder's process ends.
     void resetRelayLink();
     /// The holder closes all channels, as it does with idle ones when it stops.
@@ -141,10 +148,14 @@
     void addGroup();
     /// Tells the engine of the databases' entries, which may have changed `age` ago.
     void publishListing(duration age = {});
-    /// Configures the routes "latest", "session" and "age" of the group, in this version.
+    /// Configures the routes "latest", "session" and "age" of the group, and the public route "open", in this version.
     void configure(std::uint64_t version);
+    /// The same for one of the instances only.
+    void configure(proxy_engine &instance, std::uint64_t version);
+    /// Sets `workspaces`, given as "NAME KEY KEY".
+    void setWorkspaces(const std::vector<std::string> &all);
     void runFor(duration span);
-    fake_client &connect(const std::string &database);
+    fake_client &connect(const std::string &database, const std::string &key = {});
     /// Sends a statement as the client, with a new id.
     void send(fake_client &client, client_verb verb, const std::string &name = {}, const std::string &value = {}, bool writes = false);
     /// Sends a statement and runs until its reply arrives, for at most 10 s.
@@ -175,6 +186,8 @@
 
 private:
     void perform(proxy_engine &from, proxy_action &action);
+    /// Checks that the instance's configuration lets the clients of these statements use the connection.
+    void checkCallers(const proxy_engine &from, const send_commands &sent);
     bool performRelayed(proxy_action &action);
     proxy_engine &engineOf(database_connection_id connection);
     proxy_engine &engineOf(session_id session);
@@ -200,6 +213,7 @@
     /// Commits of a primary that had already been replaced.
     std::set<std::string> m_committedAfterReplacement;
     std::set<std::string> m_sentIds;
+    std::map<std::string, session_id> m_senders;
     std::set<database_connection_id> m_openRelays;
     /// Channels at `engine`, and the number of the last message that `entry` has sent on each.
     relay_channels m_relayChannels;
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -127,10 +127,14 @@
     handlers.onReplies = [this](database_connection_id id, std::string_view lines) {
         onHolderReplies(id, lines);
     };
-    handlers.onStatements =
-        [this](const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines) {
-            onRelayedLines(channel, opens, route, timeLeft, lines);
-        };
+    handlers.onStatements = [this](const relay_channel &channel,
+                                   bool opens,
+                                   const std::string &route,
+                                   duration timeLeft,
+                                   const caller_identity &caller,
+                                   std::string_view lines) {
+        onRelayedLines(channel, opens, route, timeLeft, caller, lines);
+    };
     handlers.onChannelClosed = [this](const relay_channel &channel) {
         onRelayChannelClosed(channel);
     };
@@ -255,7 +259,8 @@
         onSessionClosed(m_engine, id, now());
     } else if (isStart && !found->second.startupReceived) {
         found->second.startupReceived = true;
-        onSessionStarted(m_engine, id, std::get<platform::client_start>(message).database, now());
+        const platform::client_start &start = std::get<platform::client_start>(message);
+        onSessionStarted(m_engine, id, start.database, now(), start.key);
     } else if (std::holds_alternative<client_statement>(message) && found->second.startupReceived) {
         found->second.statementReceivedAt = now();
         onStatement(m_engine, id, std::move(std::get<client_statement>(message)), now());
@@ -363,8 +368,12 @@
     performActions();
 }
 
-void edge_instance::onRelayedLines(
-    const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines)
+void edge_instance::onRelayedLines(const relay_channel &channel,
+                                   bool opens,
+                                   const std::string &route,
+                                   duration timeLeft,
+                                   const caller_identity &caller,
+                                   std::string_view lines)
 {
     if (opens) {
         const session_id added(m_nextSession++);
@@ -379,7 +388,7 @@
     const session_id session = found->second;
     forEachLine(lines, [&](std::string_view line) {
         platform::relayed_statement relayed = platform::decodeRelayedLine(line);
-        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now());
+        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now(), caller);
     });
     performActions();
 }
@@ -506,7 +515,8 @@
     auto stream = std::make_shared<line_stream>(asio::ip::tcp::socket(m_context), maxLineBytes, std::move(callbacks));
     m_databases[id] = {stream, {}, action.database, false};
     std::string startupMessage;
-    platform::encodeDatabaseStart(startupMessage, action.group, m_environment.instance, action.database);
+    const std::string &caller = action.workspace.value().empty() ? m_environment.instance : action.workspace.value();
+    platform::encodeDatabaseStart(startupMessage, action.group, caller, action.database);
     stream->connect(endpointOrUnspecified(action.address), std::move(startupMessage));
 }
 
@@ -517,7 +527,7 @@
         for (const database_command &command : action.commands) {
             platform::encodeCommand(lines, command);
         }
-        m_relayLinks.send(action.connection, action.route, action.timeLeft, lines);
+        m_relayLinks.send(action.connection, action.route, action.timeLeft, lines, action.caller);
         return;
     }
     const auto found = m_databases.find(action.connection);
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -97,7 +97,8 @@
     }
 }
 
-void relay_links::send(database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines)
+void relay_links::send(
+    database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines, const caller_identity &caller)
 {
     const auto channel = m_outgoingChannels.find(connection);
     if (channel == m_outgoingChannels.end()) {
@@ -112,6 +113,8 @@
     statements.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis)));
     statements.set_lines(lines);
     statements.set_number(channel->second.sent);
+    statements.set_workspace(caller.workspace.value());
+    statements.set_key_digest(caller.key.value());
     m_outgoing.at(channel->second.address).frames->send(message);
 }
 
@@ -258,6 +261,7 @@
                                 arrival == relay_arrival::opens,
                                 statements.route(),
                                 std::chrono::milliseconds(statements.time_left_ms()),
+                                {workspace_name(statements.workspace()), key_digest(statements.key_digest())},
                                 statements.lines());
         return;
     }
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -7,6 +7,7 @@
 #include "mustardrouter/Proxy/relay_channels.h"
 #include "mustardrouter/Proxy/sent_work.h"
 #include "mustardrouter/Schema/relay.pb.h"
+#include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <asio/io_context.hpp>
 
@@ -45,7 +46,9 @@
         /// A holder sent replies.
         std::function<void(database_connection_id, std::string_view lines)> onReplies;
         /// Another instance relays statements; `opens` if they are the first ones of the channel.
-        std::function<void(relay_channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines)> onStatements;
+        std::function<void(
+            relay_channel, bool opens, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)>
+            onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
         /// A message other than statements and replies arrived on the link to the address.
@@ -69,7 +72,11 @@
 
     /// Opens a channel to the holder at the address; calls onOpened or onClosed later.
     void open(database_connection_id connection, const std::string &address);
-    void send(database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines);
+    void send(database_connection_id connection,
+              const std::string &route,
+              duration timeLeft,
+              const std::string &lines,
+              const caller_identity &caller = {});
     /// Closes a channel without a callback.
     void close(database_connection_id connection);
     /// Closes the link to the address without callbacks; its channels must have been closed.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Proxy/engine_parts.h"
+#include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/group_holders.h"
 #include "mustardrouter/Proxy/read_ranking.h"
 
@@ -46,6 +47,9 @@
 /// A link that takes longer than this to open probably never will; other holders come first.
 constexpr duration slowOpenThreshold = std::chrono::milliseconds(100);
 constexpr double slowOpenPenaltyMicros = 1e6;
+/// A holder that does not serve the workspace first has to open a connection for it: up to three crossings between regions, and a slot
+/// of the database, which may have to wait for it.
+constexpr double otherHolderMicros = 100'000;
 
 /// A holder that opens no new channels ends; it gets no work for this time.
 constexpr duration closingHolderBackoff = std::chrono::seconds(2);
@@ -85,10 +89,15 @@
 }
 
 /// The holder with the shortest expected time that has not refused the statement and, if that matters, reaches the primary; any
-/// other if there is none.
-database_state *nearestHolder(
-    proxy_engine &engine, group_state &group, const std::vector<database_name> &excluded, bool primaryNeeded, time_point now)
+/// other if there is none. With workspaces, those that serve the session's workspace first are preferred.
+database_state *nearestHolder(proxy_engine &engine,
+                              group_state &group,
+                              const client_session &session,
+                              const std::vector<database_name> &excluded,
+                              bool primaryNeeded,
+                              time_point now)
 {
+    const std::set<database_name> *preferred = preferredHoldersOf(engine, group, session);
     database_state *best = nullptr;
     double bestMicros = std::numeric_limits<double>::max();
     for (auto &[name, holder] : group.holders) {
@@ -98,7 +107,8 @@
         constexpr double refusedPenaltyMicros = 1e9;
         const bool lacksPrimary = primaryNeeded && now < holder.lacksPrimaryUntil;
         const bool refused = lacksPrimary || std::ranges::find(excluded, name) != excluded.end();
-        const double micros = expectedMicros(engine, holder, now) + (refused ? refusedPenaltyMicros : 0);
+        const bool other = preferred != nullptr && !preferred->contains(name);
+        const double micros = expectedMicros(engine, holder, now) + (refused ? refusedPenaltyMicros : 0) + (other ? otherHolderMicros : 0);
         if (micros < bestMicros) {
             best = &holder;
             bestMicros = micros;
@@ -164,6 +174,7 @@
 
 void setHolders(proxy_engine &engine, group_state &group, const std::vector<const listed_instance *> &holders)
 {
+    group.preferredHolders.clear();
     removeHolders(engine, group, holders);
     for (const listed_instance *instance : holders) {
         database_state &holder = group.holders[database_name(instance->name.value())];
@@ -201,13 +212,20 @@
                         duration timeLeft,
                         const std::optional<log_entry> &floor,
                         client_statement statement,
-                        time_point now)
+                        time_point now,
+                        const caller_identity &caller)
 {
     const auto found = engine.sessions.find(id);
     if (found == engine.sessions.end()) {
         return;
     }
     client_session &session = found->second;
+    if (!acceptRelayedCaller(session, caller, statement.verb)) {
+        reportEvent(engine, "relayed_caller_mixed", {{"session", std::to_string(id.value())}});
+        engine.actions.emplace_back(close_session{id, reply_code::malformed, {}});
+        onSessionClosed(engine, id, now);
+        return;
+    }
     session.relayedTimeout = timeLeft;
     if (!session.transaction && !session.current) {
         session.database = database;
@@ -297,7 +315,7 @@
         return true;
     }
     const std::vector<database_name> &excluded = begins ? session.transaction->excludedDatabases : session.current->excludedDatabases;
-    database_state *holder = nearestHolder(engine, group, excluded, needsPrimary(session, sessionRoute), now);
+    database_state *holder = nearestHolder(engine, group, session, excluded, needsPrimary(session, sessionRoute), now);
     database_connection *connection = holder == nullptr ? nullptr : findOrOpenToHolder(engine, group, *holder, session.values, now);
     if (connection == nullptr) {
         return false;
@@ -321,6 +339,7 @@
     running_statement &running = *session.current;
     switch (reply.code) {
     case reply_code::unknownDatabase:
+    case reply_code::unauthorized:
         running.excludedDatabases.push_back(connection.database);
         retry(engine, session, connection.database, "holder has another configuration", otherConfigurationBackoff, now);
         return;
@@ -388,14 +407,18 @@
 
 bool restartElsewhere(proxy_engine &engine, database_connection &connection, client_session &session, reply_code code, time_point now)
 {
-    if (!connection.toHolder || code != reply_code::misrouted) {
+    const bool otherConfiguration = code == reply_code::unauthorized;
+    if (!connection.toHolder || (code != reply_code::misrouted && !otherConfiguration)) {
         return false;
     }
-    const duration pause = pauseBeforeNextHolder(session.transaction->excludedDatabases.size() + 1);
+    const duration pause =
+        otherConfiguration ? otherConfigurationBackoff : pauseBeforeNextHolder(session.transaction->excludedDatabases.size() + 1);
     if (!beginElsewhere(engine, connection, session, pause, now)) {
         return false;
     }
-    holderLacksPrimary(engine, connection, now);
+    if (!otherConfiguration) {
+        holderLacksPrimary(engine, connection, now);
+    }
     releaseConnection(engine, connection.id, now);
     return true;
 }
@@ -432,6 +455,13 @@
     }
 }
 
+void delayBegin(proxy_engine &engine, const group_state &group, client_transaction &transaction, reply_code code, time_point now)
+{
+    const bool otherConfiguration = code == reply_code::unauthorized;
+    transaction.notBefore = now + (otherConfiguration ? otherConfigurationBackoff : engine.settings.overloadBackoff);
+    scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, group.name);
+}
+
 bool awaitHolder(proxy_engine &engine, group_state &group, database_state &holder, const running_statement &running, time_point now)
 {
     // The statement may wait at the holder for as long as its deadline allows; only the holder itself must be responsive.
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -35,6 +35,11 @@
     std::uint64_t relayedNotHandled = 0;
     /// Messages that other instances relayed to a channel that was not open here; they were not handled.
     std::uint64_t relayedRefused = 0;
+    /// Sessions refused because their key is in no workspace, and those whose key was withdrawn later.
+    std::uint64_t unknownKeys = 0;
+    std::uint64_t keysWithdrawn = 0;
+    /// Connections closed to open one for another workspace.
+    std::uint64_t connectionsReplaced = 0;
 };
 
 } // namespace mustardrouter
