--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Edge/relay_links.h"
+#include "mustardrouter/Network/tcp_options.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -28,6 +29,8 @@
     std::vector<std::uint64_t> opened;
     std::vector<std::uint64_t> closed;
     std::vector<sent_work> lastSent;
+    /// Addresses of holders that open no more channels.
+    std::vector<std::string> closing;
     std::map<std::uint64_t, std::string> replies;
     std::vector<std::string> statements;
     std::vector<relay_channel> channels;
@@ -37,25 +40,31 @@
 
 relay_links::handlers recordTo(recorded &record)
 {
-    return {[&](database_connection_id id) {
-                record.opened.push_back(id.value());
-            },
-            [&](database_connection_id id, sent_work lastSent) {
-                record.closed.push_back(id.value());
-                record.lastSent.push_back(lastSent);
-            },
-            [&](database_connection_id id, std::string_view lines) {
-                record.replies[id.value()] += lines;
-            },
-            [&](const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines) {
-                const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-                record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
-                record.channels.push_back(channel);
-                record.opens.push_back(opens);
-            },
-            [&](const relay_channel &channel) {
-                record.closedChannels.push_back(channel);
-            }};
+    relay_links::handlers handlers;
+    handlers.onOpened = [&](database_connection_id id) {
+        record.opened.push_back(id.value());
+    };
+    handlers.onClosed = [&](database_connection_id id, sent_work lastSent) {
+        record.closed.push_back(id.value());
+        record.lastSent.push_back(lastSent);
+    };
+    handlers.onReplies = [&](database_connection_id id, std::string_view lines) {
+        record.replies[id.value()] += lines;
+    };
+    handlers.onStatements =
+        [&](const relay_channel &channel, bool opens, const std::string &route, duration timeLeft, std::string_view lines) {
+            const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
+            record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
+            record.channels.push_back(channel);
+            record.opens.push_back(opens);
+        };
+    handlers.onChannelClosed = [&](const relay_channel &channel) {
+        record.closedChannels.push_back(channel);
+    };
+    handlers.onHolderCloses = [&](const std::string &address) {
+        record.closing.push_back(address);
+    };
+    return handlers;
 }
 
 /// An instance that relays and a holder, in one thread.
@@ -81,6 +90,40 @@
     }
 };
 
+/// A process of another build at one end of a link: sends what it is told and keeps what it receives.
+struct bare_end {
+    std::shared_ptr<frame_connection> frames;
+    std::vector<relay::relay_message> received;
+
+    bare_end(linked_pair &pair, const std::string &address)
+        : frames(std::make_shared<frame_connection>(asio::ip::tcp::socket(pair.context)))
+    {
+        bool connected = false;
+        frames->connect(
+            endpointOrUnspecified(address),
+            [this](frame_connection &, std::string_view payload) {
+                received.emplace_back();
+                CHECK_TRUE(received.back().ParseFromArray(payload.data(), static_cast<int>(payload.size())));
+            },
+            [](frame_connection &, failure) {
+            },
+            [&] {
+                connected = true;
+            });
+        pair.runUntil([&] {
+            return connected;
+        });
+    }
+    void send(std::uint64_t channel, std::uint32_t number, const std::string &lines) const
+    {
+        relay::relay_message message;
+        message.mutable_statements()->set_channel(channel);
+        message.mutable_statements()->set_lines(lines);
+        message.mutable_statements()->set_number(number);
+        frames->send(message);
+    }
+};
+
 const database_connection_id one(1);
 const database_connection_id two(2);
 
@@ -194,3 +237,116 @@
     CHECK_EQUAL(1, pair.atHolder.statements.size());
     CHECK_TRUE(pair.atEntry.lastSent.front() == sent_work::notRun);
 }
+
+TEST(relay_links, aLaterMessageOfAnUnknownChannelIsNotHandledAndTheOtherEndIsTold)
+{
+    linked_pair pair;
+    bare_end entry(pair, pair.address);
+    entry.send(9, 3, "QUERY a READ x\r\n");
+    pair.runUntil([&] {
+        return entry.received.size() == 1;
+    });
+    CHECK_TRUE(pair.atHolder.statements.empty());
+    CHECK_EQUAL(9, entry.received.front().closed().channel());
+    CHECK_EQUAL(2, entry.received.front().closed().handled());
+}
+
+TEST(relay_links, aMessageAfterAGapClosesTheChannel)
+{
+    linked_pair pair;
+    bare_end entry(pair, pair.address);
+    entry.send(9, 1, "QUERY a READ x\r\n");
+    entry.send(9, 3, "QUERY b READ x\r\n");
+    entry.send(9, 4, "QUERY c READ x\r\n");
+    pair.runUntil([&] {
+        return entry.received.size() == 2;
+    });
+    CHECK_EQUAL(1, pair.atHolder.statements.size());
+    CHECK_EQUAL(1, pair.atHolder.closedChannels.size());
+    CHECK_EQUAL(1, entry.received[0].closed().handled());
+    CHECK_EQUAL(1, entry.received[1].closed().handled());
+}
+
+TEST(relay_links, anEntryOfABuildThatDoesNotNumberIsServedAndItsLateMessagesAreNotRun)
+{
+    linked_pair pair;
+    bare_end entry(pair, pair.address);
+    entry.send(9, 0, "QUERY a READ x\r\n");
+    entry.send(9, 0, "QUERY b READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 2;
+    });
+    CHECK_TRUE(pair.atHolder.opens[0]);
+    CHECK_FALSE(pair.atHolder.opens[1]);
+    pair.holder.closeChannel(pair.atHolder.channels.front());
+    entry.send(9, 0, "QUERY c READ x\r\n");
+    entry.send(10, 0, "QUERY d READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 3;
+    });
+    CHECK_EQUAL(10, pair.atHolder.channels.back().channel);
+    CHECK_EQUAL(1, entry.received.size());
+    CHECK_FALSE(entry.received.front().closed().has_handled());
+}
+
+TEST(relay_links, aHolderOfABuildThatDoesNotNumberLeavesUnknownWhatWasRun)
+{
+    linked_pair pair;
+    const std::string address = freeAddress(pair.context);
+    std::shared_ptr<frame_connection> holder;
+    frame_listener listener(pair.context, [&](const std::shared_ptr<frame_connection> &frames) {
+        holder = frames;
+        frames->start(
+            [](frame_connection &from, std::string_view payload) {
+                relay::relay_message received;
+                CHECK_TRUE(received.ParseFromArray(payload.data(), static_cast<int>(payload.size())));
+                relay::relay_message message;
+                message.mutable_closed()->set_channel(received.statements().channel());
+                from.send(message);
+            },
+            [](frame_connection &, failure) {
+            });
+    });
+    handleErrors(
+        [&]() -> result_of<void> {
+            BOOST_LEAF_CHECK(listener.listen(address));
+            return {};
+        },
+        [](const error &) {
+            FAIL("address not available");
+        });
+    pair.entry.open(one, address);
+    pair.runUntil([&] {
+        return pair.atEntry.opened.size() == 1;
+    });
+    pair.entry.send(one, "r", 1s, "QUERY a WRITE x 1\r\n");
+    pair.runUntil([&] {
+        return pair.atEntry.closed.size() == 1;
+    });
+    CHECK_TRUE(pair.atEntry.lastSent.front() == sent_work::mayHaveRun);
+}
+
+TEST(relay_links, aHolderThatEndsTellsItAndRunsNothingMore)
+{
+    linked_pair pair;
+    pair.entry.open(one, pair.address);
+    pair.entry.open(two, pair.address);
+    pair.runUntil([&] {
+        return pair.atEntry.opened.size() == 2;
+    });
+    pair.entry.send(one, "r", 1s, "QUERY a READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 1;
+    });
+    pair.holder.refuseNewChannels();
+    pair.entry.send(two, "r", 1s, "QUERY b WRITE x 1\r\n");
+    pair.entry.send(one, "r", 1s, "QUERY c READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atEntry.closed.size() == 1 && pair.atHolder.statements.size() == 2;
+    });
+    CHECK_EQUAL(1, pair.atEntry.closing.size());
+    CHECK_EQUAL(pair.address, pair.atEntry.closing.front());
+    CHECK_EQUAL(2, pair.atEntry.closed.front());
+    CHECK_TRUE(pair.atEntry.lastSent.front() == sent_work::notTaken);
+    CHECK_EQUAL(std::string("r 1000 QUERY c READ x\r\n"), pair.atHolder.statements.back());
+}
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -102,6 +102,8 @@
     duration relayDelay = std::chrono::milliseconds(1);
     /// The process of `engine` stands still; see standStill.
     bool holderStandsStill = false;
+    /// The holder opens no channels for `entry`, as when it has drained.
+    bool refusesNewChannels = false;
     std::mt19937_64 random;
     time_point now{std::chrono::seconds(1000)};
     std::multimap<time_point, std::function<void()>> events;
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -194,6 +194,7 @@
 void proxy_world::receiveRelayed(const send_commands &message, std::uint32_t number)
 {
     const session_id channel = channelOf(message.connection);
+    m_relayChannels.refusesNew = refusesNewChannels;
     const relay_arrival arrival = arrive(m_relayChannels, channel.value(), number);
     if (arrival == relay_arrival::notHandled) {
         relayClosed(message.connection, handledBefore(m_relayChannels, channel.value(), number));
--- a/UnitTests/Proxy/relayed_state_test.cpp
+++ b/UnitTests/Proxy/relayed_state_test.cpp
@@ -154,6 +154,30 @@
     checkNoViolations(world);
 }
 
+TEST(relayed_state, aHolderThatOpensNoChannelsGetsNoMoreWorkAndWhatItHasNotTakenRunsElsewhere)
+{
+    relaying_world world;
+    fake_client &client = world.connectToEntry("latest");
+    world.sendAndWait(client, client_verb::setValue, "a", "1");
+    world.refusesNewChannels = true;
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "1").code == reply_code::done);
+    CHECK_EQUAL(1, world.entry->counters.relayedNotHandled);
+    // It has its own connections now.
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "2").code == reply_code::done);
+    CHECK_EQUAL(1, world.entry->counters.relayedNotHandled);
+    world.refusesNewChannels = false;
+    world.runFor(2s);
+    const std::uint64_t relayed = world.entry->counters.statementsRelayed;
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "3").code == reply_code::done);
+    CHECK_EQUAL(relayed + 1, world.entry->counters.statementsRelayed);
+    onHolderCloses(*world.entry, "10.1.0.1:2", world.now);
+    world.performActions();
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "4").code == reply_code::done);
+    CHECK_EQUAL(relayed + 1, world.entry->counters.statementsRelayed);
+    CHECK_TRUE(world.groupAtEntry().holders.begin()->second.suspectedSince == time_point{});
+    checkNoViolations(world);
+}
+
 TEST(relayed_state, aHolderThatStopsUnderLoadLosesNothingAndMixesNothing)
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
