One read at a time on a line stream

A flush in the handler of a line completed at once and started a read, and a second one followed when the handler returned. If more bytes arrived between the two, the second read overwrote the buffer before the first was handled: a reply lost its row and signature, the connection was given up as answer_out_of_order, and a write on it was in doubt. The instance was at fault, for clients and databases alike; the stand-in's log shows the reply in full. unit_tests -g line_stream passes in 6 of 6 runs (failed in 6 of 6).

--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -106,6 +106,10 @@
 
 void line_stream::read()
 {
+    // A flush in the line handler may have started a read already; a second one would overwrite the buffer of the first.
+    if (m_reading || m_ended) {
+        return;
+    }
     m_reading = true;
     m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &problem, std::size_t size) {
         self->m_reading = false;
