Soak: instances that are to stop also stand still; values of late statements are checked

From seed 20000 on a round has four requests to stop that are each followed, within 0.6 s, by a pause of 0.2 to 1.7 s. A statement that runs after its client has given it up must have the values of the time at which it was sent; these were not checked. Names and rows are checked as before. unit_tests -g fault_plan and -g soak_history pass; the new test of soak_history was not run on the code before.

--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -19,7 +19,7 @@
 TEST(fault_plan, allFaultsEndBeforeTheQuietPhase)
 {
     for (std::uint64_t index = 0; index < 400; ++index) {
-        const std::uint64_t seed = index < 200 ? index : 10'000 + index;
+        const std::uint64_t seed = index < 130 ? index : (index < 260 ? 10'000 : 20'000) + index;
         const soak_plan plan = makePlan(seed, 60s);
         CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
         for (const planned_fault &fault : plan.faults) {
@@ -45,3 +45,15 @@
     }
     CHECK_EQUAL(static_cast<std::size_t>(soak_fault::count), seen.size());
 }
+
+TEST(fault_plan, instancesThatAreToStopAlsoStandStill)
+{
+    const soak_plan plan = makePlan(20'004, 25s);
+    const auto paused = std::ranges::count_if(plan.faults, [&](const planned_fault &stop) {
+        return stop.kind == soak_fault::instanceStop && std::ranges::any_of(plan.faults, [&](const planned_fault &pause) {
+                   return pause.kind == soak_fault::instancePause && pause.target == stop.target && pause.at >= stop.at
+                          && pause.at - stop.at <= 600ms;
+               });
+    });
+    CHECK_TRUE(paused >= 4);
+}
--- a/UnitTests/Soak/soak_history_test.cpp
+++ b/UnitTests/Soak/soak_history_test.cpp
@@ -245,3 +245,22 @@
     history.onOrder("g", 6, "instance-2", "b");
     history.expect("ONE");
 }
+
+TEST(soak_history, aStatementThatRunsAfterItsClientGaveItUpMustHaveTheValuesOfItsTime)
+{
+    for (const bool late : {false, true}) {
+        small_history history;
+        history.onValueSet(history.session, "a", "1");
+        history.send("q1", client_verb::read, "READ 1");
+        history.onGivenUp("q1");
+        history.onValueSet(history.session, "a", "2");
+        statement_run ran;
+        ran.id = "q1";
+        ran.text = "READ 1";
+        ran.group = group_name("g");
+        ran.database = database_name("d");
+        ran.values = {{"a", late ? "1" : ""}};
+        history.onRun(ran);
+        CHECK_EQUAL(late ? 0 : 1, history.violations().size());
+    }
+}
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -33,6 +33,7 @@
 constexpr std::uint32_t percent = 100;
 /// Lower seeds keep the plans that once failed.
 constexpr std::uint64_t firstSeedWithStoreLosses = 10'000;
+constexpr std::uint64_t firstSeedWithPausedStops = 20'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -75,6 +76,7 @@
     explicit plan_builder(std::uint64_t seed)
         : m_random(seed)
         , m_lossRandom(seed + 1)
+        , m_stopRandom(seed + 2)
     {
     }
 
@@ -117,6 +119,29 @@
         }
     }
 
+    /// Adds instances that are to stop and stand still soon after, while others relay to them.
+    void addPausedStops(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::uint64_t pauseSpreadMicros = 1'500'000;
+        // Idle sessions are closed from 300 ms after the request to stop on.
+        constexpr std::uint64_t delaySpreadMicros = 600'000;
+        const auto span = static_cast<std::uint64_t>((round.quietFrom - round.faultsFrom).count());
+        for (std::uint32_t left = 4; left > 0; --left) {
+            planned_fault stop;
+            stop.kind = soak_fault::instanceStop;
+            stop.at = round.faultsFrom
+                      + duration(m_stopRandom() % (span - delaySpreadMicros - static_cast<std::uint64_t>(minFaultLength.count())));
+            stop.length = minFaultLength;
+            stop.target = static_cast<std::uint32_t>(m_stopRandom() % 1000);
+            planned_fault pause = stop;
+            pause.kind = soak_fault::instancePause;
+            pause.at += duration(m_stopRandom() % delaySpreadMicros);
+            pause.length = std::min(minFaultLength + duration(m_stopRandom() % pauseSpreadMicros), round.quietFrom - pause.at);
+            plan.faults.push_back(stop);
+            plan.faults.push_back(pause);
+        }
+    }
+
     /// Changes after the return, of which half of the instances learn late.
     void addAfterStoreLoss(soak_plan &plan, const soak_round &round, const planned_fault &loss)
     {
@@ -173,6 +198,7 @@
 
     std::mt19937_64 m_random;
     std::mt19937_64 m_lossRandom;
+    std::mt19937_64 m_stopRandom;
 };
 
 } // namespace
@@ -194,6 +220,9 @@
         if (seed >= firstSeedWithStoreLosses) {
             builder.addStoreLosses(plan, round);
         }
+        if (seed >= firstSeedWithPausedStops) {
+            builder.addPausedStops(plan, round);
+        }
         builder.addPlannedWork(plan, round);
         at = round.end;
     } while (at + faultPhaseLength + quietPhaseLength <= length);
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -82,7 +82,7 @@
 
 void soak_history::onSent(const sent_statement &statement)
 {
-    m_statements[statement.clientStatement.id] = {statement};
+    m_statements[statement.clientStatement.id] = {statement, m_sessions[statement.session].values};
     const bool begins = statement.clientStatement.verb == client_verb::begin || statement.clientStatement.verb == client_verb::beginRead;
     if (begins) {
         m_sessions[statement.session].transactionConnection.clear();
@@ -154,14 +154,14 @@
     if (run.inTransaction != sent.inTransaction) {
         reportViolation("PINNED: " + run.id + (run.inTransaction ? " ran inside a transaction" : " ran outside its transaction"));
     }
+    if (run.values != statement.values) {
+        reportViolation("PINNED: " + run.id + " ran with other session values");
+    }
     if (!statement.awaitsReply) {
-        // The client has given up on it, so the session state may have changed since.
+        // The client has given up on it, so the session may be in another transaction by now.
         return;
     }
     watched_session &session = m_sessions[sent.session];
-    if (run.values != session.values) {
-        reportViolation("PINNED: " + run.id + " ran with other session values");
-    }
     if (sent.inTransaction) {
         const std::string connection = run.database.value() + "/" + std::to_string(run.connection);
         if (!session.transactionConnection.empty() && session.transactionConnection != connection) {
--- a/mustardrouter/Soak/soak_history.h
+++ b/mustardrouter/Soak/soak_history.h
@@ -83,6 +83,8 @@
 private:
     struct watched_statement {
         sent_statement sent;
+        /// Session values that were acknowledged before it was sent.
+        std::map<std::string, std::string> values;
         bool awaitsReply = true;
         bool ran = false;
     };
