--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -176,7 +176,9 @@
 
 private:
     void perform(proxy_engine &from, proxy_action &action);
-    /// Checks that the instance's configuration lets the clients of these statements use the connection.
+    /// Records the workspaces of connections, and checks that the instance's configuration lets the clients of the statements that it sends
+    /// use theirs.
+    void observeCallers(const proxy_engine &from, const proxy_action &action);
     void checkCallers(const proxy_engine &from, const send_commands &sent);
     bool performRelayed(proxy_action &action);
     proxy_engine &engineOf(database_connection_id connection);
--- a/UnitTests/Proxy/workspace_world.cpp
+++ b/UnitTests/Proxy/workspace_world.cpp
@@ -24,6 +24,16 @@
     }
 }
 
+void proxy_world::observeCallers(const proxy_engine &from, const proxy_action &action)
+{
+    const auto *opened = std::get_if<open_database_connection>(&action);
+    if (opened != nullptr && !opened->toHolder) {
+        workspaceByConnection[opened->connection] = opened->workspace;
+    } else if (const auto *sent = std::get_if<send_commands>(&action)) {
+        checkCallers(from, *sent);
+    }
+}
+
 void proxy_world::checkCallers(const proxy_engine &from, const send_commands &sent)
 {
     const bool toDatabase = workspaceByConnection.contains(sent.connection);
