--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -96,6 +96,9 @@
     appendMetric("replies_not_verified_total", "counter", counters.repliesNotVerified);
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
+    appendMetric("unknown_keys_total", "counter", counters.unknownKeys);
+    appendMetric("keys_withdrawn_total", "counter", counters.keysWithdrawn);
+    appendMetric("connections_replaced_total", "counter", counters.connectionsReplaced);
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
