Connections of workspaces: a shorter way for the usual case, and none beyond the limit

Cause: each dispatch collected all connections of a database before it looked for an idle one, also without workspaces; and the connections that probes open when all are in use were replaced one by one, so an instance stayed above its limit. Change: without claims an idle connection of the workspace is used at once; above the limit a replaced connection is closed for nothing until the count is right.

--- a/UnitTests/Proxy/workspaces_test.cpp
+++ b/UnitTests/Proxy/workspaces_test.cpp
@@ -387,6 +387,26 @@
     checkNoViolations(world);
 }
 
+TEST(workspaces, connectionsThatProbesHaveOpenedBeyondTheLimitAreGivenBack)
+{
+    own_world world;
+    world.engine.settings.maxConnectionsPerDatabase = 2;
+    group_state &group = world.engine.groups.at(group_name("g"));
+    database_state &primary = group.databases.at(*group.primary);
+    for (int number = 0; number < 5; ++number) {
+        proxying::openConnection(world.engine, group, primary, world.now);
+    }
+    world.performActions();
+    world.runFor(10ms);
+    CHECK_TRUE(primary.connections.size() >= 5);
+    for (const char *key : {"key-r", "key-b"}) {
+        fake_client &client = world.connect("latest", key);
+        CHECK_TRUE(send(world, client, client_verb::write) == reply_code::done);
+    }
+    CHECK_EQUAL(2, primary.connections.size());
+    checkNoViolations(world);
+}
+
 TEST(workspaces, eightyFiveWorkspacesBeforeFourConnectionsAreAllServed)
 {
     // A holder of the shifted deployment: 4 connections to each of 3 databases. Each workspace sends about every 2 s, a large one always.
--- a/mustardrouter/Proxy/engine_connection_share.cpp
+++ b/mustardrouter/Proxy/engine_connection_share.cpp
@@ -18,6 +18,8 @@
 struct share_view {
     share_request request;
     std::vector<database_connection_id> ids;
+    /// Probes have opened more connections than statements may use.
+    bool aboveLimit = false;
 };
 
 share_view shareViewOf(
@@ -48,6 +50,7 @@
     }
     const bool databaseFull = anyForeignIdle && budget.totalConnections >= budget.totalLimit;
     request.mayOpen = mayOpenConnection(budget) && !databaseFull;
+    view.aboveLimit = budget.ownConnections > budget.ownLimit;
     return view;
 }
 
@@ -56,6 +59,12 @@
 database_connection *findOrOpenShared(
     proxy_engine &engine, group_state &group, database_state &database, const client_session &session, time_point now)
 {
+    if (database.claims.empty()) {
+        // Nobody else waits for a first connection: the usual case, and the only one without workspaces.
+        if (database_connection *idle = findIdle(engine, database, session.values, now, &session.caller.workspace)) {
+            return idle;
+        }
+    }
     const bool openAllowed = now >= database.openNotBefore;
     const share_view view = shareViewOf(engine, group, database, session, now);
     const share_decision decision = decideShare(view.request);
@@ -72,6 +81,9 @@
         if (openAllowed) {
             engine.counters.connectionsReplaced += 1;
             discardConnection(engine, view.ids.at(decision.index));
+            if (view.aboveLimit) {
+                return findOrOpenShared(engine, group, database, session, now);
+            }
             openConnection(engine, group, database, now, false, decision.workspace);
             settleClaim(database.claims, decision.workspace, now);
             return nullptr;
@@ -91,6 +103,15 @@
 shared_option sharedOptionOf(
     const proxy_engine &engine, const group_state &group, const database_state &database, const client_session &session, time_point now)
 {
+    const bool anyIdle = database.claims.empty() && std::ranges::any_of(database.connections, [&](database_connection_id id) {
+                             const database_connection &connection = engine.connections.at(id);
+                             return connection.workspace == session.caller.workspace && isUsableIdle(engine, connection, now);
+                         });
+    if (anyIdle) {
+        shared_option option;
+        option.idle = true;
+        return option;
+    }
     const share_decision decision = decideShare(shareViewOf(engine, group, database, session, now).request);
     const bool yields = decision.step == share_step::replace && decision.workspace != session.caller.workspace;
     const bool openAllowed = now >= database.openNotBefore;
