--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -98,6 +98,9 @@
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
     appendMetric("relayed_not_handled_total", "counter", counters.relayedNotHandled);
     appendMetric("relayed_refused_total", "counter", counters.relayedRefused);
+    appendMetric("unknown_keys_total", "counter", counters.unknownKeys);
+    appendMetric("keys_withdrawn_total", "counter", counters.keysWithdrawn);
+    appendMetric("connections_replaced_total", "counter", counters.connectionsReplaced);
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
