--- /dev/null
+++ b/mustardrouter/Membership/feed_settings.cpp
@@ -0,0 +1,46 @@
+#include "mustardrouter/Membership/feed_settings.h"
+
+#include <algorithm>
+
+namespace mustardrouter
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration askJitter = 250ms;
+/// Connecting to the store, its answer to a request that it need not hold, and the adoption of what it tells.
+constexpr duration ownAnswer = 450ms;
+/// The store's answers about databases may be late by this much; an instance that asks itself has to bear that as well.
+constexpr duration lateNotice = 3000ms;
+/// Polls in the time for which a source's knowledge is used, and the limits of their interval.
+constexpr int pollsPerAgeLimit = 5;
+constexpr duration minPollInterval = 300ms;
+constexpr duration maxPollInterval = 1000ms;
+/// The store's answer to a watcher, and the reply of the watcher to its follower.
+constexpr duration answerMargin = 400ms;
+constexpr duration minHeld = 500ms;
+/// A lost poll and its repetition are not yet a silence.
+constexpr int pollsUntilSilent = 2;
+constexpr duration silenceMargin = 500ms;
+
+} // namespace
+
+feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances)
+{
+    feed_settings settings;
+    settings.ageLimit = std::min(configurationDelay, drainTime - lateNotice) - askJitter - ownAnswer;
+    settings.askJitter = askJitter;
+    settings.pollInterval = std::clamp(settings.ageLimit / pollsPerAgeLimit, minPollInterval, maxPollInterval);
+    settings.held = settings.ageLimit - settings.pollInterval - answerMargin;
+    settings.silenceLimit = settings.pollInterval * pollsUntilSilent + silenceMargin;
+    settings.retryAfter = 8s;
+    settings.minAskTime = 2s;
+    settings.pollValidFor = 3s;
+    settings.minInstances = settings.held >= minHeld ? minInstances : 0;
+    return settings;
+}
+
+} // namespace mustardrouter
--- /dev/null
+++ b/mustardrouter/Membership/feed_settings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "mustardrouter/Core/virtual_clock.h"
+
+#include <cstddef>
+
+namespace mustardrouter
+{
+
+/// Times of the passing on of the store's changes within a data centre; see docs/design/0021-passing-on-changes.md.
+struct feed_settings {
+    /// In a data centre with fewer instances that are not leaving each asks the store itself. 0: each does everywhere.
+    std::size_t minInstances = 0;
+    /// An instance whose knowledge from its sources is older than this asks the store itself.
+    duration ageLimit{};
+    /// Further delay at random before it does, so that not all ask at once.
+    duration askJitter{};
+    /// A follower asks its sources this often.
+    duration pollInterval{};
+    /// Longest time without an answer of the store to a watcher that reaches it.
+    duration held{};
+    /// A source that has not replied for this long is replaced by the next in rank.
+    duration silenceLimit{};
+    /// A replaced source is tried again after this time, and up to as much more at random.
+    duration retryAfter{};
+    /// Shortest time for which an instance asks the store itself.
+    duration minAskTime{};
+    /// An instance counts as a source of another for this time after the other's last poll.
+    duration pollValidFor{};
+};
+
+/// The times with which an instance in touch has adopted each configuration within `configurationDelay`, and knows of each leaving
+/// database in time for `drainTime`, whatever happens to its sources. `minInstances` becomes 0 where the bounds leave no room.
+feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances);
+
+} // namespace mustardrouter
