Instances of a data centre pass the store's changes on

Change: Edge/store_feed carries out what change_feed decides, over the links between instances (store_changes in relay.proto). object_watch can be paused, takes over changes that were told, and knows since when its copy is complete. Entries that are missing count as such from the answer's arrival at the instance that asked. Times come from config_apply_ms and drain_ms.

--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -114,6 +114,22 @@
                     },
                     [this](const relay_channel &channel) {
                         onRelayChannelClosed(channel);
+                    },
+                    [this](const std::string &address, const relay::relay_message &message) {
+                        if (message.has_changes()) {
+                            m_storeFeed.onPeerMessage(address, message.changes());
+                        }
+                    },
+                    [this](std::uint64_t link, const relay::relay_message &message) {
+                        if (message.has_changes()) {
+                            m_storeFeed.onIncomingMessage(link, message.changes());
+                        }
+                    },
+                    [this](const std::string &address) {
+                        m_storeFeed.onPeerLost(address);
+                    },
+                    [this](std::uint64_t link) {
+                        m_storeFeed.onIncomingLost(link);
                     }})
     , m_storeHistory(historyHandlers())
     , m_registration(m_context,
@@ -125,6 +141,15 @@
                       m_environment.processorShare,
                       false},
                      m_engine.settings.seed)
+    , m_storeFeed(m_context,
+                  m_relayLinks,
+                  m_log,
+                  feedSettings(),
+                  instance_name(m_environment.instance),
+                  m_engine.settings.seed,
+                  [this](store_era era) {
+                      m_storeHistory.learn(era);
+                  })
 {
 }
 
@@ -563,6 +588,7 @@
             m_environment = newEnvironment;
             m_engine.settings.regions = newEnvironment.regions;
             m_engine.settings.dataCentre = newEnvironment.dataCentre;
+            m_storeFeed.configure(feedSettings());
             if (storeMoved) {
                 m_promotionClients.clear();
                 m_verificationClients.clear();
@@ -571,6 +597,7 @@
                 m_configurationWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_instanceWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_registration.setStoreAddress(newEnvironment.storeAddress);
+                m_storeFeed.onCopiesInvalid();
             }
             m_log.write("reload", {{"why", reason}, {"store_moved", storeMoved ? "yes" : "no"}});
             return {};
@@ -605,6 +632,7 @@
     if (!m_engine.sharedGroups.empty()) {
         m_registration.announceLeaving();
     }
+    m_storeFeed.onStop();
     onStop(m_engine, m_stopSince);
     performActions();
     checkDrained();
@@ -638,7 +666,12 @@
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
-        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped(), {m_registration.writes(), m_listedAgainAfter})};
+        const store_feed::figures feed = m_storeFeed.currentFigures();
+        return {200,
+                m_edgeMetrics.text(m_engine,
+                                   m_clients.size(),
+                                   m_log.dropped(),
+                                   {m_registration.writes(), m_listedAgainAfter, feed.role, feed.followers, feed.age, feed.requests})};
     }
     return {404, {}};
 }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Edge/line_stream.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/Edge/relay_links.h"
+#include "mustardrouter/Edge/store_feed.h"
 #include "mustardrouter/Edge/store_history.h"
 #include "mustardrouter/Proxy/proxy_engine.h"
 #include "mustardrouter/Runtime/event_log.h"
@@ -81,6 +82,7 @@
     void flushStreams();
     void scheduleEngineTimer();
 
+    feed_settings feedSettings() const;
     void startWatches();
     store_history::handlers historyHandlers();
     void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
@@ -121,6 +123,7 @@
     std::unordered_map<session_id, relay_channel> m_channelBySession;
     store_history m_storeHistory;
     instance_registration m_registration;
+    store_feed m_storeFeed;
     std::vector<std::shared_ptr<line_stream>> m_streamsToFlush;
     std::shared_ptr<object_watch> m_databaseWatch;
     std::shared_ptr<object_watch> m_configurationWatch;
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -102,6 +102,14 @@
     appendMetric("store_era", "gauge", engine.storeEra.value());
     const auto listedAgainAfter = std::chrono::duration_cast<std::chrono::milliseconds>(store.listedAgainAfter);
     appendMetric("store_listed_again_milliseconds", "gauge", static_cast<std::uint64_t>(listedAgainAfter.count()));
+    appendMetric("store_requests_total", "counter", store.requests);
+    const std::string roles = appendTypeLine("store_changes_from", "gauge");
+    for (const feed_role role : {feed_role::alone, feed_role::watching, feed_role::following, feed_role::asking}) {
+        text += roles + "{role=\"" + toString(role) + "\"} " + (role == store.role ? "1" : "0") + "\n";
+    }
+    appendMetric("store_changes_followers", "gauge", store.followers);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(store.age);
+    appendMetric("store_changes_age_milliseconds", "gauge", static_cast<std::uint64_t>(age.count()));
     appendMetric("sessions", "gauge", sessions);
     appendMetric("connections", "gauge", engine.connections.size());
     std::size_t waiting = 0;
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardrouter/Membership/change_feed.h"
 #include "mustardrouter/Proxy/proxy_engine.h"
 #include "mustardrouter/Proxy/reply_code.h"
 
@@ -29,6 +30,13 @@
         std::uint64_t entriesWritten = 0;
         /// Time from the last loss of the store's history until all was listed again.
         duration listedAgainAfter{};
+        /// Where changes come from, and for how many others.
+        feed_role role = feed_role::alone;
+        std::size_t followers = 0;
+        /// Time since which the oldest copy is known to be complete.
+        duration age{};
+        /// Requests for lists and changes.
+        std::uint64_t requests = 0;
     };
 
     /// Formats all metrics. `sessions` is the number of open sessions, `linesDropped` the number of dropped log lines.
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -122,6 +122,7 @@
                 for (const std::shared_ptr<object_watch> &watch : {m_databaseWatch, m_configurationWatch, m_instanceWatch}) {
                     watch->onHistoryLost();
                 }
+                m_storeFeed.onCopiesInvalid();
                 performActions();
             },
             [this] {
@@ -129,8 +130,18 @@
             }};
 }
 
+feed_settings edge_instance::feedSettings() const
+{
+    return feedSettingsFor(std::chrono::milliseconds(m_environment.configurationDelayMs),
+                           std::chrono::milliseconds(m_environment.drainMs),
+                           m_environment.relayAddress.empty() ? 0 : m_environment.feedMinInstances);
+}
+
 void edge_instance::startWatches()
 {
+    const auto onState = [this] {
+        m_storeFeed.onWatchState();
+    };
     const auto onReachable = [this](const char *kind) {
         return [this, kind](bool reachable) {
             m_log.write(reachable ? "store_regained" : "store_lost", {{"kind", kind}});
@@ -164,7 +175,8 @@
                                                                   onDatabasesChanged(objects, changedSince);
                                                               },
                                                               onReachable("databases"),
-                                                              onListedAgain("databases")});
+                                                              onListedAgain("databases"),
+                                                              onState});
     m_configurationWatch = std::make_shared<object_watch>(
         m_context,
         m_environment.storeAddress,
@@ -175,7 +187,8 @@
                                    onConfigurationChanged(objects);
                                },
                                onReachable("configuration"),
-                               onListedAgain("configuration")});
+                               onListedAgain("configuration"),
+                               onState});
     m_instanceWatch =
         std::make_shared<object_watch>(m_context,
                                        m_environment.storeAddress,
@@ -186,10 +199,12 @@
                                                                   onInstancesChanged(objects);
                                                               },
                                                               onReachable("instances"),
-                                                              onListedAgain("instances")});
+                                                              onListedAgain("instances"),
+                                                              onState});
     m_databaseWatch->start();
     m_configurationWatch->start();
     m_instanceWatch->start();
+    m_storeFeed.start({m_databaseWatch, m_configurationWatch, m_instanceWatch});
 }
 
 void edge_instance::onDatabasesChanged(const object_watch::objects &objects, time_point changedSince)
@@ -211,7 +226,7 @@
             m_log.write("entry_ignored", {{"entry", name}, {"why", problem}});
         }
     }
-    onListing(m_engine, listing, changedSince, now());
+    onListing(m_engine, listing, changedSince, m_databaseWatch->changeAnsweredAt(), now());
     performActions();
 }
 
@@ -233,6 +248,7 @@
         m_registration.onListed(self);
     }
     onInstances(m_engine, instances, now());
+    m_storeFeed.setInstances(m_engine.instances, m_environment.dataCentre);
     performActions();
 }
 
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -50,15 +50,131 @@
     m_client = std::make_shared<platform::http_client>(m_context, address);
     m_listComplete = false;
     m_unanswered = true;
+    m_paused = false;
     resume();
 }
 
+void object_watch::pause()
+{
+    if (m_stopped || m_paused) {
+        return;
+    }
+    m_paused = true;
+    m_client->close();
+    m_timer.cancel();
+    m_requestOutstanding = false;
+    m_retryScheduled = false;
+    m_unanswered = true;
+}
+
+void object_watch::proceed()
+{
+    if (m_stopped || !m_paused) {
+        return;
+    }
+    m_paused = false;
+    resume();
+}
+
+void object_watch::setAnswerInterval(std::optional<duration> interval)
+{
+    const bool shorter = interval && !m_answerInterval;
+    m_answerInterval = interval;
+    if (shorter && m_listComplete && m_requestOutstanding && !m_paused && !m_stopped) {
+        watch();
+    }
+}
+
+bool object_watch::adopt(told_changes told)
+{
+    if (m_stopped || !m_listComplete || told.to.era != m_position.era) {
+        return false;
+    }
+    const time_point completeBefore = m_completeSince;
+    if (told.to > m_position) {
+        if (!continuesAt(m_position, told.whole, told.from, told.to)) {
+            return false;
+        }
+        const bool changed = told.whole || !told.changed.empty() || !told.removed.empty();
+        const time_point changedSince = std::max(completeBefore, told.changedSince.value_or(completeBefore));
+        if (told.whole) {
+            m_objects = std::move(told.changed);
+            restartLog(m_log, told.to);
+        } else {
+            for (const std::string &name : told.removed) {
+                m_objects.erase(name);
+            }
+            for (auto &[name, object] : told.changed) {
+                m_objects[name] = std::move(object);
+            }
+        }
+        const time_point answeredAt = std::max(completeBefore, told.answeredAt.value_or(completeBefore));
+        if (changed && !told.whole) {
+            appendToLog(m_log, {m_position, told.to, changedSince, answeredAt, std::move(told.removed)});
+        }
+        extendLog(m_log, told.to);
+        m_position = told.to;
+        m_completeSince = std::max(m_completeSince, told.completeSince);
+        m_answeredAt = std::max(m_answeredAt, m_completeSince);
+        if (changed) {
+            m_changeAnsweredAt = answeredAt;
+            m_handlers.onChange(m_objects, changedSince);
+        }
+        return true;
+    }
+    m_completeSince = std::max(m_completeSince, told.completeSince);
+    m_answeredAt = std::max(m_answeredAt, m_completeSince);
+    return true;
+}
+
+bool object_watch::isComplete() const
+{
+    return m_listComplete;
+}
+
+bool object_watch::isReachable() const
+{
+    return m_reachable;
+}
+
+store_position object_watch::position() const
+{
+    return m_position;
+}
+
+time_point object_watch::completeSince() const
+{
+    return m_completeSince;
+}
+
+time_point object_watch::changeAnsweredAt() const
+{
+    return m_changeAnsweredAt;
+}
+
+const object_watch::objects &object_watch::current() const
+{
+    return m_objects;
+}
+
+const change_log &object_watch::log() const
+{
+    return m_log;
+}
+
+std::uint64_t object_watch::requests() const
+{
+    return m_requests;
+}
+
 void object_watch::list(const std::string &afterName)
 {
     if (afterName.empty()) {
         m_incompleteList.clear();
+        m_listSentAt = bootTime();
     }
     m_requestOutstanding = true;
+    m_requests += 1;
     m_client->call(
         platform::listRequest(m_options.kind, afterName), [self = shared_from_this(), afterName](const platform::http_response &response) {
             self->m_requestOutstanding = false;
@@ -99,20 +215,33 @@
     }
     m_listComplete = true;
     m_objects = std::exchange(m_incompleteList, {});
+    m_completeSince = m_listSentAt;
+    m_changeAnsweredAt = m_answeredAt;
+    restartLog(m_log, m_position);
     if (const time_point lostAt = std::exchange(m_historyLostAt, time_point{}); lostAt != time_point{}) {
         m_handlers.onListedAgain(bootTime() - lostAt);
     }
     m_handlers.onChange(m_objects, m_listChangedSince);
+    tellState();
     watchAfterDelay(m_options.batchDelay);
 }
 
 void object_watch::watch()
 {
-    if (m_stopped) {
+    if (m_stopped || m_paused) {
         return;
     }
-    const watch_timing timing = m_unanswered ? probeTiming() : m_options.timing;
+    const time_point now = bootTime();
+    watch_timing timing = m_unanswered ? probeTiming() : m_options.timing;
+    if (m_answerInterval && !m_unanswered) {
+        const duration margin = timing.timeout - timing.held;
+        timing.held = std::clamp(m_completeSince + *m_answerInterval - now, probeTiming().held, *m_answerInterval);
+        timing.timeout = timing.held + margin;
+    }
+    m_sentAt = now;
+    m_sentHeld = std::chrono::duration_cast<std::chrono::milliseconds>(timing.held);
     m_requestOutstanding = true;
+    m_requests += 1;
     m_client->call(platform::watchRequest(m_options.kind, m_position.revision, timing.held, timing.timeout, m_options.allowStale),
                    [self = shared_from_this()](const platform::http_response &response) {
                        self->m_requestOutstanding = false;
@@ -131,6 +260,9 @@
     }
     const platform::request_outcome outcome = era ? platform::outcomeOfStatus(response.status) : platform::request_outcome::noResponse;
     if (outcome == platform::request_outcome::historyExpired) {
+        // What the list shows may have changed at any time since the last answer.
+        m_unanswered = true;
+        m_listComplete = false;
         list({});
         return;
     }
@@ -141,27 +273,43 @@
         return;
     }
     const time_point changedSince = recordAnswer();
+    // What was acknowledged before the request was sent is part of the answer; if the store held it to the end, what came until then.
+    const bool heldToEnd = changes->changes.empty() && m_answeredAt - m_sentAt >= m_sentHeld;
+    m_completeSince = std::max(m_completeSince, m_sentAt + (heldToEnd ? m_sentHeld : duration{}));
+    // Another instance may have told later changes while the answer was under way.
+    const bool isOlder = changes->position < m_position;
+    if (changes->changes.empty() || isOlder) {
+        m_position = std::max(m_position, changes->position);
+        extendLog(m_log, m_position);
+        watch();
+        return;
+    }
+    change_batch batch{m_position, changes->position, changedSince, m_answeredAt, {}};
     for (platform::object_change &change : changes->changes) {
         if (change.removed) {
             m_objects.erase(change.object.name);
+            batch.removed.insert(change.object.name);
         } else {
             m_objects[change.object.name] = std::move(change.object);
         }
     }
-    m_position = std::max(m_position, changes->position);
-    if (changes->changes.empty()) {
-        watch();
-        return;
-    }
+    m_position = changes->position;
+    m_changeAnsweredAt = m_answeredAt;
+    appendToLog(m_log, std::move(batch));
     m_handlers.onChange(m_objects, changedSince);
-    watchAfterDelay(m_options.batchDelay);
+    tellState();
+    duration delay = m_options.batchDelay;
+    if (m_answerInterval) {
+        delay = std::clamp(m_completeSince + *m_answerInterval - bootTime(), duration{}, delay);
+    }
+    watchAfterDelay(delay);
 }
 
 void object_watch::watchAfterDelay(duration delay)
 {
     m_timer.expires_after(delay);
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
-        if (!problem) {
+        if (!problem && !self->m_paused) {
             self->watch();
         }
     });
@@ -186,7 +334,7 @@
 
 void object_watch::onStoreReached()
 {
-    if (m_stopped || m_listDelayed || (!m_retryScheduled && !m_requestOutstanding)) {
+    if (m_stopped || m_paused || m_listDelayed || (!m_retryScheduled && !m_requestOutstanding)) {
         return;
     }
     m_unanswered = true;
@@ -204,6 +352,7 @@
     m_listComplete = false;
     m_unanswered = true;
     m_listDelayed = true;
+    m_paused = false;
     m_historyLostAt = bootTime();
     m_timer.expires_after(std::chrono::milliseconds(m_random() % listSpreadMs));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
@@ -235,16 +384,25 @@
     if (!m_reachable) {
         m_reachable = true;
         m_handlers.onReachable(true);
+        tellState();
     }
     return changedSince;
 }
 
+void object_watch::tellState()
+{
+    if (m_handlers.onState) {
+        m_handlers.onState();
+    }
+}
+
 void object_watch::recordFailure()
 {
     m_unanswered = true;
     if (m_reachable) {
         m_reachable = false;
         m_handlers.onReachable(false);
+        tellState();
     }
 }
 
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -2,6 +2,7 @@
 
 #include "mustardrouter/Edge/store_history.h"
 #include "mustardrouter/Edge/watch_timing.h"
+#include "mustardrouter/Membership/change_log.h"
 #include "platform/http_client.h"
 #include "platform/stored_objects.h"
 
@@ -11,7 +12,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace mustardrouter
@@ -35,6 +38,25 @@
         std::function<void(bool reachable)> onReachable;
         /// Called when the objects were listed again after the store had lost its history, with the time since.
         std::function<void(duration after)> onListedAgain;
+        /// Called after an answer with changes, and when the store becomes unreachable or reachable again.
+        std::function<void()> onState{};
+    };
+
+    /// Changes that another instance told, with times on this instance's clock.
+    struct told_changes {
+        /// Replaces the whole copy.
+        bool whole = false;
+        /// The changes bring a copy at `from` or between the two positions to `to`.
+        store_position from;
+        store_position to;
+        objects changed;
+        std::set<std::string> removed;
+        /// All changes that the store acknowledged before are part of the state at `to`.
+        time_point completeSince{};
+        /// The changes were made after this time, and the store's answer with them did not arrive earlier than that one; nothing if
+        /// not known.
+        std::optional<time_point> changedSince;
+        std::optional<time_point> answeredAt;
     };
 
     /// What to watch, and how.
@@ -63,6 +85,29 @@
     /// The store has returned from an older copy: lists all objects again after a random delay. The copy stays as it is until then.
     void onHistoryLost();
 
+    /// Sends no more requests until proceed(): another instance tells the changes.
+    void pause();
+    /// Asks the store again, at first for an answer at once.
+    void proceed();
+    /// Asks so that the store answers at least this often; nothing for the times of the options.
+    void setAnswerInterval(std::optional<duration> interval);
+    /// Takes changes over. Returns whether all changes until `completeSince` are in the copy now. A copy that is later already stays
+    /// as it is, and so does one that the changes do not continue.
+    bool adopt(told_changes told);
+
+    /// The objects have been listed since the start and since the last loss of the store's history.
+    bool isComplete() const;
+    bool isReachable() const;
+    store_position position() const;
+    /// All changes that the store acknowledged before this time are in the copy.
+    time_point completeSince() const;
+    /// When the store's answer with the last change arrived, here or at the instance that told it.
+    time_point changeAnsweredAt() const;
+    const objects &current() const;
+    const change_log &log() const;
+    /// Number of requests sent.
+    std::uint64_t requests() const;
+
 private:
     void list(const std::string &afterName);
     void handlePage(const std::string &afterName, const platform::http_response &response);
@@ -75,6 +120,7 @@
     /// Returns the time after which the changes in this answer were made.
     time_point recordAnswer();
     void recordFailure();
+    void tellState();
 
     asio::io_context &m_context;
     store_history &m_history;
@@ -92,6 +138,16 @@
     time_point m_answeredAt{};
     /// Position up to which the copy is complete.
     store_position m_position;
+    change_log m_log;
+    std::optional<duration> m_answerInterval;
+    time_point m_sentAt{};
+    time_point m_listSentAt{};
+    /// Time that the store was asked to hold the last watch request.
+    duration m_sentHeld{};
+    time_point m_completeSince{};
+    time_point m_changeAnsweredAt{};
+    std::uint64_t m_requests = 0;
+    bool m_paused = false;
     std::uint32_t m_consecutiveFailures = 0;
     bool m_listComplete = false;
     bool m_reachable = true;
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -134,6 +134,14 @@
     tellPeerLost(lost);
 }
 
+void relay_links::dropUnusedLink(const std::string &address)
+{
+    const auto link = m_outgoing.find(address);
+    if (link != m_outgoing.end() && link->second.channels.empty()) {
+        dropLink(address);
+    }
+}
+
 void relay_links::tellPeerLost(const std::string &address)
 {
     if (m_handlers.onPeerLost) {
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -68,6 +68,8 @@
     void close(database_connection_id connection);
     /// Closes the link to the address without callbacks; its channels must have been closed.
     void dropLink(const std::string &address);
+    /// Closes the link to the address if no channel uses it.
+    void dropUnusedLink(const std::string &address);
 
     /// Sends a message to the instance at the address; opens the link if there is none. What is sent on a link that is lost is lost.
     void sendToPeer(const std::string &address, const relay::relay_message &message);
--- a/mustardrouter/Edge/store_history.cpp
+++ b/mustardrouter/Edge/store_history.cpp
@@ -36,13 +36,21 @@
     if (m_era && *response.era < *m_era) {
         return std::nullopt;
     }
-    const std::optional<store_era> before = std::exchange(m_era, response.era);
+    learn(*response.era);
+    return m_era;
+}
+
+void store_history::learn(store_era era)
+{
+    if (m_era && era <= *m_era) {
+        return;
+    }
+    const std::optional<store_era> before = std::exchange(m_era, era);
     if (!before) {
-        m_handlers.onFirstEra(*m_era);
-    } else if (*before < *m_era) {
-        m_handlers.onLost(*before, *m_era);
+        m_handlers.onFirstEra(era);
+    } else {
+        m_handlers.onLost(*before, era);
     }
-    return m_era;
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Edge/store_history.h
+++ b/mustardrouter/Edge/store_history.h
@@ -26,6 +26,8 @@
 
     /// Takes note of an answer. Returns its era, or nothing if a later one is known: then the answer must not be used.
     std::optional<store_era> accept(const platform::http_response &response);
+    /// Takes note of the era that another instance names. An earlier one, or one that is known, changes nothing.
+    void learn(store_era era);
     store_era era() const;
     /// Another store is used from now on.
     void forget();
--- a/mustardrouter/PlatformStandIn/standin_documents.cpp
+++ b/mustardrouter/PlatformStandIn/standin_documents.cpp
@@ -93,6 +93,7 @@
     root["bounds"]["require_fencing"] = settings.promotionsAreFenced;
     root["platform"]["address"] = settings.storeAddress;
     root["provider_api"]["address"] = settings.storeAddress;
+    root["change_feed_min_instances"] = settings.feedMinInstances;
     root["note"] = settings.note;
     return root.toStyledString();
 }
--- a/mustardrouter/PlatformStandIn/standin_documents.h
+++ b/mustardrouter/PlatformStandIn/standin_documents.h
@@ -34,6 +34,8 @@
     unsigned graceSeconds = 6;
     /// Port at which the instance takes relayed statements.
     unsigned relayPort = 0;
+    /// Where a data centre has fewer instances, each asks the store itself.
+    unsigned feedMinInstances = 0;
     /// The platform checks the fences of promotion orders, and replaced primaries step down at once.
     bool promotionsAreFenced = true;
     /// Written as a field that instances don't know.
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -332,6 +332,11 @@
 }
 
 void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now)
+{
+    onListing(engine, listing, changedSince, now, now);
+}
+
+void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point answeredAt, time_point now)
 {
     engine.listingReceived = true;
     std::set<database_name> seen;
@@ -344,8 +349,8 @@
     for (auto &[name, group] : engine.groups) {
         for (auto &[databaseName, database] : group.databases) {
             if (!seen.contains(databaseName) && database.unlistedSince == time_point{}) {
-                database.unlistedSince = now;
-                scheduleGroupCheck(engine, group, now + engine.settings.unlistedValidFor);
+                database.unlistedSince = std::min(answeredAt, now);
+                scheduleGroupCheck(engine, group, database.unlistedSince + engine.settings.unlistedValidFor);
             }
         }
     }
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -126,7 +126,10 @@
 
 /// A version of the configuration was read; one that is not newer is ignored.
 void onConfiguration(proxy_engine &engine, const route_table &routes, time_point now);
-/// The platform's list of databases was read or has changed; the change was made after `changedSince`.
+/// The platform's list of databases was read or has changed; the change was made after `changedSince`. The platform's answer with it
+/// arrived `answeredAt`, here or at the instance that passed it on: entries that are missing in it count as such from then on.
+void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point answeredAt, time_point now);
+/// The same for an answer that arrived just now.
 void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now);
 
 /// The store's era is known for the first time since the start of this instance.
