--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -267,3 +267,102 @@
     fixture.context.run_for(300ms);
     CHECK_EQUAL(24U, fixture.objectCount);
 }
+
+TEST(object_watch, whatAnExpiredHistoryHidMayBeAsOldAsTheLastAnswer)
+{
+    watched_store fixture(100ms, 2s);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    // The watch is not told of the change before the history that contains it is dropped.
+    const time_point changedAt = bootTime();
+    fixture.store.objects().put("k", "b", "two");
+    fixture.context.run_for(100ms);
+    fixture.store.objects().dropHistory();
+    fixture.store.notifyWatches();
+    fixture.context.run_for(200ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+    CHECK_TRUE(fixture.changedSince <= changedAt);
+}
+
+TEST(object_watch, aCopyIsCompleteUpToTheEndOfTheTimeForWhichTheStoreHeldTheRequest)
+{
+    watched_store fixture(100ms, 200ms);
+    fixture.watch->setAnswerInterval(200ms);
+    fixture.watch->start();
+    fixture.context.run_for(50ms);
+    for (int checks = 0; checks < 12; ++checks) {
+        const time_point before = bootTime();
+        fixture.context.run_for(50ms);
+        // Less than the interval, the store's answer and the machine's own delays; and never in the future.
+        CHECK_TRUE(before - fixture.watch->completeSince() < 350ms);
+        CHECK_TRUE(fixture.watch->completeSince() <= bootTime());
+        if (checks % 3 == 0) {
+            fixture.store.objects().put("k", "b", checks);
+            fixture.store.notifyWatches();
+        }
+    }
+}
+
+namespace
+{
+
+object_watch::told_changes toldChange(const object_watch &watch, std::uint64_t revisions, const std::string &name)
+{
+    object_watch::told_changes told;
+    told.from = watch.position();
+    told.to = {told.from.era, store_revision(told.from.revision.value() + revisions)};
+    told.changed[name] = {name, told.to, "told"};
+    told.completeSince = bootTime();
+    return told;
+}
+
+} // namespace
+
+TEST(object_watch, aPausedWatchAsksNothingAndTakesOverWhatItIsTold)
+{
+    watched_store fixture(100ms, 100ms);
+    fixture.watch->start();
+    fixture.context.run_for(50ms);
+    fixture.watch->pause();
+    fixture.context.run_for(20ms);
+    const std::uint64_t requests = fixture.store.requestCount();
+    const time_point before = fixture.watch->completeSince();
+    object_watch::told_changes told = toldChange(*fixture.watch, 2, "b");
+    told.changedSince = before - 5s;
+    CHECK_TRUE(fixture.watch->adopt(told));
+    fixture.context.run_for(300ms);
+    CHECK_EQUAL(requests, fixture.store.requestCount());
+    CHECK_EQUAL(2U, fixture.objectCount);
+    // The copy was complete then, so that the change was made later than the source could tell.
+    CHECK_TRUE(fixture.changedSince == before);
+    // A change that leaves a gap is refused, one that is known changes nothing, another era's is not taken over.
+    object_watch::told_changes gap = toldChange(*fixture.watch, 2, "c");
+    gap.from.revision = store_revision(gap.from.revision.value() + 1);
+    CHECK_FALSE(fixture.watch->adopt(gap));
+    CHECK_TRUE(fixture.watch->adopt(told));
+    object_watch::told_changes other = toldChange(*fixture.watch, 2, "d");
+    other.to.era = store_era(7);
+    CHECK_FALSE(fixture.watch->adopt(other));
+    CHECK_EQUAL(2U, fixture.watch->current().size());
+    // Asking again continues at the position that was told.
+    fixture.store.objects().put("k", "e", "five");
+    fixture.store.objects().put("k", "f", "six");
+    fixture.store.objects().put("k", "g", "seven");
+    fixture.watch->proceed();
+    fixture.context.run_for(100ms);
+    CHECK_TRUE(fixture.watch->current().contains("g"));
+}
+
+TEST(object_watch, anAnswerThatIsOlderThanWhatWasToldChangesNothing)
+{
+    watched_store fixture(100ms, 500ms);
+    fixture.watch->start();
+    fixture.context.run_for(50ms);
+    // The store's answer is under way when a later change is told.
+    fixture.store.objects().put("k", "a", "older");
+    fixture.store.notifyWatches();
+    fixture.store.objects().put("another kind", "x", "one");
+    CHECK_TRUE(fixture.watch->adopt(toldChange(*fixture.watch, 2, "a")));
+    fixture.context.run_for(50ms);
+    CHECK_EQUAL(std::string("told"), fixture.watch->current().at("a").content.asString());
+}
--- /dev/null
+++ b/UnitTests/Edge/store_feed_test.cpp
@@ -0,0 +1,288 @@
+#include "mustardrouter/Edge/boot_time.h"
+#include "mustardrouter/Edge/store_feed.h"
+#include "mustardrouter/PlatformStandIn/standin_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <unistd.h>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t instanceCount = 3;
+/// The strictest bounds of the users' deployments.
+constexpr duration configurationDelay = 3000ms;
+constexpr duration drainTime = 7000ms;
+
+std::string freeAddress(asio::io_context &context)
+{
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// The part of an instance that learns of the store's changes: three watches, the links and the feed.
+class fed_part
+{
+public:
+    fed_part(asio::io_context &context, const std::string &store, listed_instance self, event_log &log, std::size_t minInstances)
+        : m_self(std::move(self))
+        , m_links(context, linkHandlers())
+        , m_history({[](store_era) {
+                     },
+                     [this](store_era, store_era) {
+                         for (const auto &watch : m_watches) {
+                             watch->onHistoryLost();
+                         }
+                         m_feed.onCopiesInvalid();
+                     },
+                     [] {
+                     }})
+        , m_feed(
+              context, m_links, log, feedSettingsFor(configurationDelay, drainTime, minInstances), m_self.name, 1, [this](store_era era) {
+                  m_history.learn(era);
+              })
+    {
+        CHECK_TRUE(m_links.listen(m_self.relayAddress));
+        const char *const kinds[] = {platform::databaseKind, platform::configurationKind, platform::instanceKind};
+        for (std::size_t kind = 0; kind < feedKinds; ++kind) {
+            object_watch::handlers callbacks;
+            callbacks.onChange = [this, kind](const object_watch::objects &objects, time_point) {
+                onChange(kind, objects);
+            };
+            callbacks.onReachable = [](bool) {
+            };
+            callbacks.onListedAgain = [](duration) {
+            };
+            callbacks.onState = [this] {
+                m_feed.onWatchState();
+            };
+            m_watches.at(kind) = std::make_shared<object_watch>(
+                context, store, m_history, object_watch::options{kinds[kind], 400ms, false, 400ms, watchTimingFor(5s)}, kind, callbacks);
+            m_watches.at(kind)->start();
+        }
+        m_feed.start(m_watches);
+    }
+    /// Neither asks the store nor answers any more.
+    void end()
+    {
+        ended = true;
+        cutFromPeers = true;
+        for (const auto &watch : m_watches) {
+            watch->stop();
+        }
+    }
+    feed_role role() const
+    {
+        return m_feed.currentFigures().role;
+    }
+    std::string version() const
+    {
+        const object_watch::objects &objects = m_watches.at(1)->current();
+        return objects.contains("main") ? objects.at("main").content.asString() : std::string();
+    }
+    std::size_t databases() const
+    {
+        return m_watches.at(0)->current().size();
+    }
+    const std::string &address() const
+    {
+        return m_self.relayAddress;
+    }
+    bool cutFromPeers = false;
+    bool ended = false;
+
+private:
+    relay_links::handlers linkHandlers()
+    {
+        relay_links::handlers callbacks;
+        callbacks.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
+            if (!cutFromPeers) {
+                m_feed.onPeerMessage(address, message.changes());
+            }
+        };
+        callbacks.onIncomingMessage = [this](std::uint64_t link, const relay::relay_message &message) {
+            if (!cutFromPeers) {
+                m_feed.onIncomingMessage(link, message.changes());
+            }
+        };
+        callbacks.onPeerLost = [this](const std::string &address) {
+            m_feed.onPeerLost(address);
+        };
+        callbacks.onIncomingLost = [this](std::uint64_t link) {
+            m_feed.onIncomingLost(link);
+        };
+        return callbacks;
+    }
+    void onChange(std::size_t kind, const object_watch::objects &objects)
+    {
+        if (kind != 2) {
+            return;
+        }
+        instance_listing instances;
+        for (const auto &[name, object] : objects) {
+            if (const std::optional<listed_instance> instance = platform::decodeInstance(object)) {
+                instances.push_back(*instance);
+            }
+        }
+        m_feed.setInstances(instances, m_self.dataCentre);
+    }
+
+    listed_instance m_self;
+    relay_links m_links;
+    store_history m_history;
+    store_feed::watches m_watches;
+    store_feed m_feed;
+};
+
+/// Instances of one data centre and a store, all on loopback.
+struct fed_data_centre {
+    asio::io_context context;
+    standin_store store{context,
+                        {[](std::size_t, const std::string &address) {
+                             return address;
+                         },
+                         {}},
+                        1};
+    int output[2] = {-1, -1};
+    std::unique_ptr<event_log> log;
+    std::vector<std::unique_ptr<fed_part>> parts;
+
+    explicit fed_data_centre(std::size_t minInstances = instanceCount)
+    {
+        CHECK_EQUAL(0, ::pipe(output));
+        log = std::make_unique<event_log>("test", output[1]);
+        std::vector<listed_instance> instances;
+        for (std::size_t index = 0; index < instanceCount; ++index) {
+            instances.push_back({instance_name("i-" + std::to_string(index)), freeAddress(context), "here", 1, false});
+            Json::Value entry;
+            entry["address"] = instances.back().relayAddress;
+            entry["data_centre"] = "here";
+            entry["capacity"] = 1;
+            entry["leaving"] = false;
+            store.objects().put(platform::instanceKind, instances.back().name.value(), entry);
+        }
+        store.objects().put(platform::configurationKind, "main", "first");
+        store.objects().put(platform::databaseKind, "db", "one");
+        for (const listed_instance &instance : instances) {
+            parts.push_back(std::make_unique<fed_part>(context, store.addInstance(), instance, *log, minInstances));
+        }
+        context.run_for(3500ms);
+    }
+    ~fed_data_centre()
+    {
+        for (const auto &part : parts) {
+            part->end();
+        }
+        parts.clear();
+        log.reset();
+        ::close(output[0]);
+        ::close(output[1]);
+    }
+    std::vector<std::size_t> withRole(feed_role role) const
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t index = 0; index < parts.size(); ++index) {
+            if (!parts[index]->ended && parts[index]->role() == role) {
+                found.push_back(index);
+            }
+        }
+        return found;
+    }
+    void publish(const char *version)
+    {
+        store.objects().put(platform::configurationKind, "main", version);
+        store.notifyWatches();
+    }
+    bool allHave(const std::string &version) const
+    {
+        return std::ranges::all_of(parts, [&](const auto &part) {
+            return part->ended || part->version() == version;
+        });
+    }
+};
+
+} // namespace
+
+TEST_GROUP(store_feed){};
+
+TEST(store_feed, twoOfThreeAskTheStoreAndAChangeReachesAll)
+{
+    fed_data_centre place;
+    CHECK_EQUAL(2U, place.withRole(feed_role::watching).size());
+    CHECK_EQUAL(1U, place.withRole(feed_role::following).size());
+    place.publish("second");
+    place.store.objects().remove(platform::databaseKind, "db");
+    place.store.notifyWatches();
+    place.context.run_for(150ms);
+    CHECK_TRUE(place.allHave("second"));
+    for (const auto &part : place.parts) {
+        CHECK_EQUAL(0U, part->databases());
+    }
+}
+
+TEST(store_feed, whereTheDataCentreIsSmallEachAsks)
+{
+    fed_data_centre place(instanceCount + 1);
+    CHECK_EQUAL(instanceCount, place.withRole(feed_role::alone).size());
+    place.publish("second");
+    place.context.run_for(100ms);
+    CHECK_TRUE(place.allHave("second"));
+}
+
+TEST(store_feed, watchersThatEndAtTheMomentOfAChange)
+{
+    fed_data_centre place;
+    for (const std::size_t index : place.withRole(feed_role::watching)) {
+        place.parts[index]->end();
+    }
+    place.publish("second");
+    place.context.run_for(configurationDelay);
+    CHECK_TRUE(place.allHave("second"));
+}
+
+TEST(store_feed, watchersThatFallSilentAtTheMomentOfAChange)
+{
+    fed_data_centre place;
+    const std::size_t follower = place.withRole(feed_role::following).front();
+    for (const std::size_t index : place.withRole(feed_role::watching)) {
+        place.parts[index]->cutFromPeers = true;
+    }
+    place.publish("second");
+    place.context.run_for(configurationDelay);
+    CHECK_EQUAL(std::string("second"), place.parts[follower]->version());
+}
+
+TEST(store_feed, watchersThatAreCutFromTheStoreAtTheMomentOfAChange)
+{
+    fed_data_centre place;
+    const std::size_t follower = place.withRole(feed_role::following).front();
+    for (const std::size_t index : place.withRole(feed_role::watching)) {
+        place.store.faults().refusedInstances.insert(index);
+    }
+    place.store.faults().refusal = store_failure::silent;
+    place.publish("second");
+    place.context.run_for(configurationDelay);
+    CHECK_EQUAL(std::string("second"), place.parts[follower]->version());
+}
+
+TEST(store_feed, aLostHistoryIsHeardOfAndReadAgain)
+{
+    fed_data_centre place;
+    place.store.keepCopy(bootTime());
+    place.store.objects().put(platform::databaseKind, "lost", "two");
+    place.store.notifyWatches();
+    place.context.run_for(150ms);
+    place.store.returnFromCopy(duration{}, bootTime());
+    place.publish("second");
+    place.context.run_for(1500ms);
+    CHECK_TRUE(place.allHave("second"));
+    for (const auto &part : place.parts) {
+        CHECK_EQUAL(1U, part->databases());
+    }
+}
