--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -38,7 +38,8 @@
 {
     constexpr std::uint64_t kinds = 5;
     const bool both = seed % (2 * kinds) == 2 * kinds - 1;
-    return {seed % kinds == kinds - 1, seed % kinds == 0 || both};
+    constexpr std::uint64_t passingOn = 7;
+    return {seed % kinds == kinds - 1, seed % kinds == 0 || both, seed % passingOn == 3};
 }
 
 soak_deployment::soak_deployment(
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -40,6 +40,8 @@
     bool replacedPrimariesContinue = false;
     /// Databases accept fewer connections than the instances would open.
     bool connectionsAreScarce = false;
+    /// All instances are in one data centre, where most of them learn of the store's changes from others.
+    bool changesArePassedOn = false;
 };
 
 /// The variant that a seed plays: two of five seeds play one, one of ten both.
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -115,6 +115,7 @@
     settings.isFirstSystemStart = m_isFirstSystemStart;
     settings.promotionsAreFenced = m_options.promotionsAreFenced;
     settings.relayPort = static_cast<unsigned>(std::stoul(m_relayAddress.substr(m_relayAddress.rfind(':') + 1)));
+    settings.feedMinInstances = m_options.feedMinInstances;
     settings.note = starts;
     const std::string text = settingsText(settings);
     std::ofstream file(m_options.folder + "/" + m_options.name + ".json");
--- a/mustardrouter/Soak/soak_instance.h
+++ b/mustardrouter/Soak/soak_instance.h
@@ -26,6 +26,8 @@
         /// Address of its listener at the store.
         std::string store;
         bool promotionsAreFenced = true;
+        /// Where a data centre has fewer instances, each asks the store itself; 0: everywhere.
+        unsigned feedMinInstances = 0;
     };
 
     soak_instance(asio::io_context &context, launch_options options);
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -41,6 +41,8 @@
 /// Delay before a process that ended is started again.
 constexpr duration restartDelay = 400ms;
 constexpr unsigned stopTries = 160;
+/// Two instances that watch and one that follows.
+constexpr unsigned smallestFeed = 3;
 
 const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
@@ -85,7 +87,9 @@
         options.program = m_settings.program;
         options.folder = m_settings.folder;
         options.name = "instance-" + std::to_string(index + 1);
-        options.dataCentre = dataCentres[index % std::size(dataCentres)];
+        const bool passedOn = variantOf(m_settings.seed).changesArePassedOn;
+        options.dataCentre = dataCentres[passedOn ? 0 : index % std::size(dataCentres)];
+        options.feedMinInstances = passedOn ? smallestFeed : 0;
         options.store = m_deployment.store().addInstance();
         options.promotionsAreFenced = !variantOf(m_settings.seed).replacedPrimariesContinue;
         m_instances.push_back(std::make_unique<soak_instance>(m_context, std::move(options)));
--- a/tests.d/soak.sh
+++ b/tests.d/soak.sh
@@ -9,6 +9,7 @@
     "11 databases leave while connections are faulty"
     "12 answers that never end, stalled connections"
     "29 replaced primaries continue, scarce connections: statements are relayed"
+    "3 all instances in one data centre: most learn of the store's changes from others"
     "118 an order without a reply is repeated: the claim must get a new revision"
     "571 a watch repeated while the store was silent was awaited after its return, and a removed route served (inc1)"
     "203 two rounds: a watch requested while the store was unresponsive was lost, and the configuration update with it"
