--- a/tests.d/soak.sh
+++ b/tests.d/soak.sh
@@ -12,6 +12,7 @@
     "3 all instances in one data centre: most learn of the store's changes from others"
     "118 an order without a reply is repeated: the claim must get a new revision"
     "571 a watch repeated while the store was silent was awaited after its return, and a removed route served (inc1)"
+    "20054 holders that are to stop stand still: late messages of channels that they closed (issue 33)"
     "203 two rounds: a watch requested while the store was unresponsive was lost, and the configuration update with it"
 )
 pids=()
