--- a/UnitTests/Proxy/workspaces_test.cpp
+++ b/UnitTests/Proxy/workspaces_test.cpp
@@ -387,6 +387,79 @@
     checkNoViolations(world);
 }
 
+TEST(workspaces, aTransactionWhoseFirstStatementAHolderRefusesBeginsAgain)
+{
+    relayed_world world;
+    fake_client &client = world.connectToEntry("latest", "key-r");
+    group_state &group = world.engine.groups.at(group_name("g"));
+    database_state &primary = group.databases.at(*group.primary);
+    const std::vector<database_connection_id> connections = primary.connections;
+    for (const database_connection_id id : connections) {
+        proxying::discardConnection(world.engine, id);
+    }
+    primary.openNotBefore = world.now + 60ms;
+    CHECK_TRUE(send(world, client, client_verb::begin) == reply_code::done);
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(10ms);
+    // The holder has accepted BEGIN, and the statement waits there for a connection.
+    world.changeAt(world.engine, {"blue key-b"});
+    world.runFor(20ms);
+    CHECK_EQUAL(1, client.replies.size());
+    world.changeAt(world.engine, twoWorkspaces);
+    world.runFor(400ms);
+    CHECK_EQUAL(2, client.replies.size());
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    CHECK_TRUE(send(world, client, client_verb::commit) == reply_code::done);
+    checkNoViolations(world);
+}
+
+TEST(workspaces, aWorkspaceIsRelayedToItsOwnHoldersAndToOthersOnceTheyFail)
+{
+    proxy_world world(7);
+    std::vector<std::string> all;
+    for (int number = 0; number < 12; ++number) {
+        all.push_back("w" + std::to_string(number) + " key-" + std::to_string(number));
+    }
+    world.setWorkspaces(all);
+    world.addGroup();
+    world.connectionLimit = 36;
+    world.configure(1);
+    instance_listing instances;
+    for (int number = 0; number < 18; ++number) {
+        const std::string dataCentre = "dc-" + std::to_string(number % 3);
+        instances.push_back({instance_name("other-" + std::to_string(number)), "10.1.0.1:2", dataCentre, 1, false});
+    }
+    onInstances(world.engine, instances, world.now);
+    group_state &group = world.engine.groups.at(group_name("g"));
+    CHECK_EQUAL(6, group.holders.size());
+    const auto holderOfNext = [&](int number) {
+        const std::uint64_t next = world.engine.nextConnectionId;
+        fake_client &client = world.connect("latest", "key-" + std::to_string(number));
+        world.send(client, client_verb::write, "x", "1");
+        const auto opened = world.engine.connections.find(database_connection_id(next));
+        return opened == world.engine.connections.end() ? database_name() : opened->second.database;
+    };
+    std::set<database_name> used;
+    for (int number = 0; number < 12; ++number) {
+        // A link that is being opened already is used again.
+        const database_name holder = holderOfNext(number);
+        const std::set<database_name> &preferred = group.preferredHolders.at(workspace_name("w" + std::to_string(number)));
+        CHECK_EQUAL(2, preferred.size());
+        CHECK_TRUE(holder == database_name() || preferred.contains(holder));
+        used.insert(preferred.begin(), preferred.end());
+    }
+    CHECK_TRUE(used.size() >= 5);
+    const std::set<database_name> preferred = group.preferredHolders.at(workspace_name("w3"));
+    for (const database_name &name : preferred) {
+        proxying::markSuspected(world.engine, group, group.holders.at(name), "test", world.now);
+    }
+    while (!world.engine.connections.empty()) {
+        proxying::discardConnection(world.engine, world.engine.connections.begin()->first);
+    }
+    const database_name other = holderOfNext(3);
+    CHECK_TRUE(other != database_name() && !preferred.contains(other));
+}
+
 TEST(workspaces, connectionsThatProbesHaveOpenedBeyondTheLimitAreGivenBack)
 {
     own_world world;
