--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -168,3 +168,50 @@
     });
     CHECK_TRUE(pair.atEntry.closed.empty());
 }
+
+TEST(relay_links, aMessageThatABuildDoesNotKnowEndsNothing)
+{
+    // The recorded ends have no handlers for other messages, as builds before store_changes.
+    linked_pair pair;
+    pair.entry.open(one, pair.address);
+    pair.runUntil([&] {
+        return pair.atEntry.opened.size() == 1;
+    });
+    relay::relay_message message;
+    message.mutable_changes()->set_polled_at(1);
+    pair.entry.sendToPeer(pair.address, message);
+    relay::relay_message unknown;
+    const std::string laterField = "\xfa\x01\x02\x08\x01";
+    CHECK_TRUE(unknown.ParseFromString(laterField));
+    pair.entry.sendToPeer(pair.address, unknown);
+    pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 1;
+    });
+    CHECK_TRUE(pair.atEntry.closed.empty());
+}
+
+TEST(relay_links, onlyALinkWithoutChannelsIsUnused)
+{
+    linked_pair pair;
+    pair.entry.open(one, pair.address);
+    pair.runUntil([&] {
+        return pair.atEntry.opened.size() == 1;
+    });
+    pair.entry.dropUnusedLink(pair.address);
+    pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 1;
+    });
+    pair.entry.close(one);
+    pair.runUntil([&] {
+        return pair.atHolder.closedChannels.size() == 1;
+    });
+    pair.entry.dropUnusedLink(pair.address);
+    pair.entry.open(two, pair.address);
+    pair.entry.send(two, "route-b", 700ms, "QUERY b READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.statements.size() == 2;
+    });
+    CHECK_TRUE(pair.atHolder.channels[0].link != pair.atHolder.channels[1].link);
+}
--- a/UnitTests/Edge/store_feed_test.cpp
+++ b/UnitTests/Edge/store_feed_test.cpp
@@ -86,6 +86,10 @@
         const object_watch::objects &objects = m_watches.at(1)->current();
         return objects.contains("main") ? objects.at("main").content.asString() : std::string();
     }
+    std::uint64_t requests() const
+    {
+        return m_feed.currentFigures().requests;
+    }
     std::size_t databases() const
     {
         return m_watches.at(0)->current().size();
@@ -216,6 +220,10 @@
     fed_data_centre place;
     CHECK_EQUAL(2U, place.withRole(feed_role::watching).size());
     CHECK_EQUAL(1U, place.withRole(feed_role::following).size());
+    const fed_part &follower = *place.parts[place.withRole(feed_role::following).front()];
+    const std::uint64_t requests = follower.requests();
+    place.context.run_for(2s);
+    CHECK_EQUAL(requests, follower.requests());
     place.publish("second");
     place.store.objects().remove(platform::databaseKind, "db");
     place.store.notifyWatches();
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -61,6 +61,26 @@
     histogram->Observe(seconds);
 }
 
+namespace
+{
+
+/// The lines of the metrics that tell where this instance learns of the store's changes.
+std::string feedText(const edge_metrics::store_figures &store)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(store.age);
+    std::string text = "# TYPE mustardrouter_store_requests_total counter\nmustardrouter_store_requests_total "
+                       + std::to_string(store.requests) + "\n# TYPE mustardrouter_store_changes_from gauge\n";
+    for (const feed_role role : {feed_role::alone, feed_role::watching, feed_role::following, feed_role::asking}) {
+        text += std::string("mustardrouter_store_changes_from{role=\"") + toString(role) + "\"} " + (role == store.role ? "1" : "0") + "\n";
+    }
+    return text + "# TYPE mustardrouter_store_changes_followers gauge\nmustardrouter_store_changes_followers "
+           + std::to_string(store.followers)
+           + "\n# TYPE mustardrouter_store_changes_age_milliseconds gauge\nmustardrouter_store_changes_age_milliseconds "
+           + std::to_string(age.count()) + "\n";
+}
+
+} // namespace
+
 std::string edge_metrics::text(const proxy_engine &engine,
                                std::size_t sessions,
                                std::uint64_t linesDropped,
@@ -102,14 +122,7 @@
     appendMetric("store_era", "gauge", engine.storeEra.value());
     const auto listedAgainAfter = std::chrono::duration_cast<std::chrono::milliseconds>(store.listedAgainAfter);
     appendMetric("store_listed_again_milliseconds", "gauge", static_cast<std::uint64_t>(listedAgainAfter.count()));
-    appendMetric("store_requests_total", "counter", store.requests);
-    const std::string roles = appendTypeLine("store_changes_from", "gauge");
-    for (const feed_role role : {feed_role::alone, feed_role::watching, feed_role::following, feed_role::asking}) {
-        text += roles + "{role=\"" + toString(role) + "\"} " + (role == store.role ? "1" : "0") + "\n";
-    }
-    appendMetric("store_changes_followers", "gauge", store.followers);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(store.age);
-    appendMetric("store_changes_age_milliseconds", "gauge", static_cast<std::uint64_t>(age.count()));
+    text += feedText(store);
     appendMetric("sessions", "gauge", sessions);
     appendMetric("connections", "gauge", engine.connections.size());
     std::size_t waiting = 0;
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -124,14 +124,13 @@
         return;
     }
     const std::shared_ptr<frame_connection> frames = link->second.frames;
-    const std::string lost = address;
     for (const database_connection_id connection : link->second.channels) {
         m_addressByChannel.erase(connection);
     }
-    // The argument may refer to the key that is erased.
-    m_outgoing.erase(link);
+    // The argument may refer to the key, which has to live until the end.
+    const auto removed = m_outgoing.extract(link);
     frames->close(failure::connectionLost);
-    tellPeerLost(lost);
+    tellPeerLost(removed.key());
 }
 
 void relay_links::dropUnusedLink(const std::string &address)
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -47,8 +47,7 @@
                        instance_name self,
                        std::uint64_t seed,
                        std::function<void(store_era)> onEra)
-    : m_context(context)
-    , m_links(links)
+    : m_links(links)
     , m_log(log)
     , m_feed(makeFeed(settings, std::move(self), seed))
     , m_onEra(std::move(onEra))
--- a/mustardrouter/Edge/store_feed.h
+++ b/mustardrouter/Edge/store_feed.h
@@ -79,7 +79,6 @@
     std::optional<time_point> take(const relay::told_kind &told, time_point polledAt);
     bool reachesStore() const;
 
-    asio::io_context &m_context;
     relay_links &m_links;
     event_log &m_log;
     change_feed m_feed;
