Limits of workspaces over all instances: shares, loans, pools, tokens

Each workspace may run a bounded number of operations in any window, summed over all instances, and no service holds a count for everyone. Members own equal shares of all limits and lend them for a second at a time to one pool; pools hand out tokens by demand. The module is pure: events with the time in, actions out.

--- /dev/null
+++ b/UnitTests/Workspaces/limit_history_test.cpp
@@ -0,0 +1,177 @@
+#include "limit_history.h"
+#include "limit_world.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+const workspace_name workspaceName("w");
+
+/// Instances with one workspace that have been up for a while.
+struct running_world {
+    explicit running_world(std::size_t count, workspace_limit limit = {100, 50})
+        : world(7)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            world.addNode(true);
+        }
+        world.setLimits({{workspaceName, limit}});
+        world.runUntil(time_point(std::chrono::seconds(6)));
+    }
+
+    std::uint64_t servedWithin(duration span, std::size_t node, duration interval)
+    {
+        const std::uint64_t before = world.served;
+        for (duration after{}; after < span; after += interval) {
+            world.at(world.now + after, [this, node] {
+                world.operate(node, workspaceName, true);
+            });
+        }
+        world.runUntil(world.now + span);
+        return world.served - before;
+    }
+
+    std::size_t pool() const
+    {
+        for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+            const limit_world_node &candidate = world.nodes[node];
+            if (candidate.engine && candidate.engine->pool.slots[slotOf(world.settings, workspaceName)].share > 0.5) {
+                return node;
+            }
+        }
+        return world.nodes.size();
+    }
+
+    limit_world world;
+};
+
+} // namespace
+
+TEST_GROUP(limit_history){};
+
+TEST(limit_history, limitsHoldInEveryWindowWhateverFails)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const limit_history_result result = runHistoryWithFaults(seed);
+        if (result.worstWindow > 1) {
+            std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), result.description.c_str());
+        }
+        CHECK_TRUE(result.worstWindow <= 1);
+    }
+}
+
+TEST(limit_history, demandWithinTheLimitsIsServed)
+{
+    std::uint64_t refused = 0;
+    std::uint64_t served = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        const limit_history_result result = runSteadyHistory(seed);
+        CHECK_TRUE(result.worstWindow <= 1);
+        refused += result.owedRefused;
+        served += result.owedServed;
+    }
+    CHECK_TRUE(served > 10000);
+    CHECK_TRUE(refused * 1000 < served);
+}
+
+TEST(limit_history, oneInstanceServesTheWholeLimit)
+{
+    running_world run(1);
+    CHECK_EQUAL(50, run.servedWithin(std::chrono::milliseconds(10), 0, std::chrono::microseconds(200)));
+    run.servedWithin(std::chrono::seconds(1), 0, std::chrono::milliseconds(5));
+    const std::uint64_t served = run.servedWithin(std::chrono::seconds(5), 0, std::chrono::milliseconds(5));
+    CHECK_TRUE(served >= 495);
+    CHECK_TRUE(served <= 510);
+}
+
+TEST(limit_history, anInstanceThatIsCutOffServesItsShare)
+{
+    running_world run(10);
+    run.world.nodes[3].part = 1;
+    run.servedWithin(std::chrono::seconds(6), 3, std::chrono::milliseconds(10));
+    const std::uint64_t served = run.servedWithin(std::chrono::seconds(5), 3, std::chrono::milliseconds(10));
+    CHECK_TRUE(served >= 45);
+    CHECK_TRUE(served <= 60);
+}
+
+TEST(limit_history, withoutTheStoreAllIsServed)
+{
+    running_world run(30);
+    for (std::size_t node = 0; node < run.world.nodes.size(); ++node) {
+        run.world.cutStore(node, true);
+    }
+    for (int second = 0; second < 10; ++second) {
+        run.servedWithin(std::chrono::seconds(1), static_cast<std::size_t>(second), std::chrono::milliseconds(15));
+    }
+    CHECK_EQUAL(0, run.world.owedRefused);
+}
+
+TEST(limit_history, anotherPoolServesSoonAfterOneIsLost)
+{
+    running_world run(40);
+    const std::size_t pool = run.pool();
+    CHECK_TRUE(pool < run.world.nodes.size());
+    const std::size_t spender = pool == 0 ? 1 : 0;
+    run.servedWithin(std::chrono::seconds(2), spender, std::chrono::milliseconds(20));
+    run.world.kill(pool);
+    const time_point killedAt = run.world.now;
+    run.servedWithin(std::chrono::milliseconds(2500), spender, std::chrono::milliseconds(20));
+    const std::vector<time_point> &runs = run.world.runs[workspaceName];
+    const auto first = std::ranges::upper_bound(runs, killedAt + std::chrono::milliseconds(100));
+    CHECK_TRUE(first != runs.end());
+    std::printf("served again after %lld ms\n", static_cast<long long>((*first - killedAt).count() / 1000));
+    // The rest of a loan, and two polls and requests. The bucket of the new pool is empty, so that some are refused at first.
+    CHECK_TRUE(*first - killedAt < std::chrono::milliseconds(1800));
+    run.world.owedRefused = 0;
+    run.servedWithin(std::chrono::seconds(3), spender, std::chrono::milliseconds(20));
+    CHECK_EQUAL(0, run.world.owedRefused);
+}
+
+TEST(limit_history, aStartedInstanceOwnsNothingUntilItsPredecessorsLoansHaveEnded)
+{
+    running_world run(1);
+    run.world.kill(0);
+    run.world.restart(0);
+    run.servedWithin(std::chrono::milliseconds(1000), 0, std::chrono::milliseconds(100));
+    CHECK_EQUAL(0, run.world.served);
+    run.world.runUntil(run.world.now + std::chrono::seconds(1));
+    CHECK_TRUE(run.world.served > 0);
+}
+
+TEST(limit_history, aRaisedLimitServesAtOnceAndALoweredOneBinds)
+{
+    running_world run(20, {10, 5});
+    run.servedWithin(std::chrono::seconds(5), 2, std::chrono::milliseconds(10));
+    run.world.setLimits({{workspaceName, {80, 5}}});
+    run.world.runUntil(run.world.now + std::chrono::milliseconds(1600));
+    CHECK_TRUE(run.servedWithin(std::chrono::seconds(2), 2, std::chrono::milliseconds(10)) >= 140);
+    run.world.setLimits({{workspaceName, {10, 5}}});
+    run.world.runUntil(run.world.now + std::chrono::milliseconds(1600));
+    CHECK_TRUE(run.servedWithin(std::chrono::seconds(5), 2, std::chrono::milliseconds(10)) <= 75);
+}
+
+TEST(limit_history, aWorkspaceWithoutAnOperationAllowedIsRefused)
+{
+    running_world run(3, {0, 0});
+    CHECK_EQUAL(0, run.servedWithin(std::chrono::seconds(5), 1, std::chrono::milliseconds(100)));
+    CHECK_TRUE(run.world.owedRefused > 0);
+}
+
+TEST(limit_history, withoutLimitsNothingIsSent)
+{
+    limit_world world(3);
+    for (int number = 0; number < 10; ++number) {
+        world.addNode(true);
+    }
+    world.setLimits({});
+    world.runUntil(time_point(std::chrono::seconds(5)));
+    world.operate(2, workspaceName, true);
+    CHECK_EQUAL(1, world.served);
+    CHECK_EQUAL(0, world.messages);
+}
