Limits of workspaces in the engine and on the links between instances

A statement or BEGIN asks the limit of its workspace before a connection is chosen (what is refused takes no room, tokens are requested early) and is counted just before it is sent; a retry is not counted again. Messages ride on the links that carry relayed statements; without limits in the configuration none is sent. quota_window_s, quota_overrun and quota_slack are read from the settings.

--- a/UnitTests/Workspaces/limit_world.cpp
+++ b/UnitTests/Workspaces/limit_world.cpp
@@ -129,7 +129,8 @@
     started.frozen = false;
     started.held.clear();
     started.waiting.clear();
-    started.engine = std::make_unique<limit_engine>(own, random() | 1U, clockOf(started));
+    own.tenure = random() | 1U;
+    started.engine = std::make_unique<limit_engine>(own);
     started.listRead = 0;
     started.limitsRead = 0;
     started.timerAt = {};
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -44,6 +45,12 @@
     settings.replacedPrimariesStepDown = environment.promotionsAreFenced;
     settings.warmUpEnabled = environment.isFirstSystemStart;
     settings.seed = std::hash<std::string>{}(environment.instance + environment.clientAddress);
+    settings.limits.self = instance_name(environment.instance);
+    settings.limits.isFirstSystemStart = environment.isFirstSystemStart;
+    settings.limits.tenure = (static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()();
+    settings.limits.window = std::chrono::milliseconds(environment.quotaWindowMs);
+    settings.limits.overrun = environment.quotaOverrun;
+    settings.limits.slack = environment.quotaSlack;
     const duration gracePeriod = std::chrono::milliseconds(environment.stopGraceMs);
     settings.sessionCloseJitter = std::min(settings.sessionCloseJitter, gracePeriod * sessionCloseTenths / 10);
     settings.transactionDrainTimeout = gracePeriod / 2;
@@ -96,29 +103,8 @@
     , m_engineTimer(m_context)
     , m_stopTimer(m_context)
     , m_settingsPollTimer(m_context)
-    , m_relayLinks(m_context,
-                   {[this](database_connection_id id) {
-                        onConnectionOpened(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id) {
-                        m_holderReplies.erase(id);
-                        onConnectionClosed(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id, std::string_view lines) {
-                        onHolderReplies(id, lines);
-                    },
-                    [this](const relay_channel &channel,
-                           const std::string &route,
-                           duration timeLeft,
-                           const caller_identity &caller,
-                           std::string_view lines) {
-                        onRelayedLines(channel, route, timeLeft, caller, lines);
-                    },
-                    [this](const relay_channel &channel) {
-                        onRelayChannelClosed(channel);
-                    }})
+    , m_relayLinks(m_context, relayHandlers())
+    , m_limitLinks(m_relayLinks, limitHandlers())
     , m_storeHistory(historyHandlers())
     , m_registration(m_context,
                      m_environment.storeAddress,
@@ -132,6 +118,58 @@
 {
 }
 
+relay_links::handlers edge_instance::relayHandlers()
+{
+    relay_links::handlers callbacks;
+    callbacks.onOpened = [this](database_connection_id id) {
+        onConnectionOpened(m_engine, id, now());
+        performActions();
+    };
+    callbacks.onClosed = [this](database_connection_id id) {
+        m_holderReplies.erase(id);
+        onConnectionClosed(m_engine, id, now());
+        performActions();
+    };
+    callbacks.onReplies = [this](database_connection_id id, std::string_view lines) {
+        onHolderReplies(id, lines);
+    };
+    callbacks.onStatements = [this](const relay_channel &channel,
+                                    const std::string &route,
+                                    duration timeLeft,
+                                    const caller_identity &caller,
+                                    std::string_view lines) {
+        onRelayedLines(channel, route, timeLeft, caller, lines);
+    };
+    callbacks.onChannelClosed = [this](const relay_channel &channel) {
+        onRelayChannelClosed(channel);
+    };
+    callbacks.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
+        m_limitLinks.onPeerMessage(address, message);
+    };
+    callbacks.onIncomingMessage = [this](std::uint64_t link, const relay::relay_message &message) {
+        m_limitLinks.onIncomingMessage(link, message);
+    };
+    callbacks.onPeerLost = [this](const std::string &address) {
+        m_limitLinks.onPeerLost(address);
+    };
+    callbacks.onIncomingLost = [this](std::uint64_t link) {
+        m_limitLinks.onIncomingLost(link);
+    };
+    return callbacks;
+}
+
+limit_links::handlers edge_instance::limitHandlers()
+{
+    return {[this](const limit_message &message) {
+                onLimitMessage(m_engine, message, now());
+                performActions();
+            },
+            [this](const instance_name &peer) {
+                onPeerLost(m_engine, peer, now());
+                performActions();
+            }};
+}
+
 time_point edge_instance::now() const
 {
     return bootTime();
@@ -536,6 +574,11 @@
     m_edgeMetrics.recordFirstWrite(action.cause, std::chrono::duration<double>(action.after).count());
 }
 
+void edge_instance::performAction(send_limit_message &action)
+{
+    m_limitLinks.send(action, m_engine.instances, now());
+}
+
 void edge_instance::performAction(report_event &action)
 {
     m_log.write(action.event, action.fields);
@@ -609,7 +652,7 @@
     m_stopping = true;
     m_stopSince = now();
     m_log.write("stopping", {{"sessions", std::to_string(m_clients.size())}});
-    if (!m_engine.sharedGroups.empty()) {
+    if (!m_engine.sharedGroups.empty() || !m_engine.limits.limits.empty()) {
         m_registration.announceLeaving();
     }
     onStop(m_engine, m_stopSince);
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -2,6 +2,7 @@
 
 #include "mustardrouter/Edge/edge_metrics.h"
 #include "mustardrouter/Edge/instance_registration.h"
+#include "mustardrouter/Edge/limit_links.h"
 #include "mustardrouter/Edge/line_stream.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/Edge/relay_links.h"
@@ -63,6 +64,8 @@
     void onRelayedLines(
         const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines);
     void onRelayChannelClosed(const relay_channel &channel);
+    relay_links::handlers relayHandlers();
+    limit_links::handlers limitHandlers();
 
     /// Performs the engine's pending actions and schedules its next timer.
     void performActions();
@@ -78,6 +81,7 @@
     void performAction(write_claim &action);
     void performAction(order_promotion &action);
     void performAction(record_first_write &action);
+    void performAction(send_limit_message &action);
     void performAction(report_event &action);
     void flushStreams();
     void scheduleEngineTimer();
@@ -115,6 +119,7 @@
     std::unordered_map<session_id, client_stream> m_clients;
     std::unordered_map<database_connection_id, database_stream> m_databases;
     relay_links m_relayLinks;
+    limit_links m_limitLinks;
     /// Assemblers of the replies of holders, by connection.
     std::unordered_map<database_connection_id, platform::reply_assembler> m_holderReplies;
     /// Sessions of the channels that other instances opened, both ways.
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -120,6 +120,12 @@
     link->second.frames->send(message);
 }
 
+bool relay_links::hasChannels(const std::string &address) const
+{
+    const auto link = m_outgoing.find(address);
+    return link != m_outgoing.end() && !link->second.channels.empty();
+}
+
 void relay_links::dropLink(const std::string &address)
 {
     const auto link = m_outgoing.find(address);
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -73,6 +73,8 @@
               const caller_identity &caller = {});
     /// Closes a channel without a callback.
     void close(database_connection_id connection);
+    /// Whether channels to the address are open or being opened.
+    bool hasChannels(const std::string &address) const;
     /// Closes the link to the address without callbacks; its channels must have been closed.
     void dropLink(const std::string &address);
 
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -41,6 +41,8 @@
     bool primaryCheckedBefore = false;
     std::optional<database_reply> reply;
     std::uint32_t attempts = 0;
+    /// It was counted for the limit of its workspace.
+    bool counted = false;
     /// Number of refusals by overloaded databases.
     std::uint32_t overloadRefusals = 0;
     /// Whether it was admitted to an overloaded database, and when.
@@ -64,6 +66,8 @@
     bool readOnly = false;
     /// Under which BEGIN was sent.
     workspace_name workspace;
+    /// It was counted for the limit of its workspace.
+    bool counted = false;
     bool wrote = false;
     time_point beganAt{};
     transaction_phase phase = transaction_phase::waitingForConnection;
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Proxy/connection_budget.h"
 #include "mustardrouter/Proxy/connection_choice.h"
 #include "mustardrouter/Proxy/connection_setup.h"
+#include "mustardrouter/Proxy/engine_limits.h"
 #include "mustardrouter/Proxy/engine_parts.h"
 #include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/group_holders.h"
@@ -348,6 +349,26 @@
     return false;
 }
 
+/// Sends the statement if the workspace's limit allows. Returns whether the session no longer waits.
+bool sendAutocommitWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, time_point now)
+{
+    if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
+        return *held;
+    }
+    sendAutocommit(engine, session, connection, now);
+    return true;
+}
+
+/// The same for a BEGIN.
+bool sendBeginWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now)
+{
+    if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
+        return *held;
+    }
+    sendBegin(engine, session, connection, forReading, now);
+    return true;
+}
+
 bool dispatchRead(proxy_engine &engine, group_state &group, client_session &session, const route &sessionRoute, time_point now)
 {
     running_statement &running = *session.current;
@@ -374,8 +395,7 @@
         const bool primaryLacksFloor = std::ranges::find(running.excludedDatabases, *group.primary) != running.excludedDatabases.end();
         running.floor = requirement.needsConfirmedPrimary || primaryLacksFloor ? std::nullopt : requirement.floor;
         running.needsPrimaryCheck = !running.floor.has_value();
-        sendAutocommit(engine, session, *connection, now);
-        return true;
+        return sendAutocommitWithinLimit(engine, session, *connection, now);
     }
     if (!isAdmitted(engine, group, session, sessionRoute, *leastOverloaded(ranked, now), now)) {
         return delayOrRefuseRead(engine, group, session, sessionRoute, "all databases of the group are full", now);
@@ -386,8 +406,7 @@
     }
     running.floor = requirement.floor;
     running.needsPrimaryCheck = false;
-    sendAutocommit(engine, session, *connection, now);
-    return true;
+    return sendAutocommitWithinLimit(engine, session, *connection, now);
 }
 
 bool dispatchTransaction(proxy_engine &engine, group_state &group, client_session &session, time_point now)
@@ -412,8 +431,7 @@
                 return false;
             }
             transaction.floor = requirement.floor;
-            sendBegin(engine, session, *connection, true, now);
-            return true;
+            return sendBeginWithinLimit(engine, session, *connection, true, now);
         }
     }
     if (isVerificationStalled(engine, group, now)) {
@@ -432,8 +450,7 @@
     }
     // No floor: in a read-write transaction the database confirms with each statement that it is primary.
     transaction.floor.reset();
-    sendBegin(engine, session, *connection, false, now);
-    return true;
+    return sendBeginWithinLimit(engine, session, *connection, false, now);
 }
 
 /// Refuses a transaction whose BEGIN waits and whose key is in no workspace any more. Returns whether the session no longer waits: the
@@ -461,6 +478,9 @@
         if (isToBeRelayed(group, session, now)) {
             return dispatchRelayed(engine, group, session, session.transaction->sessionRoute, now);
         }
+        if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::early, now)) {
+            return *held;
+        }
         return dispatchTransaction(engine, group, session, now);
     }
     if (!session.current || session.current->connection != database_connection_id{} || session.current->replyHeld) {
@@ -481,6 +501,9 @@
     if (isToBeRelayed(group, session, now)) {
         return dispatchRelayed(engine, group, session, sessionRoute->second, now);
     }
+    if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::early, now)) {
+        return *held;
+    }
     if (!session.current->writes) {
         return dispatchRead(engine, group, session, sessionRoute->second, now);
     }
@@ -496,8 +519,7 @@
     }
     session.current->floor.reset();
     session.current->needsPrimaryCheck = false;
-    sendAutocommit(engine, session, *connection, now);
-    return true;
+    return sendAutocommitWithinLimit(engine, session, *connection, now);
 }
 
 } // namespace
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -1,3 +1,4 @@
+#include "mustardrouter/Proxy/engine_limits.h"
 #include "mustardrouter/Proxy/engine_parts.h"
 #include "mustardrouter/Proxy/engine_workspaces.h"
 
@@ -321,6 +322,7 @@
     updateLimits(engine);
     updateHolders(engine);
     applyWorkspaces(engine, now);
+    updateWorkspaceLimits(engine, now);
     scheduleWarmUp(engine, now);
     if (first) {
         for (auto &[id, session] : engine.sessions) {
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -1,3 +1,4 @@
+#include "mustardrouter/Proxy/engine_limits.h"
 #include "mustardrouter/Proxy/engine_parts.h"
 #include "mustardrouter/Proxy/engine_workspaces.h"
 #include "mustardrouter/Proxy/read_ranking.h"
@@ -214,8 +215,13 @@
     }
     if (session.transaction->phase == transaction_phase::ready) {
         sendInTransaction(engine, session, now);
-    } else if (session.transaction->phase == transaction_phase::waitingForConnection && !session.waiting) {
-        queueForConnection(engine, session, now);
+    } else if (session.transaction->phase == transaction_phase::waitingForConnection) {
+        if (!session.waiting) {
+            queueForConnection(engine, session, now);
+        } else if (engine.routes.workspaces.enabled) {
+            // A refusal of its BEGIN may have waited for this statement.
+            engine.groupsToDispatch.insert(session.transaction->sessionRoute.group);
+        }
     }
 }
 
@@ -322,6 +328,7 @@
 void onStop(proxy_engine &engine, time_point now)
 {
     engine.stoppingSince = now;
+    stopLimits(engine, now);
     for (auto &[id, session] : engine.sessions) {
         scheduleSessionClose(engine, session, now);
     }
--- a/mustardrouter/Proxy/engine_store_history.cpp
+++ b/mustardrouter/Proxy/engine_store_history.cpp
@@ -1,3 +1,4 @@
+#include "mustardrouter/Proxy/engine_limits.h"
 #include "mustardrouter/Proxy/engine_parts.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     engine.instances = std::move(instances);
     engine.instanceListNumber += 1;
     updateHolders(engine);
+    updateLimitInstances(engine, now);
     dispatchReadyGroups(engine, now);
 }
 
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -6,6 +6,7 @@
 #include "mustardrouter/Proxy/database_command.h"
 #include "mustardrouter/Proxy/failover_state.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Workspaces/limit_action.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <string>
@@ -120,6 +121,7 @@
                                   write_claim,
                                   order_promotion,
                                   record_first_write,
+                                  send_limit_message,
                                   report_event>;
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/proxy_engine.cpp
+++ b/mustardrouter/Proxy/proxy_engine.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Proxy/proxy_engine.h"
 
+#include "mustardrouter/Proxy/engine_limits.h"
 #include "mustardrouter/Proxy/engine_parts.h"
 
 #include <utility>
@@ -9,6 +10,7 @@
 
 proxy_engine::proxy_engine(proxy_settings engineSettings)
     : settings(std::move(engineSettings))
+    , limits(settings.limits)
     , random(settings.seed)
 {
 }
@@ -66,6 +68,9 @@
     case timer_kind::instances:
         proxying::dropLostInstances(engine, now);
         return;
+    case timer_kind::limits:
+        proxying::checkWorkspaceLimits(engine, timer.due, now);
+        return;
     case timer_kind::dispatch:
         engine.groupsToDispatch.insert(timer.group);
         return;
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -12,6 +12,7 @@
 #include "mustardrouter/Proxy/proxy_counters.h"
 #include "mustardrouter/Proxy/proxy_settings.h"
 #include "mustardrouter/Proxy/route_table.h"
+#include "mustardrouter/Workspaces/limit_engine.h"
 
 #include <deque>
 #include <map>
@@ -71,7 +72,7 @@
 };
 
 /// What a timer is for.
-enum class timer_kind : std::uint8_t { session, connection, group, dispatch, warmUp, verification, instances };
+enum class timer_kind : std::uint8_t { session, connection, group, dispatch, warmUp, verification, instances, limits };
 
 /// One timer. Timers are not cancelled: whether there is something to do is checked when they are due.
 struct proxy_timer {
@@ -123,6 +124,9 @@
     std::vector<proxy_action> actions;
     proxy_counters counters;
     time_point unknownKeyReportedAt{};
+    /// Limits of workspaces over all instances, and when their timer is due; the epoch when there is none.
+    limit_engine limits;
+    time_point limitTimerAt{};
     std::mt19937_64 random;
     std::uint64_t nextConnectionId = 1;
     /// When the stop request arrived; the epoch before.
@@ -185,6 +189,11 @@
 /// The platform replied to a promotion order; `accepted` when it will carry it out.
 void onPromotionReply(proxy_engine &engine, const group_name &group, bool accepted, time_point now);
 
+/// Another instance sent a message about the limits of workspaces.
+void onLimitMessage(proxy_engine &engine, const limit_message &message, time_point now);
+/// The link to another instance was lost, or could not be opened.
+void onPeerLost(proxy_engine &engine, const instance_name &peer, time_point now);
+
 /// The instance is to stop: idle sessions are closed, and transactions get time to end.
 void onStop(proxy_engine &engine, time_point now);
 
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Workspaces/limit_settings.h"
 
 #include <cstdint>
 #include <string>
@@ -79,6 +80,8 @@
     /// is left.
     duration statementDrainTimeout = std::chrono::milliseconds(4000);
     std::uint64_t seed = 1;
+    /// Limits of workspaces over all instances.
+    limit_settings limits;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Workspaces/limit_engine.cpp
+++ b/mustardrouter/Workspaces/limit_engine.cpp
@@ -393,13 +393,12 @@
 
 } // namespace
 
-limit_engine::limit_engine(limit_settings engineSettings, std::uint64_t tenure, time_point now)
+limit_engine::limit_engine(limit_settings engineSettings)
     : settings(std::move(engineSettings))
     , candidates(settings.slots)
 {
-    lender.startedAt = now;
     lender.slots.resize(settings.slots);
-    pool.tenure = tenure;
+    pool.tenure = settings.tenure;
     pool.slots.resize(settings.slots);
 }
 
@@ -408,6 +407,7 @@
     const bool firstList = !engine.ownership.listReceived;
     onOwnershipList(engine.ownership, engine.settings, listed, now);
     if (firstList) {
+        engine.lender.startedAt = now;
         engine.lender.nothingSpentBefore = engine.settings.isFirstSystemStart && engine.ownership.uncounted.has_value();
     }
     std::vector<weighted_instance> ranked;
--- a/mustardrouter/Workspaces/limit_engine.h
+++ b/mustardrouter/Workspaces/limit_engine.h
@@ -20,8 +20,7 @@
 /// handler appends to `actions` what the caller has to do, in order. All times are those of one clock that goes on while the machine
 /// sleeps or the process is frozen.
 struct limit_engine {
-    /// `tenure` is a random number, different for each process.
-    limit_engine(limit_settings engineSettings, std::uint64_t tenure, time_point now);
+    explicit limit_engine(limit_settings engineSettings);
 
     limit_settings settings;
     std::map<workspace_name, workspace_limit> limits;
--- a/mustardrouter/Workspaces/limit_settings.h
+++ b/mustardrouter/Workspaces/limit_settings.h
@@ -14,6 +14,8 @@
     instance_name self;
     /// The whole system is started for the first time: no earlier process can have spent anything.
     bool isFirstSystemStart = false;
+    /// A random number, different for each process.
+    std::uint64_t tenure = 1;
     /// In each window of this length the databases run at most (rate * window + burst) * (1 + overrun) + slack operations.
     duration window = std::chrono::seconds(5);
     double overrun = 0.1;
