Model of a share that is lent, and two protections that it asks for

Stamps of different pools aren't compared, and a restarted pool ignores answers to polls of its predecessor, which may have returned the loan.

--- a/mustardrouter/Workspaces/limit_engine.cpp
+++ b/mustardrouter/Workspaces/limit_engine.cpp
@@ -408,6 +408,7 @@
     onOwnershipList(engine.ownership, engine.settings, listed, now);
     if (firstList) {
         engine.lender.startedAt = now;
+        engine.pool.startedAt = now;
         engine.lender.nothingSpentBefore = engine.settings.isFirstSystemStart && engine.ownership.uncounted.has_value();
     }
     std::vector<weighted_instance> ranked;
--- a/mustardrouter/Workspaces/limit_lender.cpp
+++ b/mustardrouter/Workspaces/limit_lender.cpp
@@ -60,9 +60,10 @@
     loan.members = ownership.owned;
     loan.unit = ownership.rank < unitMembers(settings);
     loan.tokens = isLent(share, now) ? loan_tokens::none : tokensOf(share, lender, settings, now);
+    // Stamps of different pools can't be compared.
+    share.stamp = share.borrower == from ? std::max(share.stamp, poll.stamp) : poll.stamp;
     share.borrower = from;
     share.until = now + settings.loanTime + settings.loanMargin;
-    share.stamp = std::max(share.stamp, poll.stamp);
     return loan;
 }
 
--- a/mustardrouter/Workspaces/limit_pool.cpp
+++ b/mustardrouter/Workspaces/limit_pool.cpp
@@ -182,7 +182,7 @@
     std::uint32_t toReturn = 0;
     pool.slots.resize(settings.slots);
     for (const limit_loan &lent : answer.loans) {
-        if (lent.slot >= pool.slots.size()) {
+        if (lent.slot >= pool.slots.size() || answer.stamp < pool.startedAt) {
             continue;
         }
         limit_pool_slot &slot = pool.slots[lent.slot];
--- a/mustardrouter/Workspaces/limit_pool.h
+++ b/mustardrouter/Workspaces/limit_pool.h
@@ -57,6 +57,8 @@
 struct limit_pool {
     /// Number of the run of this process.
     std::uint64_t tenure = 0;
+    /// Answers to earlier polls are those of a predecessor, which may have returned the loans.
+    time_point startedAt{};
     std::vector<limit_pool_slot> slots;
 };
 
--- a/tests.d/spec.sh
+++ b/tests.d/spec.sh
@@ -42,7 +42,8 @@
 
 echo "bounds: 3 databases, 2 owners, 1 confirming replica; 4 terms and 2 writes, with reads 3 terms and 1 write;"
 echo "        records of 3 versions, 2 instances of 2 lives each, 1 outage;"
-echo "        replaced primaries: 3 databases, 2 claimants, 2 writers, 2 promotions"
+echo "        replaced primaries: 3 databases, 2 claimants, 2 writers, 2 promotions;"
+echo "        shares: 2 pools, 1 member, 5 ticks, loans of 2, 1 restart of the member and 1 of a pool"
 expect holds "writes" promotion -DTERMS=4 -DWRITES=2
 expect holds "reads without a token" promotion -DTERMS=3 -DREADS
 expect holds "reads with a token" promotion -DTERMS=3 -DREADS -DWITH_TOKEN
@@ -51,6 +52,8 @@
 expect holds "replaced primary, three promotions, refusals that tell a term" replaced_primary -DPROMOTIONS=3 -DONE_WRITER -DREFUSAL_WITH_TERM
 expect holds "replaced primary, and the store loses its claim" replaced_primary -DLOSS
 
+expect holds "share of a limit that is lent" share_loan
+
 expect violated "no term check" promotion -DTERMS=4 -DNO_TERM_CHECK
 expect violated "one answer is enough to promote" promotion -DTERMS=4 -DNO_QUORUM_RULE
 expect violated "a confirmation of any term counts" promotion -DTERMS=4 -DCONFIRM_ANY_TERM
@@ -78,5 +81,12 @@
 expect violated "a claim has the term that its writer knows" replaced_primary -DPROMOTIONS=3 -DONE_WRITER -DREFUSAL_WITH_TERM -DCLAIM_TERM_OF_WRITER
 expect violated "a claim that the store lost counts as none" replaced_primary -DLOSS -DLOSS_IGNORED
 
+expect violated "a pool uses a loan from the receipt of the answer on" share_loan -DFROM_RECEIPT
+expect violated "a member lends a share that is lent" share_loan -DLENT_TWICE
+expect violated "a restarted member does not wait for loans of before" share_loan -DOWNED_AT_ONCE
+expect violated "a return ends later loans" share_loan -DRETURN_OF_ANY
+expect violated "a pool uses answers to polls before its return" share_loan -DUSED_AFTER_RETURN
+expect violated "a restarted pool uses answers of before" share_loan -DOLD_ANSWERS
+
 echo "$searches searches, $failures unexpected"
 [ "$failures" = 0 ]
