--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -46,6 +47,12 @@
     settings.replacedPrimariesStepDown = environment.promotionsAreFenced;
     settings.warmUpEnabled = environment.isFirstSystemStart;
     settings.seed = std::hash<std::string>{}(environment.instance + environment.clientAddress);
+    settings.limits.self = instance_name(environment.instance);
+    settings.limits.isFirstSystemStart = environment.isFirstSystemStart;
+    settings.limits.tenure = (static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()();
+    settings.limits.window = std::chrono::milliseconds(environment.quotaWindowMs);
+    settings.limits.overrun = environment.quotaOverrun;
+    settings.limits.slack = environment.quotaSlack;
     const duration gracePeriod = std::chrono::milliseconds(environment.stopGraceMs);
     settings.sessionCloseJitter = std::min(settings.sessionCloseJitter, gracePeriod * sessionCloseTenths / 10);
     settings.transactionDrainTimeout = gracePeriod / 2;
@@ -99,6 +106,7 @@
     , m_stopTimer(m_context)
     , m_settingsPollTimer(m_context)
     , m_relayLinks(m_context, relayHandlers())
+    , m_limitLinks(m_relayLinks, limitHandlers())
     , m_storeHistory(historyHandlers())
     , m_registration(m_context,
                      m_environment.storeAddress,
@@ -121,61 +129,6 @@
 {
 }
 
-relay_links::handlers edge_instance::relayHandlers()
-{
-    relay_links::handlers handlers;
-    handlers.onOpened = [this](database_connection_id id) {
-        onConnectionOpened(m_engine, id, now());
-        performActions();
-    };
-    handlers.onClosed = [this](database_connection_id id, sent_work lastSent) {
-        m_holderReplies.erase(id);
-        onConnectionClosed(m_engine, id, now(), lastSent);
-        performActions();
-    };
-    handlers.onReplies = [this](database_connection_id id, std::string_view lines) {
-        onHolderReplies(id, lines);
-    };
-    handlers.onStatements = [this](const relay_channel &channel,
-                                   bool opens,
-                                   const std::string &route,
-                                   duration timeLeft,
-                                   const caller_identity &caller,
-                                   std::string_view lines) {
-        onRelayedLines(channel, opens, route, timeLeft, caller, lines);
-    };
-    handlers.onChannelClosed = [this](const relay_channel &channel) {
-        onRelayChannelClosed(channel);
-    };
-    handlers.onNotHandled = [this](const relay_channel &channel, std::uint32_t number) {
-        m_engine.counters.relayedRefused += 1;
-        m_log.write(
-            "relayed_refused",
-            {{"link", std::to_string(channel.link)}, {"channel", std::to_string(channel.channel)}, {"number", std::to_string(number)}});
-    };
-    handlers.onHolderCloses = [this](const std::string &address) {
-        onHolderCloses(m_engine, address, now());
-        performActions();
-    };
-    handlers.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
-        if (message.has_changes()) {
-            m_storeFeed.onPeerMessage(address, message.changes());
-        }
-    };
-    handlers.onIncomingMessage = [this](std::uint64_t link, const relay::relay_message &message) {
-        if (message.has_changes()) {
-            m_storeFeed.onIncomingMessage(link, message.changes());
-        }
-    };
-    handlers.onPeerLost = [this](const std::string &address) {
-        m_storeFeed.onPeerLost(address);
-    };
-    handlers.onIncomingLost = [this](std::uint64_t link) {
-        m_storeFeed.onIncomingLost(link);
-    };
-    return handlers;
-}
-
 time_point edge_instance::now() const
 {
     return bootTime();
@@ -354,83 +307,6 @@
     performActions();
 }
 
-namespace
-{
-
-/// Calls the function with each line, without its terminator.
-void forEachLine(std::string_view lines, const std::function<void(std::string_view)> &handleLine)
-{
-    while (!lines.empty()) {
-        const std::size_t end = lines.find('\n');
-        std::string_view line = lines.substr(0, end);
-        lines.remove_prefix(end == std::string_view::npos ? lines.size() : end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        handleLine(line);
-    }
-}
-
-} // namespace
-
-void edge_instance::onHolderReplies(database_connection_id id, std::string_view lines)
-{
-    forEachLine(lines, [&](std::string_view line) {
-        // Handling a reply may close the connection.
-        const auto found = m_holderReplies.find(id);
-        if (found == m_holderReplies.end()) {
-            return;
-        }
-        std::optional<database_reply> reply = platform::assemble(found->second, line);
-        if (found->second.broken) {
-            m_holderReplies.erase(found);
-            m_relayLinks.close(id);
-            onConnectionClosed(m_engine, id, now());
-        } else if (reply) {
-            onDatabaseReply(m_engine, id, std::move(*reply), now());
-        }
-    });
-    performActions();
-}
-
-void edge_instance::onRelayedLines(const relay_channel &channel,
-                                   bool opens,
-                                   const std::string &route,
-                                   duration timeLeft,
-                                   const caller_identity &caller,
-                                   std::string_view lines)
-{
-    if (opens) {
-        const session_id added(m_nextSession++);
-        m_sessionByChannel[channel] = added;
-        m_channelBySession[added] = channel;
-        onRelayedSessionStarted(m_engine, added, now());
-    }
-    const auto found = m_sessionByChannel.find(channel);
-    if (found == m_sessionByChannel.end()) {
-        return;
-    }
-    const session_id session = found->second;
-    forEachLine(lines, [&](std::string_view line) {
-        platform::relayed_statement relayed = platform::decodeRelayedLine(line);
-        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now(), caller);
-    });
-    performActions();
-}
-
-void edge_instance::onRelayChannelClosed(const relay_channel &channel)
-{
-    const auto found = m_sessionByChannel.find(channel);
-    if (found == m_sessionByChannel.end()) {
-        return;
-    }
-    const session_id session = found->second;
-    m_sessionByChannel.erase(found);
-    m_channelBySession.erase(session);
-    onSessionClosed(m_engine, session, now());
-    performActions();
-}
-
 void edge_instance::performActions()
 {
     if (m_performingActions) {
@@ -588,6 +464,11 @@
     m_edgeMetrics.recordFirstWrite(action.cause, std::chrono::duration<double>(action.after).count());
 }
 
+void edge_instance::performAction(send_limit_message &action)
+{
+    m_limitLinks.send(action, m_engine.instances, now());
+}
+
 void edge_instance::performAction(report_event &action)
 {
     m_log.write(action.event, action.fields);
@@ -663,7 +544,7 @@
     m_stopping = true;
     m_stopSince = now();
     m_log.write("stopping", {{"sessions", std::to_string(m_clients.size())}});
-    if (!m_engine.sharedGroups.empty()) {
+    if (!m_engine.sharedGroups.empty() || !m_engine.limits.limits.empty()) {
         m_registration.announceLeaving();
     }
     m_storeFeed.onStop();
