--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "mustardrouter/Proxy/proxy_engine.h"
+#include "mustardrouter/Proxy/relay_channels.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -99,6 +101,10 @@
     /// The link between the two instances is cut: nothing arrives, and new connections fail.
     bool relayLinkCut = false;
     duration relayDelay = std::chrono::milliseconds(1);
+    /// The process of `engine` stands still; see standStill.
+    bool holderStandsStill = false;
+    /// The holder opens no channels for `entry`, as when it has drained.
+    bool refusesNewChannels = false;
     std::mt19937_64 random;
     time_point now{std::chrono::seconds(1000)};
     std::multimap<time_point, std::function<void()>> events;
@@ -134,6 +140,12 @@
     fake_client &connectToEntry(const std::string &database, const std::string &key = {});
     /// Closes all connections between the instances, as when the holder's process ends.
     void resetRelayLink();
+    /// The holder closes all channels, as it does with idle ones when it stops.
+    void closeRelayedSessions();
+    /// The process of `engine` gets no processor time until thaw: its timers don't run, and what arrives stays in socket buffers.
+    void standStill();
+    /// The process of `engine` runs again: the timers that are due come before what has arrived in the meantime.
+    void thaw();
     /// Adds one group of three databases; the first is primary.
     void addGroup();
     /// Tells the engine of the databases' entries, which may have changed `age` ago.
@@ -183,7 +195,12 @@
     bool performRelayed(proxy_action &action);
     proxy_engine &engineOf(database_connection_id connection);
     proxy_engine &engineOf(session_id session);
+    /// Has the engine handle what arrived for it, once its process runs.
+    void whenRuns(const proxy_engine &receiver, std::function<void()> handle);
     void relay(const send_commands &sent);
+    void receiveRelayed(const send_commands &message, std::uint32_t number);
+    /// Tells `entry` that the channel was closed, after what was sent before.
+    void relayClosed(database_connection_id connection, std::uint32_t handled);
     void relayReply(database_connection_id connection, const client_reply &reply);
     void deliver(database_connection_id connection, const std::vector<database_command> &commands);
     database_reply execute(fake_database &database, database_connection_id connection, const database_command &command);
@@ -202,7 +219,13 @@
     std::set<std::string> m_sentIds;
     std::map<std::string, session_id> m_senders;
     std::set<database_connection_id> m_openRelays;
-    std::set<session_id> m_relayedSessions;
+    /// Channels at `engine`, and the number of the last message that `entry` has sent on each.
+    relay_channels m_relayChannels;
+    std::map<database_connection_id, std::uint32_t> m_sentOnRelay;
+    /// What is in the socket buffers of `engine` while its process stands still.
+    std::deque<std::function<void()>> m_unreadByHolder;
+    /// Counts the links between the instances; what is under way on a link that was reset is lost.
+    std::uint64_t m_relayLink = 0;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -34,6 +34,8 @@
 constexpr std::int64_t statementDrainTenths = 7;
 /// The instance accepts clients for at least this long after a stop request; the platform sends some until it notices.
 constexpr duration minAcceptTimeAfterStop = std::chrono::milliseconds(2600);
+/// Before it exits, an instance refuses what others relay for this long: twice the time to another region and back.
+constexpr duration relayQuietTime = std::chrono::milliseconds(80);
 
 proxy_settings toSettings(const platform::instance_environment &environment)
 {
@@ -96,29 +98,7 @@
     , m_engineTimer(m_context)
     , m_stopTimer(m_context)
     , m_settingsPollTimer(m_context)
-    , m_relayLinks(m_context,
-                   {[this](database_connection_id id) {
-                        onConnectionOpened(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id) {
-                        m_holderReplies.erase(id);
-                        onConnectionClosed(m_engine, id, now());
-                        performActions();
-                    },
-                    [this](database_connection_id id, std::string_view lines) {
-                        onHolderReplies(id, lines);
-                    },
-                    [this](const relay_channel &channel,
-                           const std::string &route,
-                           duration timeLeft,
-                           const caller_identity &caller,
-                           std::string_view lines) {
-                        onRelayedLines(channel, route, timeLeft, caller, lines);
-                    },
-                    [this](const relay_channel &channel) {
-                        onRelayChannelClosed(channel);
-                    }})
+    , m_relayLinks(m_context, relayHandlers())
     , m_storeHistory(historyHandlers())
     , m_registration(m_context,
                      m_environment.storeAddress,
@@ -129,9 +109,73 @@
                       m_environment.processorShare,
                       false},
                      m_engine.settings.seed)
+    , m_storeFeed(m_context,
+                  m_relayLinks,
+                  m_log,
+                  feedSettings(),
+                  instance_name(m_environment.instance),
+                  m_engine.settings.seed,
+                  [this](store_era era) {
+                      m_storeHistory.learn(era);
+                  })
 {
 }
 
+relay_links::handlers edge_instance::relayHandlers()
+{
+    relay_links::handlers handlers;
+    handlers.onOpened = [this](database_connection_id id) {
+        onConnectionOpened(m_engine, id, now());
+        performActions();
+    };
+    handlers.onClosed = [this](database_connection_id id, sent_work lastSent) {
+        m_holderReplies.erase(id);
+        onConnectionClosed(m_engine, id, now(), lastSent);
+        performActions();
+    };
+    handlers.onReplies = [this](database_connection_id id, std::string_view lines) {
+        onHolderReplies(id, lines);
+    };
+    handlers.onStatements = [this](const relay_channel &channel,
+                                   bool opens,
+                                   const std::string &route,
+                                   duration timeLeft,
+                                   const caller_identity &caller,
+                                   std::string_view lines) {
+        onRelayedLines(channel, opens, route, timeLeft, caller, lines);
+    };
+    handlers.onChannelClosed = [this](const relay_channel &channel) {
+        onRelayChannelClosed(channel);
+    };
+    handlers.onNotHandled = [this](const relay_channel &channel, std::uint32_t number) {
+        m_engine.counters.relayedRefused += 1;
+        m_log.write(
+            "relayed_refused",
+            {{"link", std::to_string(channel.link)}, {"channel", std::to_string(channel.channel)}, {"number", std::to_string(number)}});
+    };
+    handlers.onHolderCloses = [this](const std::string &address) {
+        onHolderCloses(m_engine, address, now());
+        performActions();
+    };
+    handlers.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
+        if (message.has_changes()) {
+            m_storeFeed.onPeerMessage(address, message.changes());
+        }
+    };
+    handlers.onIncomingMessage = [this](std::uint64_t link, const relay::relay_message &message) {
+        if (message.has_changes()) {
+            m_storeFeed.onIncomingMessage(link, message.changes());
+        }
+    };
+    handlers.onPeerLost = [this](const std::string &address) {
+        m_storeFeed.onPeerLost(address);
+    };
+    handlers.onIncomingLost = [this](std::uint64_t link) {
+        m_storeFeed.onIncomingLost(link);
+    };
+    return handlers;
+}
+
 time_point edge_instance::now() const
 {
     return bootTime();
@@ -349,16 +393,24 @@
     performActions();
 }
 
-void edge_instance::onRelayedLines(
-    const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)
+void edge_instance::onRelayedLines(const relay_channel &channel,
+                                   bool opens,
+                                   const std::string &route,
+                                   duration timeLeft,
+                                   const caller_identity &caller,
+                                   std::string_view lines)
 {
-    const auto [found, added] = m_sessionByChannel.try_emplace(channel, session_id(m_nextSession));
-    const session_id session = found->second;
-    if (added) {
-        m_nextSession += 1;
-        m_channelBySession[session] = channel;
-        onRelayedSessionStarted(m_engine, session, now());
+    if (opens) {
+        const session_id added(m_nextSession++);
+        m_sessionByChannel[channel] = added;
+        m_channelBySession[added] = channel;
+        onRelayedSessionStarted(m_engine, added, now());
+    }
+    const auto found = m_sessionByChannel.find(channel);
+    if (found == m_sessionByChannel.end()) {
+        return;
     }
+    const session_id session = found->second;
     forEachLine(lines, [&](std::string_view line) {
         platform::relayed_statement relayed = platform::decodeRelayedLine(line);
         onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now(), caller);
@@ -570,6 +622,7 @@
             m_environment = newEnvironment;
             m_engine.settings.regions = newEnvironment.regions;
             m_engine.settings.dataCentre = newEnvironment.dataCentre;
+            m_storeFeed.configure(feedSettings());
             if (storeMoved) {
                 m_promotionClients.clear();
                 m_verificationClients.clear();
@@ -578,6 +631,7 @@
                 m_configurationWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_instanceWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_registration.setStoreAddress(newEnvironment.storeAddress);
+                m_storeFeed.onCopiesInvalid();
             }
             m_log.write("reload", {{"why", reason}, {"store_moved", storeMoved ? "yes" : "no"}});
             return {};
@@ -612,6 +666,7 @@
     if (!m_engine.sharedGroups.empty()) {
         m_registration.announceLeaving();
     }
+    m_storeFeed.onStop();
     onStop(m_engine, m_stopSince);
     performActions();
     checkDrained();
@@ -626,7 +681,14 @@
         m_acceptor.close(ignored);
     }
     const bool drained = m_clients.empty() && m_sessionByChannel.empty() && elapsed >= minAcceptTimeAfterStop;
-    if (drained || elapsed >= gracePeriod * forcedStopTenths / 10) {
+    if (drained && m_refusingSince == time_point{}) {
+        // What other instances relay from now on is not run, and they know.
+        m_refusingSince = now();
+        m_relayLinks.refuseNewChannels();
+    }
+    const time_point lastRelayed = std::max(m_refusingSince, m_relayLinks.lastRefusedAt());
+    const bool quiet = drained && now() - lastRelayed >= relayQuietTime;
+    if (quiet || elapsed >= gracePeriod * forcedStopTenths / 10) {
         m_context.stop();
         return;
     }
@@ -645,7 +707,12 @@
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
-        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped(), {m_registration.writes(), m_listedAgainAfter})};
+        const store_feed::figures feed = m_storeFeed.currentFigures();
+        return {200,
+                m_edgeMetrics.text(m_engine,
+                                   m_clients.size(),
+                                   m_log.dropped(),
+                                   {m_registration.writes(), m_listedAgainAfter, feed.role, feed.followers, feed.age, feed.requests})};
     }
     return {404, {}};
 }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Edge/line_stream.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/Edge/relay_links.h"
+#include "mustardrouter/Edge/store_feed.h"
 #include "mustardrouter/Edge/store_history.h"
 #include "mustardrouter/Proxy/proxy_engine.h"
 #include "mustardrouter/Runtime/event_log.h"
@@ -52,6 +53,7 @@
     };
 
     time_point now() const;
+    relay_links::handlers relayHandlers();
     bool listenForClients();
     void acceptClient();
     void addClient(asio::ip::tcp::socket socket);
@@ -60,8 +62,12 @@
     void onDatabaseLine(database_connection_id id, std::string_view line);
     void onDatabaseClosed(database_connection_id id);
     void onHolderReplies(database_connection_id id, std::string_view lines);
-    void onRelayedLines(
-        const relay_channel &channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines);
+    void onRelayedLines(const relay_channel &channel,
+                        bool opens,
+                        const std::string &route,
+                        duration timeLeft,
+                        const caller_identity &caller,
+                        std::string_view lines);
     void onRelayChannelClosed(const relay_channel &channel);
 
     /// Performs the engine's pending actions and schedules its next timer.
@@ -82,6 +88,7 @@
     void flushStreams();
     void scheduleEngineTimer();
 
+    feed_settings feedSettings() const;
     void startWatches();
     store_history::handlers historyHandlers();
     void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
@@ -122,6 +129,7 @@
     std::unordered_map<session_id, relay_channel> m_channelBySession;
     store_history m_storeHistory;
     instance_registration m_registration;
+    store_feed m_storeFeed;
     std::vector<std::shared_ptr<line_stream>> m_streamsToFlush;
     std::shared_ptr<object_watch> m_databaseWatch;
     std::shared_ptr<object_watch> m_configurationWatch;
@@ -136,6 +144,8 @@
     std::string m_settingsFingerprint;
     bool m_performingActions = false;
     bool m_stopping = false;
+    /// Since when new channels of other instances are refused; the epoch before.
+    time_point m_refusingSince{};
     time_point m_stopSince{};
 };
 
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -4,6 +4,8 @@
 #include "mustardrouter/Network/frame_connection.h"
 #include "mustardrouter/Network/frame_listener.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Proxy/relay_channels.h"
+#include "mustardrouter/Proxy/sent_work.h"
 #include "mustardrouter/Schema/relay.pb.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
 
@@ -40,12 +42,12 @@
         /// A channel to a holder can be used.
         std::function<void(database_connection_id)> onOpened;
         /// A channel to a holder was closed by the holder, or its link was lost or could not be opened.
-        std::function<void(database_connection_id)> onClosed;
+        std::function<void(database_connection_id, sent_work)> onClosed;
         /// A holder sent replies.
         std::function<void(database_connection_id, std::string_view lines)> onReplies;
-        /// Another instance relays statements; the first ones open the channel.
+        /// Another instance relays statements; `opens` if they are the first ones of the channel.
         std::function<void(
-            relay_channel, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)>
+            relay_channel, bool opens, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)>
             onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
@@ -57,6 +59,10 @@
         std::function<void(const std::string &address)> onPeerLost{};
         /// A link that another instance opened was lost.
         std::function<void(std::uint64_t link)> onIncomingLost{};
+        /// A message for a channel that is not open was not handled.
+        std::function<void(relay_channel, std::uint32_t number)> onNotHandled{};
+        /// The holder at the address opens no new channels on this link.
+        std::function<void(const std::string &address)> onHolderCloses{};
     };
 
     relay_links(asio::io_context &context, handlers callbacks);
@@ -75,6 +81,8 @@
     void close(database_connection_id connection);
     /// Closes the link to the address without callbacks; its channels must have been closed.
     void dropLink(const std::string &address);
+    /// Closes the link to the address if no channel uses it.
+    void dropUnusedLink(const std::string &address);
 
     /// Sends a message to the instance at the address; opens the link if there is none. What is sent on a link that is lost is lost.
     void sendToPeer(const std::string &address, const relay::relay_message &message);
@@ -84,6 +92,13 @@
     void reply(const relay_channel &channel, const std::string &lines);
     /// Closes a channel of another instance without a callback.
     void closeChannel(const relay_channel &channel);
+    /// From now on opens no channel for other instances that number their messages, and tells them so.
+    void refuseNewChannels();
+    /// When a message for a channel that is not open arrived last; the epoch if none did.
+    time_point lastRefusedAt() const
+    {
+        return m_lastRefusedAt;
+    }
 
 private:
     struct outgoing_link {
@@ -93,7 +108,12 @@
     };
     struct incoming_link {
         std::shared_ptr<frame_connection> frames;
-        std::set<std::uint64_t> channels;
+        relay_channels channels;
+    };
+    struct outgoing_channel {
+        std::string address;
+        /// Number of the last message.
+        std::uint32_t sent = 0;
     };
 
     outgoing_link &linkTo(const std::string &address);
@@ -103,15 +123,18 @@
     void onOutgoingClosed(const std::string &address, const frame_connection &frames);
     void accept(const std::shared_ptr<frame_connection> &frames);
     void onIncomingFrame(std::uint64_t link, std::string_view payload);
+    void onIncomingStatements(std::uint64_t link, const relay::relayed_statements &statements);
     void onIncomingClosed(std::uint64_t link);
 
     asio::io_context &m_context;
     handlers m_handlers;
     frame_listener m_listener;
     std::map<std::string, outgoing_link> m_outgoing;
-    std::unordered_map<database_connection_id, std::string> m_addressByChannel;
+    std::unordered_map<database_connection_id, outgoing_channel> m_outgoingChannels;
     std::unordered_map<std::uint64_t, incoming_link> m_incoming;
     std::uint64_t m_nextLink = 1;
+    bool m_refusesNew = false;
+    time_point m_lastRefusedAt{};
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -51,6 +51,9 @@
 /// of the database, which may have to wait for it.
 constexpr double otherHolderMicros = 100'000;
 
+/// A holder that opens no new channels ends; it gets no work for this time.
+constexpr duration closingHolderBackoff = std::chrono::seconds(2);
+
 bool isUsable(const database_state &holder, time_point now)
 {
     return !holder.listed.leaving && holder.suspectedSince == time_point{} && now >= holder.openNotBefore;
@@ -138,6 +141,14 @@
     });
 }
 
+/// Gives a holder that ends no work until its entry in the list should have gone.
+void avoidClosingHolder(proxy_engine &engine, database_state &holder, time_point now)
+{
+    holder.openNotBefore = std::max(holder.openNotBefore, now + closingHolderBackoff);
+    scheduleTimer(engine, holder.openNotBefore, timer_kind::dispatch, 0, holder.listed.group);
+    engine.groupsToDispatch.insert(holder.listed.group);
+}
+
 /// Removes the holders that are not among the given ones.
 void removeHolders(proxy_engine &engine, group_state &group, const std::vector<const listed_instance *> &kept)
 {
@@ -223,6 +234,19 @@
     onStatement(engine, id, std::move(statement), now);
 }
 
+void onHolderCloses(proxy_engine &engine, const std::string &address, time_point now)
+{
+    reportEvent(engine, "holder_closes", {{"address", address}});
+    for (auto &[name, group] : engine.groups) {
+        for (auto &[holderName, holder] : group.holders) {
+            if (holder.listed.address == address) {
+                avoidClosingHolder(engine, holder, now);
+            }
+        }
+    }
+    dispatchReadyGroups(engine, now);
+}
+
 namespace proxying
 {
 
@@ -383,28 +407,54 @@
 
 bool restartElsewhere(proxy_engine &engine, database_connection &connection, client_session &session, reply_code code, time_point now)
 {
-    client_transaction &transaction = *session.transaction;
-    const bool first = transaction.statements == 1 && transaction.excludedDatabases.size() < maxRestarts;
     const bool otherConfiguration = code == reply_code::unauthorized;
-    if (!connection.toHolder || (code != reply_code::misrouted && !otherConfiguration) || !first) {
+    if (!connection.toHolder || (code != reply_code::misrouted && !otherConfiguration)) {
+        return false;
+    }
+    const duration pause =
+        otherConfiguration ? otherConfigurationBackoff : pauseBeforeNextHolder(session.transaction->excludedDatabases.size() + 1);
+    if (!beginElsewhere(engine, connection, session, pause, now)) {
         return false;
     }
     if (!otherConfiguration) {
         holderLacksPrimary(engine, connection, now);
     }
+    releaseConnection(engine, connection.id, now);
+    return true;
+}
+
+bool beginElsewhere(proxy_engine &engine, const database_connection &connection, client_session &session, duration pause, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    if (transaction.statements != 1 || transaction.excludedDatabases.size() >= maxRestarts) {
+        return false;
+    }
     transaction.excludedDatabases.push_back(connection.database);
     transaction.statements = 0;
-    transaction.notBefore =
-        now + (otherConfiguration ? otherConfigurationBackoff : pauseBeforeNextHolder(transaction.excludedDatabases.size()));
+    transaction.notBefore = now + pause;
     scheduleTimer(engine, transaction.notBefore, timer_kind::dispatch, 0, connection.group);
     transaction.connection = database_connection_id{};
     transaction.phase = transaction_phase::waitingForConnection;
     session.current->connection = database_connection_id{};
-    releaseConnection(engine, connection.id, now);
     queueForConnection(engine, session, now);
     return true;
 }
 
+void workNotHandled(proxy_engine &engine, database_state &holder, const database_connection &connection, sent_work lastSent, time_point now)
+{
+    engine.counters.relayedNotHandled += 1;
+    reportEvent(engine,
+                "relayed_not_handled",
+                {{"holder", connection.database.value()},
+                 {"session", std::to_string(connection.session.value())},
+                 {"why", lastSent == sent_work::notTaken ? "no new channels" : "channel closed"}});
+    // It is alive: it has replied.
+    holder.lastReplyAt = now;
+    if (lastSent == sent_work::notTaken) {
+        avoidClosingHolder(engine, holder, now);
+    }
+}
+
 void delayBegin(proxy_engine &engine, const group_state &group, client_transaction &transaction, reply_code code, time_point now)
 {
     const bool otherConfiguration = code == reply_code::unauthorized;
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -12,6 +12,7 @@
 #include "mustardrouter/Proxy/proxy_counters.h"
 #include "mustardrouter/Proxy/proxy_settings.h"
 #include "mustardrouter/Proxy/route_table.h"
+#include "mustardrouter/Proxy/sent_work.h"
 
 #include <deque>
 #include <map>
@@ -131,7 +132,10 @@
 
 /// A version of the configuration was read; one that is not newer is ignored.
 void onConfiguration(proxy_engine &engine, const route_table &routes, time_point now);
-/// The platform's list of databases was read or has changed; the change was made after `changedSince`.
+/// The platform's list of databases was read or has changed; the change was made after `changedSince`. The platform's answer with it
+/// arrived `answeredAt`, here or at the instance that passed it on: entries that are missing in it count as such from then on.
+void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point answeredAt, time_point now);
+/// The same for an answer that arrived just now.
 void onListing(proxy_engine &engine, const database_listing &listing, time_point changedSince, time_point now);
 
 /// The store's era is known for the first time since the start of this instance.
@@ -166,7 +170,9 @@
 /// A database refused a connection.
 void onConnectionRefused(proxy_engine &engine, database_connection_id id, reply_code code, time_point now);
 /// A connection was lost or could not be opened.
-void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now);
+void onConnectionClosed(proxy_engine &engine, database_connection_id id, time_point now, sent_work lastSent = sent_work::mayHaveRun);
+/// The holder at the address opens no new channels on the present link.
+void onHolderCloses(proxy_engine &engine, const std::string &address, time_point now);
 /// A database replied to a command.
 void onDatabaseReply(proxy_engine &engine, database_connection_id id, database_reply reply, time_point now);
 
