Stand-ins: the operator writes workspaces, databases remember who connected

Change: addWorkspaces puts workspaces with keys and limits, and whether each route is public, into a configuration; a configuration without them keeps its bytes. A statement's record holds the caller of its connection. The settings of an instance may hold the bounds of limits. Ruled out: checks in the writer (bad configurations must be writable too).

--- a/mustardrouter/PlatformStandIn/platform_standin_database.cpp
+++ b/mustardrouter/PlatformStandIn/platform_standin_database.cpp
@@ -265,7 +265,7 @@
     std::string rest = line;
     const std::string word = takeWord(rest);
     const std::string group = takeWord(rest);
-    takeWord(rest);
+    connection->caller = takeWord(rest);
     const bool wrong = word != "STARTUP" || group != m_group.name.value() || (!rest.empty() && rest != m_name.value());
     const bool full = m_connections.size() > m_group.connections;
     if (wrong || full) {
@@ -395,6 +395,7 @@
     run.group = m_group.name;
     run.database = m_name;
     run.connection = connection->number;
+    run.caller = connection->caller;
     run.inTransaction = connection->inTransaction;
     run.values = connection->values;
     run.applied = self().applied;
--- a/mustardrouter/PlatformStandIn/platform_standin_database.h
+++ b/mustardrouter/PlatformStandIn/platform_standin_database.h
@@ -53,6 +53,8 @@
     struct connection {
         std::uint64_t number = 0;
         std::shared_ptr<line_stream> stream;
+        /// Who connected, as told at its start.
+        std::string caller;
         std::deque<std::string> pendingLines;
         asio::steady_timer timer;
         bool startupDone = false;
--- a/mustardrouter/PlatformStandIn/standin_documents.cpp
+++ b/mustardrouter/PlatformStandIn/standin_documents.cpp
@@ -73,6 +73,28 @@
     return root;
 }
 
+void addWorkspaces(Json::Value &configuration, const std::vector<standin_workspace> &workspaces, const std::set<std::string> &publicRoutes)
+{
+    for (Json::Value &item : configuration["routes"]) {
+        item["public"] = publicRoutes.contains(item["host"].asString());
+    }
+    Json::Value &all = configuration["tenants"] = Json::arrayValue;
+    for (const standin_workspace &one : workspaces) {
+        Json::Value item;
+        item["name"] = one.name;
+        item["api_keys"] = Json::arrayValue;
+        for (const std::string &key : one.keys) {
+            item["api_keys"].append(key);
+        }
+        item["priority"] = one.priority;
+        if (one.operationsPerSecond != 0) {
+            item["rate_per_s"] = one.operationsPerSecond;
+            item["burst"] = one.burst;
+        }
+        all.append(item);
+    }
+}
+
 std::string settingsText(const standin_settings &settings)
 {
     Json::Value root;
@@ -91,6 +113,11 @@
     root["bootstrap"] = settings.isFirstSystemStart;
     root["bounds"]["grace_s"] = settings.graceSeconds;
     root["bounds"]["require_fencing"] = settings.promotionsAreFenced;
+    if (settings.hasWorkspaces) {
+        root["bounds"]["quota_window_s"] = 5;
+        root["bounds"]["quota_overrun"] = 0.1;
+        root["bounds"]["quota_slack"] = 20;
+    }
     root["platform"]["address"] = settings.storeAddress;
     root["provider_api"]["address"] = settings.storeAddress;
     root["note"] = settings.note;
--- a/mustardrouter/PlatformStandIn/standin_documents.h
+++ b/mustardrouter/PlatformStandIn/standin_documents.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "mustardrouter/PlatformStandIn/standin_group.h"
+#include "mustardrouter/PlatformStandIn/standin_workspace.h"
 #include "mustardrouter/Proxy/route_table.h"
 
 #include <json/json.h>
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,8 @@
 Json::Value configurationOf(std::uint64_t version,
                             const std::map<std::string, route> &routes,
                             const std::vector<std::unique_ptr<standin_group>> &groups);
+/// Adds workspaces to a configuration, and says for each of its routes whether it is public.
+void addWorkspaces(Json::Value &configuration, const std::vector<standin_workspace> &workspaces, const std::set<std::string> &publicRoutes);
 
 /// Content of the settings file of an instance on loopback.
 struct standin_settings {
@@ -36,6 +40,8 @@
     unsigned relayPort = 0;
     /// The platform checks the fences of promotion orders, and replaced primaries step down at once.
     bool promotionsAreFenced = true;
+    /// The bounds of limits are written.
+    bool hasWorkspaces = false;
     /// Written as a field that instances don't know.
     unsigned note = 0;
 };
--- a/mustardrouter/PlatformStandIn/statement_run.h
+++ b/mustardrouter/PlatformStandIn/statement_run.h
@@ -23,6 +23,8 @@
     group_name group;
     database_name database;
     std::uint64_t connection = 0;
+    /// Who connected, as told at the start of the connection.
+    std::string caller;
     bool inTransaction = false;
     std::map<std::string, std::string> values;
     /// Number of commits applied when it ran, and the id of the last of them.
