Soak: workspaces, keys and limits

Change: seeds 5000 to 9999 play six workspaces of uneven size, the odd ones with returns of the store from a copy. Keys are withdrawn (one, or all of a workspace), added and moved, limits lowered and raised, and a workspace sends many times its usual; half of the changes in the faults come while the store is down or turns half of the instances away, while an instance is cut, or while all are killed. Checked from what clients and databases saw: the name that a statement runs under, keys that were withdrawn or never existed, NOAUTH for a good key, operations in each sliding window of 5 s over all instances. In a quiet phase the bound is that of configurations (4 s after 5 s of quiet); before it, a version may be as old as the oldest copy of the store at the begin of the faults. Operations beyond a lowered limit, of a busy workspace or with a key that isn't good are not owed in the quiet phase.

--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -18,8 +18,9 @@
 
 TEST(fault_plan, allFaultsEndBeforeTheQuietPhase)
 {
-    for (std::uint64_t index = 0; index < 400; ++index) {
-        const std::uint64_t seed = index < 200 ? index : 10'000 + index;
+    for (std::uint64_t index = 0; index < 600; ++index) {
+        constexpr std::uint64_t firstSeeds[] = {0, 5'000, 10'000};
+        const std::uint64_t seed = firstSeeds[index % 3] + index;
         const soak_plan plan = makePlan(seed, 60s);
         CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
         for (const planned_fault &fault : plan.faults) {
@@ -36,7 +37,7 @@
 TEST(fault_plan, everyKindOfFaultIsDrawn)
 {
     std::set<soak_fault> seen;
-    for (const std::uint64_t first : {1, 10'000}) {
+    for (const std::uint64_t first : {1, 5'000, 10'000}) {
         for (std::uint64_t seed = first; seed < first + 200; ++seed) {
             for (const planned_fault &fault : makePlan(seed, 25s).faults) {
                 seen.insert(fault.kind);
@@ -45,3 +46,20 @@
     }
     CHECK_EQUAL(static_cast<std::size_t>(soak_fault::count), seen.size());
 }
+
+TEST(fault_plan, plansWithWorkspacesAreThoseOfTheSeedsForThem)
+{
+    const auto hasWorkspaceFaults = [](const soak_plan &plan) {
+        return std::ranges::any_of(plan.faults, [](const planned_fault &fault) {
+            return fault.kind > soak_fault::storeReturnsFromCopy;
+        });
+    };
+    for (const std::uint64_t seed : {11, 12, 29, 118, 571, 203, 4'999, 10'000, 10'001, 29'999}) {
+        CHECK_FALSE(playsWorkspaces(seed));
+        CHECK_FALSE(hasWorkspaceFaults(makePlan(seed, 60s)));
+    }
+    for (const std::uint64_t seed : {5'000, 5'001, 9'999}) {
+        CHECK_TRUE(playsWorkspaces(seed));
+        CHECK_TRUE(hasWorkspaceFaults(makePlan(seed, 60s)));
+    }
+}
--- a/mustardrouter/Soak/fault_injector.cpp
+++ b/mustardrouter/Soak/fault_injector.cpp
@@ -66,6 +66,19 @@
     case soak_fault::ordersLate:
     case soak_fault::configurationChange:
         return injectStoreFault(fault);
+    case soak_fault::keysWithdrawn:
+    case soak_fault::keyAdded:
+    case soak_fault::keyMoved:
+    case soak_fault::limitLowered:
+    case soak_fault::limitRaised:
+        m_deployment.workspaces()->change(fault, m_now());
+        m_deployment.publishConfiguration();
+        return {};
+    case soak_fault::workspaceBusy:
+        m_deployment.workspaces()->beginBusy(fault.target);
+        return [this, target = fault.target] {
+            m_deployment.workspaces()->endBusy(target, m_now());
+        };
     default:
         return injectDatabaseFault(fault);
     }
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -30,9 +30,13 @@
 constexpr duration minFaultLength = 200ms;
 constexpr std::uint32_t percentRepeated = 25;
 constexpr std::uint32_t percentFollowed = 25;
+/// Changes of workspaces in the faults that come while instances can't read them.
+constexpr std::uint32_t percentHidden = 50;
 constexpr std::uint32_t percent = 100;
 /// Lower seeds keep the plans that once failed.
 constexpr std::uint64_t firstSeedWithStoreLosses = 10'000;
+/// Seeds below it play workspaces, down to this one; the odd ones with store losses.
+constexpr std::uint64_t firstSeedWithWorkspaces = 5'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -67,6 +71,12 @@
     "primary cut from some",
     "configuration change",
     "store returns from an older copy",
+    "keys withdrawn",
+    "key added",
+    "key moved",
+    "limit lowered",
+    "limit raised",
+    "workspace busy",
 };
 
 class plan_builder
@@ -75,6 +85,7 @@
     explicit plan_builder(std::uint64_t seed)
         : m_random(seed)
         , m_lossRandom(seed + 1)
+        , m_workspaceRandom(seed + 2)
     {
     }
 
@@ -134,6 +145,39 @@
         }
     }
 
+    /// Adds changes of keys and limits to the faults, most while instances can't read them, and to the planned work of the quiet
+    /// phase; some of the latter so early that they have to be in effect as soon as instances count as stable.
+    void addWorkspaceChanges(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::array<soak_fault, 6> kinds{soak_fault::keysWithdrawn,
+                                                  soak_fault::limitLowered,
+                                                  soak_fault::keyAdded,
+                                                  soak_fault::keyMoved,
+                                                  soak_fault::limitRaised,
+                                                  soak_fault::workspaceBusy};
+        constexpr std::array<soak_fault, 4> hiding{
+            soak_fault::storeDown, soak_fault::storeRefuses, soak_fault::linkHoldAnswers, soak_fault::allInstancesKill};
+        for (const soak_fault kind : kinds) {
+            planned_fault hides = drawWorkspaceFault(round, hiding[m_workspaceRandom() % hiding.size()]);
+            planned_fault change = hides;
+            change.kind = kind;
+            change.at = std::min(hides.at + duration(m_workspaceRandom() % 500'000), round.quietFrom - minFaultLength);
+            change.length = std::min(hides.length, round.quietFrom - change.at);
+            if (m_workspaceRandom() % percent < percentHidden) {
+                plan.faults.push_back(hides);
+            }
+            plan.faults.push_back(change);
+            if (kind == soak_fault::limitLowered && m_workspaceRandom() % 2 == 0) {
+                change.kind = soak_fault::limitRaised;
+                addQuietChange(plan, round, change, earlyChangeDelay);
+            }
+        }
+        for (const soak_fault kind : {soak_fault::limitLowered, soak_fault::keysWithdrawn, soak_fault::keyMoved, soak_fault::keyAdded}) {
+            addQuietChange(
+                plan, round, drawWorkspaceFault(round, kind), m_workspaceRandom() % 2 == 0 ? earlyChangeDelay : plannedWorkDelay);
+        }
+    }
+
     void addPlannedWork(soak_plan &plan, const soak_round &round)
     {
         constexpr std::array<soak_fault, 4> planned{
@@ -158,6 +202,25 @@
         return static_cast<std::uint32_t>(m_random() % below);
     }
 
+    void addQuietChange(soak_plan &plan, const soak_round &round, planned_fault change, duration delay)
+    {
+        change.at = round.quietFrom + delay + duration(m_workspaceRandom() % 300'000);
+        change.length = {};
+        plan.faults.push_back(change);
+    }
+
+    planned_fault drawWorkspaceFault(const soak_round &round, soak_fault kind)
+    {
+        const auto span = static_cast<std::uint64_t>((round.quietFrom - round.faultsFrom - 2 * minFaultLength).count());
+        planned_fault fault;
+        fault.kind = kind;
+        fault.at = round.faultsFrom + duration(m_workspaceRandom() % span);
+        fault.length = std::min(minFaultLength + duration(m_workspaceRandom() % 4'000'000), round.quietFrom - fault.at);
+        fault.target = static_cast<std::uint32_t>(m_workspaceRandom() % 1000);
+        fault.variant = static_cast<std::uint32_t>(m_workspaceRandom() % 1000);
+        return fault;
+    }
+
     planned_fault drawFault(const soak_round &round)
     {
         const duration span = round.quietFrom - round.faultsFrom;
@@ -173,6 +236,7 @@
 
     std::mt19937_64 m_random;
     std::mt19937_64 m_lossRandom;
+    std::mt19937_64 m_workspaceRandom;
 };
 
 } // namespace
@@ -182,6 +246,11 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+bool playsWorkspaces(std::uint64_t seed)
+{
+    return seed >= firstSeedWithWorkspaces && seed < firstSeedWithStoreLosses;
+}
+
 soak_plan makePlan(std::uint64_t seed, duration length)
 {
     plan_builder builder(seed);
@@ -191,9 +260,12 @@
         const soak_round round{at, at + faultPhaseLength, at + faultPhaseLength + quietPhaseLength};
         plan.rounds.push_back(round);
         builder.addFaults(plan, round);
-        if (seed >= firstSeedWithStoreLosses) {
+        if (seed >= firstSeedWithStoreLosses || (playsWorkspaces(seed) && seed % 2 == 1)) {
             builder.addStoreLosses(plan, round);
         }
+        if (playsWorkspaces(seed)) {
+            builder.addWorkspaceChanges(plan, round);
+        }
         builder.addPlannedWork(plan, round);
         at = round.end;
     } while (at + faultPhaseLength + quietPhaseLength <= length);
--- a/mustardrouter/Soak/fault_plan.h
+++ b/mustardrouter/Soak/fault_plan.h
@@ -45,6 +45,14 @@
     configurationChange,
     /// The store returns from an older copy after a short outage; planned apart from the others.
     storeReturnsFromCopy,
+    /// From here on only where workspaces are played; planned apart from the others.
+    keysWithdrawn,
+    keyAdded,
+    keyMoved,
+    limitLowered,
+    limitRaised,
+    /// A workspace sends many times its usual.
+    workspaceBusy,
     /// Number of kinds, not a fault.
     count,
 };
@@ -76,6 +84,9 @@
     duration length{};
 };
 
+/// Whether the soak of this seed plays workspaces.
+bool playsWorkspaces(std::uint64_t seed);
+
 /// Makes the plan for a seed: whole rounds within `length`, at least one.
 soak_plan makePlan(std::uint64_t seed, duration length);
 
--- a/mustardrouter/Soak/soak_client.cpp
+++ b/mustardrouter/Soak/soak_client.cpp
@@ -50,9 +50,11 @@
 
 } // namespace
 
-soak_client::soak_client(client_environment environment, std::string name, std::uint64_t seed)
+soak_client::soak_client(client_environment environment, std::size_t number, std::uint64_t seed)
     : m_environment(std::move(environment))
-    , m_name(std::move(name))
+    , m_number(number)
+    , m_name("c" + std::to_string(number + 1))
+    , m_key(m_name)
     , m_random(seed)
     , m_timer(*m_environment.context)
     , m_replyTimer(*m_environment.context)
@@ -95,6 +97,10 @@
     }
     m_instance = m_environment.chooseInstance();
     m_route = (*m_environment.routes)[m_random() % m_environment.routes->size()];
+    if (m_environment.workspaces != nullptr) {
+        m_key = m_environment.workspaces->chooseKey(m_number, m_random);
+    }
+    m_connectedAt = m_environment.now();
     m_session = m_environment.history->addSession();
     m_preparedStatements.clear();
     m_assembler = {};
@@ -110,7 +116,7 @@
         onEnd();
     };
     m_stream = std::make_shared<line_stream>(asio::ip::tcp::socket(*m_environment.context), platform::maxLineBytes, std::move(callbacks));
-    m_stream->connect(endpointOrUnspecified(m_environment.addressOf(m_instance)), "STARTUP " + m_route.name + " " + m_name + "\r\n");
+    m_stream->connect(endpointOrUnspecified(m_environment.addressOf(m_instance)), "STARTUP " + m_route.name + " " + m_key + "\r\n");
     startReplyTimer();
 }
 
@@ -157,8 +163,29 @@
     reconnect();
 }
 
+void soak_client::onUnknownKey()
+{
+    const time_point now = m_environment.now();
+    const time_point sentAt = m_awaitsReply ? m_sent.sentAt : m_connectedAt;
+    m_environment.tally->answers["unknown_key"] += 1;
+    const std::string violation = m_environment.workspaces->onUnknownKey(m_key, m_route.isPublic, sentAt, now);
+    if (!violation.empty()) {
+        m_environment.history->reportViolation(violation);
+    }
+    if (m_awaitsReply) {
+        m_environment.history->onGivenUp(m_sent.clientStatement.id);
+        m_awaitsReply = false;
+        endOperation(false);
+    }
+    reconnect();
+}
+
 void soak_client::onLine(std::string_view line)
 {
+    if (m_environment.workspaces != nullptr && line.starts_with("ERROR NOAUTH")) {
+        onUnknownKey();
+        return;
+    }
     std::optional<database_reply> reply = platform::assemble(m_assembler, line);
     if (m_assembler.broken) {
         m_environment.history->reportViolation("MIXED: a client got '" + std::string(line.substr(0, 80)) + "'");
@@ -187,7 +214,10 @@
 
 void soak_client::scheduleOperation()
 {
-    callAfter(std::chrono::microseconds(minThinkTimeMicros + m_random() % thinkTimeSpreadMicros), &soak_client::beginOperation);
+    constexpr std::uint64_t busyFactor = 10;
+    const bool busy = m_environment.workspaces != nullptr && m_environment.workspaces->isBusy(m_key);
+    const std::uint64_t spread = thinkTimeSpreadMicros / (busy ? busyFactor : 1);
+    callAfter(std::chrono::microseconds(minThinkTimeMicros + m_random() % spread), &soak_client::beginOperation);
 }
 
 client_statement soak_client::make(client_verb verb, const std::string &rest)
@@ -273,6 +303,8 @@
     m_sent.statementText = statement.verb == client_verb::execute ? m_preparedStatements[statement.name] : std::string();
     m_sent.inTransaction = m_inTransaction;
     m_sent.wrote = m_wrote;
+    m_sent.key = m_key;
+    m_sent.routeIsPublic = m_route.isPublic;
     m_environment.history->onSent(m_sent);
     m_awaitsReply = true;
     startReplyTimer();
@@ -323,7 +355,9 @@
 void soak_client::endOperation(bool served)
 {
     m_steps.clear();
-    m_environment.tally->operations.push_back({m_operationStartedAt, m_environment.now(), served});
+    const time_point now = m_environment.now();
+    const bool owed = m_environment.workspaces == nullptr || m_environment.workspaces->isOwed(m_key, m_operationStartedAt, now);
+    m_environment.tally->operations.push_back({m_operationStartedAt, now, served, owed});
 }
 
 } // namespace mustardrouter
--- a/mustardrouter/Soak/soak_client.h
+++ b/mustardrouter/Soak/soak_client.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Soak/soak_history.h"
 #include "mustardrouter/Soak/soak_route.h"
 #include "mustardrouter/Soak/soak_tally.h"
+#include "mustardrouter/Soak/soak_workspaces.h"
 #include "platform/line_codec.h"
 
 #include <asio/io_context.hpp>
@@ -28,13 +29,15 @@
         soak_history *history = nullptr;
         soak_tally *tally = nullptr;
         const std::vector<soak_route> *routes = nullptr;
+        /// Null if clients need no keys.
+        const soak_workspaces *workspaces = nullptr;
         std::function<time_point()> now;
         /// Index of the instance to connect to, and the address at which clients reach it.
         std::function<std::size_t()> chooseInstance;
         std::function<std::string(std::size_t)> addressOf;
     };
 
-    soak_client(client_environment environment, std::string name, std::uint64_t seed);
+    soak_client(client_environment environment, std::size_t number, std::uint64_t seed);
 
     void start();
     /// Starts no further operation and closes when the current one has ended.
@@ -46,6 +49,7 @@
     void reconnect();
     void onLine(std::string_view line);
     void onEnd();
+    void onUnknownKey();
     void scheduleOperation();
     void beginOperation();
     std::vector<client_statement> makeOperation();
@@ -58,7 +62,11 @@
     bool isOpenTransaction() const;
 
     client_environment m_environment;
+    std::size_t m_number;
     std::string m_name;
+    /// Who it says that it is, the key where workspaces are played.
+    std::string m_key;
+    time_point m_connectedAt{};
     std::mt19937_64 m_random;
     asio::steady_timer m_timer;
     asio::steady_timer m_replyTimer;
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -38,7 +38,7 @@
 {
     constexpr std::uint64_t kinds = 5;
     const bool both = seed % (2 * kinds) == 2 * kinds - 1;
-    return {seed % kinds == kinds - 1, seed % kinds == 0 || both};
+    return {seed % kinds == kinds - 1, seed % kinds == 0 || both, playsWorkspaces(seed)};
 }
 
 soak_deployment::soak_deployment(
@@ -77,7 +77,7 @@
         const std::string suffix = "-" + std::to_string(index + 1);
         m_routes.push_back({"latest" + suffix, {group->name, read_rule::latest, 0ms, 1000ms, 600ms, 1}});
         m_routes.push_back({"session" + suffix, {group->name, read_rule::session, 2500ms, 1000ms, 600ms, 2}});
-        m_routes.push_back({"age" + suffix, {group->name, read_rule::age, 1500ms, 1000ms, 600ms, 2}});
+        m_routes.push_back({"age" + suffix, {group->name, read_rule::age, 1500ms, 1000ms, 600ms, 2}, m_variant.hasWorkspaces});
         m_groups.push_back(std::move(group));
         for (std::size_t place = 0; place < databasesPerGroup; ++place) {
             addDatabase(*m_groups.back(), "db" + std::to_string(m_nextDatabase++), dataCentres[place], place == 0);
@@ -88,6 +88,11 @@
     return !m_failed;
 }
 
+soak_workspaces *soak_deployment::workspaces()
+{
+    return m_variant.hasWorkspaces ? &m_workspaces : nullptr;
+}
+
 standin_store &soak_deployment::store()
 {
     return m_store;
@@ -131,6 +136,11 @@
         if (left != m_leaving.end() && !run.inTransaction && m_now() - left->since > drainTime) {
             m_history.onRunAfterDrainTime(run, left->since, m_now());
         }
+        if (const sent_statement *sent = m_variant.hasWorkspaces ? m_history.findSent(run.id) : nullptr) {
+            for (const std::string &violation : m_workspaces.onRun(run, *sent, m_now())) {
+                m_history.reportViolation(violation);
+            }
+        }
         return m_history.onRun(run);
     };
     observer.onCommit = [this](const group_name &of, const std::string &id, std::size_t index) {
@@ -244,7 +254,18 @@
     for (const soak_route &one : m_routes) {
         routes[one.name] = one.sessionRoute;
     }
-    m_store.objects().put("config", "main", configurationOf(newest.version, routes, m_groups));
+    Json::Value configuration = configurationOf(newest.version, routes, m_groups);
+    if (m_variant.hasWorkspaces) {
+        std::set<std::string> publicRoutes;
+        for (const soak_route &one : m_routes) {
+            if (one.isPublic) {
+                publicRoutes.insert(one.name);
+            }
+        }
+        addWorkspaces(configuration, m_workspaces.current(), publicRoutes);
+        m_workspaces.onPublished(m_now());
+    }
+    m_store.objects().put("config", "main", configuration);
     m_store.notifyWatches();
 }
 
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/PlatformStandIn/standin_store.h"
 #include "mustardrouter/Soak/soak_history.h"
 #include "mustardrouter/Soak/soak_route.h"
+#include "mustardrouter/Soak/soak_workspaces.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -40,9 +41,11 @@
     bool replacedPrimariesContinue = false;
     /// Databases accept fewer connections than the instances would open.
     bool connectionsAreScarce = false;
+    /// The configuration has workspaces; one route of each group is public.
+    bool hasWorkspaces = false;
 };
 
-/// The variant that a seed plays: two of five seeds play one, one of ten both.
+/// The variant that a seed plays: two of five seeds play one of the first two, one of ten both.
 soak_variant variantOf(std::uint64_t seed);
 
 /// The databases and the platform of a soak: groups, database servers, store entries, versions of the configuration.
@@ -60,6 +63,9 @@
                     std::uint64_t seed,
                     soak_variant variant);
 
+    /// The workspaces, or null if none are played. To be started before the deployment.
+    soak_workspaces *workspaces();
+
     /// Creates groups of three databases and the first configuration; false if a port could not be opened.
     bool start(std::size_t groupCount, std::size_t instanceCount);
 
@@ -108,6 +114,7 @@
     std::vector<soak_route> m_routes;
     std::vector<published_version> m_versions;
     soak_variant m_variant;
+    soak_workspaces m_workspaces;
     std::uint64_t m_nextDatabase = 1;
     std::uint64_t m_ticks = 0;
     bool m_failed = false;
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -124,6 +124,12 @@
     return signature;
 }
 
+const sent_statement *soak_history::findSent(const std::string &id) const
+{
+    const auto found = m_statements.find(id);
+    return found == m_statements.end() ? nullptr : &found->second.sent;
+}
+
 bool soak_history::hasRun(const std::string &id) const
 {
     const auto found = m_statements.find(id);
--- a/mustardrouter/Soak/soak_history.h
+++ b/mustardrouter/Soak/soak_history.h
@@ -35,6 +35,9 @@
     bool inTransaction = false;
     /// For a commit: the transaction has written.
     bool wrote = false;
+    /// The key that its client gave, where workspaces are played.
+    std::string key;
+    bool routeIsPublic = false;
 };
 
 /// A statement that ran on a leaving database after its drain time.
@@ -74,6 +77,8 @@
     void onPromoted(const group_name &group, const standin_promotion &promotion, std::uint32_t syncReplicas);
     void onOrder(const std::string &group, std::uint64_t fence, const std::string &holder, const std::string &successor);
 
+    /// The statement that a client sent with this id, or null.
+    const sent_statement *findSent(const std::string &id) const;
     /// Whether a database ran the statement.
     bool hasRun(const std::string &id) const;
     std::uint64_t statementCount() const;
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -114,6 +114,7 @@
     settings.storeAddress = store.address();
     settings.isFirstSystemStart = m_isFirstSystemStart;
     settings.promotionsAreFenced = m_options.promotionsAreFenced;
+    settings.hasWorkspaces = m_options.hasWorkspaces;
     settings.relayPort = static_cast<unsigned>(std::stoul(m_relayAddress.substr(m_relayAddress.rfind(':') + 1)));
     settings.note = starts;
     const std::string text = settingsText(settings);
--- a/mustardrouter/Soak/soak_instance.h
+++ b/mustardrouter/Soak/soak_instance.h
@@ -26,6 +26,7 @@
         /// Address of its listener at the store.
         std::string store;
         bool promotionsAreFenced = true;
+        bool hasWorkspaces = false;
     };
 
     soak_instance(asio::io_context &context, launch_options options);
--- a/mustardrouter/Soak/soak_route.h
+++ b/mustardrouter/Soak/soak_route.h
@@ -11,6 +11,8 @@
 struct soak_route {
     std::string name;
     route sessionRoute;
+    /// Serves callers without a known key too.
+    bool isPublic = false;
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -29,6 +29,8 @@
 constexpr duration stableWindow = 5000ms;
 constexpr duration configurationDelay = 4000ms;
 constexpr duration downgradeWindow = 2000ms;
+/// Age of the oldest copy from which the stand-in's store returns, and some time until the operator writes again.
+constexpr duration oldestCopy = 13s;
 constexpr duration gracePeriod = 6000ms;
 constexpr duration disconnectSlack = 200ms;
 constexpr std::uint64_t memoryLimit = 182ULL << 20;
@@ -87,9 +89,15 @@
         options.name = "instance-" + std::to_string(index + 1);
         options.dataCentre = dataCentres[index % std::size(dataCentres)];
         options.store = m_deployment.store().addInstance();
+        options.hasWorkspaces = m_deployment.workspaces() != nullptr;
         options.promotionsAreFenced = !variantOf(m_settings.seed).replacedPrimariesContinue;
         m_instances.push_back(std::make_unique<soak_instance>(m_context, std::move(options)));
     }
+    if (soak_workspaces *workspaces = m_deployment.workspaces()) {
+        workspaces->start(count * m_settings.clientsPerInstance, [this](time_point sentAt) {
+            return oldestVersionAt(sentAt);
+        });
+    }
     if (!m_deployment.start(1 + m_random() % 2, count)) {
         return false;
     }
@@ -98,6 +106,18 @@
     });
 }
 
+time_point soak_run::oldestVersionAt(time_point sentAt) const
+{
+    const auto round = std::ranges::find_if(m_plan.rounds, [&](const soak_round &one) {
+        return sentAt < m_runStartedAt + one.end;
+    });
+    if (round == m_plan.rounds.end() || sentAt >= m_runStartedAt + round->quietFrom + stableWindow) {
+        return sentAt - configurationDelay;
+    }
+    // Before that an instance may be out of touch, and the store may return from a copy as old as it keeps them.
+    return m_runStartedAt + round->faultsFrom - oldestCopy - configurationDelay;
+}
+
 soak_report soak_run::run()
 {
     m_runStartedAt = now();
@@ -147,6 +167,7 @@
     environment.history = &m_history;
     environment.tally = &m_tally;
     environment.routes = &m_deployment.routes();
+    environment.workspaces = m_deployment.workspaces();
     environment.now = [this] {
         return now();
     };
@@ -157,7 +178,7 @@
         return m_instances[index]->clientAddress();
     };
     for (std::size_t index = 0; index < m_instances.size() * m_settings.clientsPerInstance; ++index) {
-        m_clients.push_back(std::make_shared<soak_client>(environment, "c" + std::to_string(index + 1), m_random()));
+        m_clients.push_back(std::make_shared<soak_client>(environment, index, m_random()));
         callLater(m_context, 1200ms + duration(static_cast<std::int64_t>(m_random() % 800'000)), [client = m_clients.back()] {
             client->start();
         });
@@ -327,7 +348,7 @@
     std::size_t begun = 0;
     std::size_t served = 0;
     for (const operation_result &operation : m_tally.operations) {
-        if (operation.startedAt >= from && operation.startedAt < to) {
+        if (operation.owed && operation.startedAt >= from && operation.startedAt < to) {
             begun += 1;
             served += operation.served ? 1 : 0;
         }
--- a/mustardrouter/Soak/soak_run.h
+++ b/mustardrouter/Soak/soak_run.h
@@ -68,6 +68,8 @@
     void finish();
     std::size_t chooseInstance();
     std::string summary() const;
+    /// The oldest instant whose version may still be in force for what is sent at an instant.
+    time_point oldestVersionAt(time_point sentAt) const;
 
     soak_settings m_settings;
     soak_plan m_plan;
--- a/mustardrouter/Soak/soak_tally.h
+++ b/mustardrouter/Soak/soak_tally.h
@@ -16,6 +16,8 @@
     time_point startedAt{};
     time_point endedAt{};
     bool served = false;
+    /// It had to be served.
+    bool owed = true;
 };
 
 /// A statement that was sent and got no complete answer.
