Workspaces: figures for operators, and explain

Change: Workspaces/workspace_usage counts, for each workspace, the operations that this instance sent to databases, and the refusals to its own clients by reason; removed workspaces are summed, so the table is bounded. A key that moves goes to the largest workspace, which has room for its clients, so that more operations are owed in the quiet phase. Figures: unit tests of the groups edge_metrics, log_timeline, workspace_usage and soak_workspaces pass.

--- a/UnitTests/Edge/edge_metrics_test.cpp
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -18,7 +18,7 @@
     edge_metrics metrics;
     metrics.recordStatement(reply_code::done, 0.01);
     metrics.recordFirstWrite(failover_cause::leaving, 0.7);
-    const std::string text = metrics.text(engine, 1, 2, {});
+    const std::string text = metrics.text(engine, 1, 2, {}, {});
     std::ifstream file(std::string(MUSTARDROUTER_SOURCE) + "/docs/OPERATIONS.md");
     const std::string page{std::istreambuf_iterator<char>(file), {}};
     std::set<std::string> exposed;
@@ -39,3 +39,30 @@
     CHECK_TRUE(text.find("mustardrouter_refusals_by_cause_total{cause=\"the instance stops\"} 3") != std::string::npos);
     CHECK_TRUE(text.find("mustardrouter_first_write_seconds_bucket{cause=\"primary leaves\",le=\"1\"} 1") != std::string::npos);
 }
+
+TEST(edge_metrics, workspacesBeyondTheTenWithTheMostUseAreSummed)
+{
+    proxy_engine engine{proxy_settings{}};
+    CHECK_TRUE(edge_metrics().text(engine, 0, 0, {}, {}).find("workspace=") == std::string::npos);
+    engine.routes.workspaces.enabled = true;
+    for (int number = 0; number < 200; ++number) {
+        workspace added;
+        added.name = workspace_name("w\\\"" + std::to_string(number));
+        added.limit = workspace_limit{10, 10};
+        addWorkspace(engine.routes.workspaces, added, {api_key("secret-" + std::to_string(number))});
+        countOperation(engine.counters.workspaces, added.name, {});
+        countRefusal(engine.counters.workspaces, added.name, "the limit of the workspace is reached");
+    }
+    countOperation(engine.counters.workspaces, workspace_name("w\\\"7"), {});
+    const std::string text = edge_metrics().text(engine, 0, 0, {}, {});
+    std::size_t lines = 0;
+    for (std::size_t at = text.find("workspace_operations_total{"); at != std::string::npos;
+         at = text.find("workspace_operations_total{", at + 1)) {
+        lines += 1;
+    }
+    CHECK_EQUAL(maxWorkspaceLabels, lines);
+    CHECK_TRUE(text.find("mustardrouter_workspace_operations_total{workspace=\"w\\\\\\\"7\"} 2\n") != std::string::npos);
+    CHECK_TRUE(text.find("mustardrouter_workspace_operations_total{workspace=\"all others\"} 190\n") != std::string::npos);
+    CHECK_TRUE(text.find("{workspace=\"all others\",reason=\"the limit of the workspace is reached\"} 190\n") != std::string::npos);
+    CHECK_TRUE(text.find("secret") == std::string::npos);
+}
--- a/UnitTests/Operators/log_timeline_test.cpp
+++ b/UnitTests/Operators/log_timeline_test.cpp
@@ -79,6 +79,34 @@
     CHECK_TRUE(timelineOf(linesOf(failoverLog), "unknown").empty());
 }
 
+TEST(log_timeline, aStatementUnderAWithdrawnKeyIsExplainedByTheVersionThatWithdrewIt)
+{
+    const std::vector<log_line> lines = linesOf(
+        R"({"at":100,"instance":"e1","event":"configuration_adopted","version":"7"}
+{"at":200,"instance":"e1","event":"key_withdrawn","request":"r1","key":"d1","workspace":"w","database":"x","relayed":"no"}
+{"at":300,"instance":"e1","event":"key_withdrawn","request":"r2","key":"d1","workspace":"w","database":"x","relayed":"no"}
+{"at":400,"instance":"e1","event":"key_unknown","key":"d1","database":"x","so_far":"1"}
+)");
+    const std::vector<log_line> timeline = timelineOf(lines, "r1");
+    CHECK_EQUAL(2U, timeline.size());
+    CHECK_EQUAL(std::string("configuration_adopted"), timeline[0].event);
+    CHECK_EQUAL(std::string("key_withdrawn"), timeline[1].event);
+    CHECK_EQUAL(3U, timelineOf(lines, "d1").size());
+    CHECK_TRUE(refusalTable(lines).find("2  the key was withdrawn") != std::string::npos);
+}
+
+TEST(log_timeline, aStatementRefusedByItsLimitIsShownWithWhatIsKnownOfItsWorkspace)
+{
+    const std::vector<log_line> timeline = timelineOf(linesOf(
+                                                          R"({"at":100,"instance":"e1","event":"limit_reached","workspace":"w"}
+{"at":150,"instance":"e1","event":"limit_reached","workspace":"other"}
+{"at":200,"instance":"e1","event":"statement_refused","request":"r1","workspace":"w","why":"the limit of the workspace is reached"}
+)"),
+                                                      "r1");
+    CHECK_EQUAL(2U, timeline.size());
+    CHECK_EQUAL(std::string("w"), timeline.front().fields.at("workspace"));
+}
+
 TEST(log_timeline, refusalsAreCountedBySecondAndCause)
 {
     const std::string table = refusalTable(linesOf(failoverLog));
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -645,7 +645,7 @@
         return {ready ? 200U : 503U, {}};
     }
     if (path == platform::metricsPath) {
-        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped(), {m_registration.writes(), m_listedAgainAfter})};
+        return {200, m_edgeMetrics.text(m_engine, m_clients.size(), m_log.dropped(), {m_registration.writes(), m_listedAgainAfter}, now())};
     }
     return {404, {}};
 }
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -5,6 +5,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 
 namespace mustardrouter
@@ -16,6 +17,19 @@
 /// Upper bounds of the latency buckets in seconds. The latency targets of the users' routes are 0.5 to 1.2 s.
 const prometheus::Histogram::BucketBoundaries latencyBuckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3};
 
+/// Value of a label, with the characters escaped that the text format reserves.
+std::string escaped(const std::string &value)
+{
+    std::string text;
+    for (const char letter : value) {
+        if (letter == '\\' || letter == '"') {
+            text += '\\';
+        }
+        text += letter;
+    }
+    return text;
+}
+
 /// Upper bounds of the buckets of outages in seconds. A promotion takes 0.3 to 1 s from its order.
 const prometheus::Histogram::BucketBoundaries outageBuckets{0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
 
@@ -61,10 +75,8 @@
     histogram->Observe(seconds);
 }
 
-std::string edge_metrics::text(const proxy_engine &engine,
-                               std::size_t sessions,
-                               std::uint64_t linesDropped,
-                               const store_figures &store) const
+std::string edge_metrics::text(
+    const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped, const store_figures &store, time_point now) const
 {
     const proxy_counters &counters = engine.counters;
     std::string text;
@@ -96,6 +108,25 @@
     appendMetric("replies_not_verified_total", "counter", counters.repliesNotVerified);
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
+    const std::vector<workspace_figures> workspaces = figuresOf(counters.workspaces, engine.routes.workspaces, now);
+    const auto appendOfWorkspaces = [&](const char *name, const char *type, const auto &valueOf) {
+        const std::string full = appendTypeLine(name, type);
+        for (const workspace_figures &one : workspaces) {
+            text += full + "{workspace=\"" + escaped(one.label) + "\"} " + std::to_string(valueOf(one)) + "\n";
+        }
+    };
+    appendOfWorkspaces("workspace_operations_total", "counter", std::mem_fn(&workspace_figures::operations));
+    const std::string workspaceRefusals = appendTypeLine("workspace_refusals_total", "counter");
+    for (const workspace_figures &one : workspaces) {
+        for (const auto &[reason, count] : one.refusalsByReason) {
+            text += workspaceRefusals + "{workspace=\"" + escaped(one.label) + "\",reason=\"" + std::string(reason) + "\"} "
+                    + std::to_string(count) + "\n";
+        }
+    }
+    appendMetric("keys_unknown_total", "counter", counters.unknownKeys);
+    appendMetric("keys_withdrawn_total", "counter", counters.keysWithdrawn);
+    appendOfWorkspaces("workspace_limit", "gauge", std::mem_fn(&workspace_figures::limit));
+    appendOfWorkspaces("workspace_share_in_use", "gauge", std::mem_fn(&workspace_figures::shareInUse));
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -10,7 +10,8 @@
 {
 
 /// Counters and latency histograms of an instance on the users' platform, in the Prometheus text format.
-/// Label values are bounded: outcomes come from an enumeration, refusal causes are string constants of the program.
+/// Label values are bounded: outcomes come from an enumeration, refusal causes are string constants of the program, and of the
+/// workspaces only the ten with the most use are named.
 class edge_metrics
 {
 public:
@@ -32,7 +33,8 @@
     };
 
     /// Formats all metrics. `sessions` is the number of open sessions, `linesDropped` the number of dropped log lines.
-    std::string text(const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped, const store_figures &store) const;
+    std::string text(
+        const proxy_engine &engine, std::size_t sessions, std::uint64_t linesDropped, const store_figures &store, time_point now) const;
 
 private:
     struct implementation;
--- a/mustardrouter/Operators/explain_command.cpp
+++ b/mustardrouter/Operators/explain_command.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Operators/commands.h"
 #include "mustardrouter/Operators/log_timeline.h"
+#include "mustardrouter/Workspaces/key_digest.h"
 
 #include <fstream>
 #include <iostream>
@@ -12,12 +13,15 @@
 
 exit_code runExplain(const arguments &given)
 {
-    command_options command("explain", "ID FILE... | --why-refused FILE...");
-    command.examples = {"explain 3d394d277d59bee1 edge-1.log edge-2.log", "explain --why-refused edge-*.log"};
+    command_options command("explain", "ID FILE... | --why-refused FILE... | --key FILE...");
+    command.examples = {
+        "explain 3d394d277d59bee1 edge-1.log edge-2.log", "explain --why-refused edge-*.log", "explain --key edge-*.log <key.txt"};
     command.options.add_options()("why-refused", "print a table of refused statements by second and cause");
+    command.options.add_options()("key", "print the lines about the key that the standard input holds; logs have its digest only");
     command.options.add_options()("words",
                                   po::value<std::vector<std::string>>()->composing(),
-                                  "ID of a request, group, database or instance (not with --why-refused), followed by log files");
+                                  "ID of a request, group, database, instance or workspace (not with --why-refused or --key), "
+                                  "followed by log files");
     command.positional.add("words", -1);
     po::variables_map values;
     const parse_status status = parse(command, given, values);
@@ -26,12 +30,17 @@
     }
     std::vector<std::string> files = values.contains("words") ? values["words"].as<std::vector<std::string>>() : std::vector<std::string>();
     const bool asTable = values.contains("why-refused");
+    const bool byKey = values.contains("key");
     std::string subject;
-    if (!asTable && !files.empty()) {
+    if (byKey) {
+        // Not a word of the command, which others on the machine could read.
+        std::getline(std::cin, subject);
+        subject = toText(digestOf(api_key(subject)));
+    } else if (!asTable && !files.empty()) {
         subject = files.front();
         files.erase(files.begin());
     }
-    if (files.empty()) {
+    if (files.empty() || (byKey && asTable)) {
         std::cerr << "usage: mustardrouter explain " << command.usage << '\n';
         return exit_code::invalidInput;
     }
--- a/mustardrouter/Operators/log_timeline.cpp
+++ b/mustardrouter/Operators/log_timeline.cpp
@@ -75,6 +75,18 @@
     return fieldOf(line, "request") == request || fieldOf(line, "transaction") == request;
 }
 
+/// Why a statement was refused or left in doubt; empty for lines that don't say so.
+std::string causeOf(const log_line &line)
+{
+    if (line.event == "statement_refused") {
+        return fieldOf(line, "why");
+    }
+    if (line.event == "statement_in_doubt") {
+        return "in doubt: " + fieldOf(line, "why");
+    }
+    return line.event == "key_withdrawn" ? "the key was withdrawn" : "";
+}
+
 bool isDecision(const log_line &line)
 {
     return line.fields.contains("request");
@@ -119,7 +131,7 @@
     std::int64_t from = subjectLines.front().at;
     for (const log_line &line : subjectLines) {
         instances.insert(line.instance);
-        for (const char *name : {"group", "from", "lead", "database"}) {
+        for (const char *name : {"group", "from", "lead", "database", "workspace", "key"}) {
             relatedNames.insert(fieldOf(line, name));
         }
         // The statement arrived before its first line was logged, by the time it had waited.
@@ -128,6 +140,7 @@
     }
     relatedNames.erase("");
     relatedNames.erase("none");
+    relatedNames.erase("-");
     const std::int64_t to = subjectLines.back().at;
     std::vector<log_line> timeline;
     for (const log_line &line : sorted) {
@@ -163,11 +176,10 @@
     std::map<std::int64_t, std::map<std::string, std::uint64_t>> bySecond;
     std::map<std::string, std::uint64_t> totals;
     for (const log_line &line : sorted) {
-        const bool refused = line.event == "statement_refused";
-        if (!refused && line.event != "statement_in_doubt") {
+        const std::string cause = causeOf(line);
+        if (cause.empty()) {
             continue;
         }
-        const std::string cause = (refused ? "" : "in doubt: ") + fieldOf(line, "why");
         const std::int64_t second = (line.at - sorted.front().at) / millisPerSecond;
         bySecond[second][cause] += 1;
         totals[cause] += 1;
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -102,6 +102,9 @@
     connection.state = database_connection_state::busy;
     recordSent(engine, session, connection, now);
     sendOn(engine, connection, std::move(commands), purposes, now);
+    if (!connection.toHolder) {
+        countOperation(engine.counters.workspaces, session.caller.workspace, now);
+    }
     if (running.needsPrimaryCheck && !engine.settings.replacedPrimariesStepDown) {
         // The evidence that the read needs travels while the read runs.
         demandEvidence(engine, engine.groups.at(connection.group), connection.database, running.arrivedAt, now);
@@ -125,6 +128,9 @@
     commands.back().floor = forReading || connection.toHolder ? transaction.floor : std::nullopt;
     purposes.push_back(reply_purpose::begin);
     sendOn(engine, connection, std::move(commands), purposes, now);
+    if (!connection.toHolder) {
+        countOperation(engine.counters.workspaces, session.caller.workspace, now);
+    }
     if (!forReading && !connection.toHolder && !engine.settings.replacedPrimariesStepDown) {
         demandEvidence(engine, engine.groups.at(connection.group), connection.database, transaction.beganAt, now);
     }
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -354,6 +354,9 @@
     reply.retryAfter = hasPrimary ? overloadRetryAfter : failoverRetryAfter;
     engine.counters.refusals += 1;
     engine.counters.refusalsByCause[reason] += 1;
+    if (!session.relayed) {
+        countRefusal(engine.counters.workspaces, session.caller.workspace, reason);
+    }
     reportEvent(engine,
                 "statement_refused",
                 {{"request", running.statement.id},
@@ -362,6 +365,7 @@
                  {"group", group == nullptr ? std::string("-") : group->name.value()},
                  {"code", std::string(toString(code))},
                  {"why", reason},
+                 {"workspace", session.caller.workspace.value().empty() ? std::string("-") : session.caller.workspace.value()},
                  {"waited_ms", toMillisText(now - running.arrivedAt)},
                  {"attempts", std::to_string(running.attempts)},
                  {"lead", group != nullptr && group->primary ? group->primary->value() : std::string("none")},
--- a/mustardrouter/Proxy/engine_workspaces.cpp
+++ b/mustardrouter/Proxy/engine_workspaces.cpp
@@ -28,7 +28,8 @@
     engine.counters.keysWithdrawn += 1;
     reportEvent(engine,
                 "key_withdrawn",
-                {{"key", toText(session.caller.key)},
+                {{"request", session.current ? session.current->statement.id : std::string("-")},
+                 {"key", toText(session.caller.key)},
                  {"workspace", before.value().empty() ? std::string("-") : before.value()},
                  {"database", session.database},
                  {"relayed", session.relayed ? "yes" : "no"}});
@@ -98,6 +99,7 @@
 {
     if (session.closeAt == time_point{}) {
         reportWithdrawn(engine, session, session.caller.workspace);
+        countRefusal(engine.counters.workspaces, session.caller.workspace, "the key was withdrawn");
     }
     endTransaction(engine, session, transaction_state::none, now);
     // Its caller may still use the session, so a timer closes it.
@@ -128,6 +130,7 @@
         }
         endForeignTransaction(engine, session, now);
     }
+    forgetRemovedWorkspaces(engine.counters.workspaces, engine.routes.workspaces);
     for (auto &[name, group] : engine.groups) {
         group.preferredHolders.clear();
     }
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mustardrouter/Workspaces/workspace_usage.h"
+
 #include <cstdint>
 #include <map>
 #include <string_view>
@@ -31,6 +33,7 @@
     std::uint64_t storeHistoriesLost = 0;
     /// Statements and transactions sent to holders.
     std::uint64_t statementsRelayed = 0;
+    workspace_usage_table workspaces;
     /// Sessions refused because their key is in no workspace, and those whose key was withdrawn later.
     std::uint64_t unknownKeys = 0;
     std::uint64_t keysWithdrawn = 0;
--- a/mustardrouter/Soak/soak_client.cpp
+++ b/mustardrouter/Soak/soak_client.cpp
@@ -182,11 +182,11 @@
 
 void soak_client::onLine(std::string_view line)
 {
-    if (m_environment.workspaces != nullptr && line.starts_with("ERROR NOAUTH")) {
+    std::optional<database_reply> reply = platform::assemble(m_assembler, line);
+    if (m_environment.workspaces != nullptr && m_assembler.reply.code == reply_code::unauthorized) {
         onUnknownKey();
         return;
     }
-    std::optional<database_reply> reply = platform::assemble(m_assembler, line);
     if (m_assembler.broken) {
         m_environment.history->reportViolation("MIXED: a client got '" + std::string(line.substr(0, 80)) + "'");
         reconnect();
@@ -346,6 +346,12 @@
     m_step += 1;
     if (m_failed || m_step >= m_steps.size()) {
         endOperation(!m_failed);
+        constexpr std::uint64_t percentLeaving = 3;
+        if (m_environment.workspaces != nullptr && m_random() % percent < percentLeaving) {
+            // Otherwise all clients would end up where they need no key.
+            reconnect();
+            return;
+        }
         scheduleOperation();
         return;
     }
--- a/mustardrouter/Soak/soak_workspaces.cpp
+++ b/mustardrouter/Soak/soak_workspaces.cpp
@@ -90,11 +90,14 @@
     }
     case soak_fault::keyMoved:
         if (!changed.keys.empty()) {
-            standin_workspace &taker = at(fault.target + 1 + fault.variant % (workspaceCount - 1));
+            // The clients come with the key: the largest workspace has room for those of another, but none for its own.
+            const bool fromLargest = fault.target % workspaceCount == 0;
+            standin_workspace &taker = fromLargest ? at(1 + fault.variant % (workspaceCount - 1)) : at(0);
             taker.keys.push_back(changed.keys.back());
             changed.keys.pop_back();
-            // The clients come with the key, so its new workspace may ask for more than its limit.
-            m_unusualUntil[taker.name] = time_point::max();
+            if (fromLargest) {
+                m_unusualUntil[taker.name] = time_point::max();
+            }
         }
         break;
     case soak_fault::limitLowered:
