JSON that is nested too deeply no longer ends a process

Cause: jsoncpp's reader throws beyond 1,000 levels instead of failing, and nothing between an answer of the platform's store and the event loop catches: one malformed answer or object ended an instance, the same in a settings file and in 'explain'. Ruled out: a higher limit of the reader (the stack is the bound). A log line with a field that is no text no longer throws in 'explain'.

--- a/UnitTests/Operators/log_timeline_test.cpp
+++ b/UnitTests/Operators/log_timeline_test.cpp
@@ -41,6 +41,16 @@
     CHECK_EQUAL(1U, skipped);
 }
 
+TEST(log_timeline, linesWithValuesOfOtherTypesOrNestedTooDeeplyDoNoHarm)
+{
+    std::istringstream in(R"({"at":5,"instance":"e1","event":"x","list":[1],"request":"r1"})"
+                          "\n{\"at\":"
+                          + std::string(5000, '['));
+    std::size_t skipped = 0;
+    CHECK_EQUAL(1U, readLog(in, skipped).size());
+    CHECK_EQUAL(1U, skipped);
+}
+
 TEST(log_timeline, timelineOfARequestIncludesItsInstancesEventsAboutItsDatabases)
 {
     const std::vector<log_line> timeline = timelineOf(linesOf(failoverLog), "r1");
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -30,6 +30,33 @@
     return text;
 }
 
+std::string appendTypeLine(std::string &text, const char *name, const char *type)
+{
+    std::string full = std::string("mustardrouter_") + name;
+    text += "# TYPE " + full + " " + type + "\n";
+    return full;
+}
+
+void appendWorkspaces(std::string &text, const std::vector<workspace_figures> &workspaces)
+{
+    const auto appendOfEach = [&](const char *name, const char *type, const auto &valueOf) {
+        const std::string full = appendTypeLine(text, name, type);
+        for (const workspace_figures &one : workspaces) {
+            text += full + "{workspace=\"" + escaped(one.label) + "\"} " + std::to_string(valueOf(one)) + "\n";
+        }
+    };
+    appendOfEach("workspace_operations_total", "counter", std::mem_fn(&workspace_figures::operations));
+    const std::string refusals = appendTypeLine(text, "workspace_refusals_total", "counter");
+    for (const workspace_figures &one : workspaces) {
+        for (const auto &[reason, count] : one.refusalsByReason) {
+            text += refusals + "{workspace=\"" + escaped(one.label) + "\",reason=\"" + std::string(reason) + "\"} " + std::to_string(count)
+                    + "\n";
+        }
+    }
+    appendOfEach("workspace_limit", "gauge", std::mem_fn(&workspace_figures::limit));
+    appendOfEach("workspace_share_in_use", "gauge", std::mem_fn(&workspace_figures::shareInUse));
+}
+
 /// Upper bounds of the buckets of outages in seconds. A promotion takes 0.3 to 1 s from its order.
 const prometheus::Histogram::BucketBoundaries outageBuckets{0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
 
@@ -80,19 +107,14 @@
 {
     const proxy_counters &counters = engine.counters;
     std::string text;
-    const auto appendTypeLine = [&](const char *name, const char *type) {
-        std::string full = std::string("mustardrouter_") + name;
-        text += "# TYPE " + full + " " + type + "\n";
-        return full;
-    };
     const auto appendMetric = [&](const char *name, const char *type, std::uint64_t value) {
-        text += appendTypeLine(name, type) + " " + std::to_string(value) + "\n";
+        text += appendTypeLine(text, name, type) + " " + std::to_string(value) + "\n";
     };
     appendMetric("statements_total", "counter", counters.statements);
     appendMetric("replica_reads_total", "counter", counters.replicaReads);
     appendMetric("primary_reads_total", "counter", counters.primaryReads);
     appendMetric("refusals_total", "counter", counters.refusals);
-    const std::string byCause = appendTypeLine("refusals_by_cause_total", "counter");
+    const std::string byCause = appendTypeLine(text, "refusals_by_cause_total", "counter");
     for (const auto &[cause, count] : counters.refusalsByCause) {
         text += byCause + "{cause=\"" + std::string(cause) + "\"} " + std::to_string(count) + "\n";
     }
@@ -108,25 +130,9 @@
     appendMetric("replies_not_verified_total", "counter", counters.repliesNotVerified);
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
-    const std::vector<workspace_figures> workspaces = figuresOf(counters.workspaces, engine.routes.workspaces, now);
-    const auto appendOfWorkspaces = [&](const char *name, const char *type, const auto &valueOf) {
-        const std::string full = appendTypeLine(name, type);
-        for (const workspace_figures &one : workspaces) {
-            text += full + "{workspace=\"" + escaped(one.label) + "\"} " + std::to_string(valueOf(one)) + "\n";
-        }
-    };
-    appendOfWorkspaces("workspace_operations_total", "counter", std::mem_fn(&workspace_figures::operations));
-    const std::string workspaceRefusals = appendTypeLine("workspace_refusals_total", "counter");
-    for (const workspace_figures &one : workspaces) {
-        for (const auto &[reason, count] : one.refusalsByReason) {
-            text += workspaceRefusals + "{workspace=\"" + escaped(one.label) + "\",reason=\"" + std::string(reason) + "\"} "
-                    + std::to_string(count) + "\n";
-        }
-    }
     appendMetric("keys_unknown_total", "counter", counters.unknownKeys);
     appendMetric("keys_withdrawn_total", "counter", counters.keysWithdrawn);
-    appendOfWorkspaces("workspace_limit", "gauge", std::mem_fn(&workspace_figures::limit));
-    appendOfWorkspaces("workspace_share_in_use", "gauge", std::mem_fn(&workspace_figures::shareInUse));
+    appendWorkspaces(text, figuresOf(counters.workspaces, engine.routes.workspaces, now));
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
--- a/mustardrouter/Operators/log_timeline.cpp
+++ b/mustardrouter/Operators/log_timeline.cpp
@@ -1,6 +1,6 @@
 #include "mustardrouter/Operators/log_timeline.h"
 
-#include <json/json.h>
+#include "mustardrouter/Runtime/json_object.h"
 
 #include <algorithm>
 #include <iomanip>
@@ -19,13 +19,16 @@
 constexpr std::int64_t contextMs = 5000;
 constexpr std::int64_t millisPerSecond = 1000;
 
-bool parseLine(const std::string &text, Json::CharReader &reader, log_line &line)
+bool parseLine(const std::string &text, log_line &line)
 {
     const std::size_t begin = text.find('{');
-    Json::Value value;
-    const bool isObject =
-        begin != std::string::npos && reader.parse(text.data() + begin, text.data() + text.size(), &value, nullptr) && value.isObject();
-    if (!isObject || !value["at"].isInt64() || !value["event"].isString() || !value["instance"].isString()) {
+    const std::optional<Json::Value> parsed =
+        begin == std::string::npos ? std::nullopt : parseJsonObject(std::string_view(text).substr(begin));
+    if (!parsed) {
+        return false;
+    }
+    const Json::Value &value = *parsed;
+    if (!value["at"].isInt64() || !value["event"].isString() || !value["instance"].isString()) {
         return false;
     }
     line.at = value["at"].asInt64();
@@ -33,7 +36,7 @@
     line.event = value["event"].asString();
     for (const std::string &name : value.getMemberNames()) {
         if (name != "at" && name != "event" && name != "instance") {
-            line.fields[name] = value[name].asString();
+            line.fields[name] = value[name].isConvertibleTo(Json::stringValue) ? value[name].asString() : std::string("?");
         }
     }
     return true;
@@ -96,11 +99,10 @@
 
 std::vector<log_line> readLog(std::istream &in, std::size_t &skipped)
 {
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     std::vector<log_line> lines;
     for (std::string text; std::getline(in, text);) {
         log_line line;
-        if (parseLine(text, *reader, line)) {
+        if (parseLine(text, line)) {
             lines.push_back(std::move(line));
         } else {
             skipped += text.empty() ? 0 : 1;
