A stream no longer reads twice at once: replies were lost and doubled

Cause: since output is written synchronously, a handler that sends while the stream delivers lines ends in onWritten, which started a read; after the lines the stream started a second one. Both read into the same buffer, so where data arrived in pieces, or was longer than the buffer, the second overwrote the first: lines were lost and others delivered twice, on connections of clients and of databases. Ruled out, by a record of all lines at the stand-in's database: the stand-in (it had answered in order). The engine's list of expected replies was read and not found wrong. Change: a read is not started while another one is under way. The soak says whose signature a mixed answer has.

--- /dev/null
+++ b/UnitTests/Edge/line_stream_test.cpp
@@ -0,0 +1,87 @@
+#include "mustardrouter/Edge/line_stream.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mustardrouter;
+
+namespace
+{
+
+constexpr std::size_t maxLineBytes = 1 << 20;
+
+/// A stream and the socket of its peer.
+struct connected_stream {
+    asio::io_context context;
+    asio::ip::tcp::socket peer{context};
+    std::shared_ptr<line_stream> stream;
+    std::vector<std::string> lines;
+    /// The stream replies to each line as it arrives.
+    bool replies = false;
+
+    connected_stream()
+    {
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        peer.connect(acceptor.local_endpoint());
+        line_stream::handlers callbacks;
+        callbacks.onLine = [this](std::string_view line) {
+            lines.emplace_back(line);
+            if (replies) {
+                stream->out() += "reply\n";
+                stream->flush();
+            }
+        };
+        callbacks.onEnd = [](close_reason) {
+        };
+        stream = std::make_shared<line_stream>(acceptor.accept(), maxLineBytes, std::move(callbacks));
+        stream->start();
+    }
+    void runUntil(std::size_t lineCount)
+    {
+        for (int tries = 0; tries < 2000 && lines.size() < lineCount; ++tries) {
+            context.run_for(std::chrono::milliseconds(1));
+        }
+    }
+};
+
+} // namespace
+
+TEST_GROUP(line_stream){};
+
+TEST(line_stream, linesArriveInOrderWhereTheStreamRepliesToEachAsItArrives)
+{
+    // More than fits into one read, so that a second read under way at the same time would find data at once.
+    constexpr std::size_t count = 2000;
+    connected_stream pair;
+    pair.replies = true;
+    std::string sent;
+    for (std::size_t number = 0; number < count; ++number) {
+        sent += "line number " + std::to_string(number) + "\r\n";
+    }
+    asio::write(pair.peer, asio::buffer(sent));
+    pair.runUntil(count);
+    CHECK_EQUAL(count, pair.lines.size());
+    for (std::size_t number = 0; number < count; ++number) {
+        CHECK_EQUAL("line number " + std::to_string(number), pair.lines[number]);
+    }
+    pair.stream->close();
+}
+
+TEST(line_stream, aLineThatIsLongerThanAReadArrivesWhole)
+{
+    connected_stream pair;
+    const std::string text(50'000, 'x');
+    asio::write(pair.peer, asio::buffer(text + "\nsecond\n"));
+    pair.runUntil(2);
+    CHECK_EQUAL(2U, pair.lines.size());
+    CHECK_TRUE(pair.lines.front() == text);
+    CHECK_EQUAL(std::string("second"), pair.lines.back());
+    pair.stream->close();
+}
--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -106,6 +106,10 @@
 
 void line_stream::read()
 {
+    if (m_reading) {
+        // A handler has sent something meanwhile, which continues reading. Two reads at once would share the buffer.
+        return;
+    }
     m_reading = true;
     m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &problem, std::size_t size) {
         self->m_reading = false;
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -260,7 +260,10 @@
     }
     const auto run = m_runs.find(reply.signature);
     if (run == m_runs.end() || run->second.id != id || run->second.rows != reply.rows) {
-        reportViolation("MIXED: the answer to " + id + " has the signature '" + reply.signature + "'");
+        const std::string of = run == m_runs.end()    ? "no run"
+                               : run->second.id == id ? "its run, but other rows"
+                                                      : run->second.id + " at " + run->second.database.value();
+        reportViolation("MIXED: the answer to " + id + " has the signature '" + reply.signature + "' of " + of);
         return;
     }
     if (!isCommit(sent)) {
