Limits in the operator's view and in the soak

Cause: the engine now refuses beyond a limit; those refusals were not counted for the workspace, and the pages said that each has a line. Soak: a workspace that took over keys of the largest, and so its clients, stays beyond what is owed also when its limit is raised.

--- a/UnitTests/Proxy/workspace_counters_test.cpp
+++ b/UnitTests/Proxy/workspace_counters_test.cpp
@@ -91,6 +91,32 @@
     CHECK_EQUAL(1U, red.refusalsByReason.at("the key was withdrawn"));
 }
 
+TEST(workspace_counters, aRefusalByTheLimitIsCountedWithItsReason)
+{
+    world.setWorkspaces({"red key-r", "blue key-b"});
+    world.workspaces.workspaces.at(workspace_name("red")).limit = workspace_limit{1, 1};
+    world.addGroup();
+    world.configure(1);
+    const instance_name self("instance-1");
+    world.engine.limits.settings.self = self;
+    onInstances(world.engine, instance_listing{{self, "10.0.0.1:1", "dc-0", 1, false}}, world.now);
+    world.runFor(10s);
+    fake_client &client = world.connect("latest", "key-r");
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    for (int count = 0; count < 200; ++count) {
+        const reply_code code = send(world, client, client_verb::read);
+        served += code == reply_code::done ? 1 : 0;
+        refused += code == reply_code::busy ? 1 : 0;
+    }
+    CHECK_EQUAL(200U, served + refused);
+    CHECK_TRUE(refused > 0);
+    const workspace_usage &red = world.engine.counters.workspaces.byName.at(workspace_name("red"));
+    CHECK_EQUAL(served, red.operations);
+    CHECK_EQUAL(refused, red.refusalsByReason.at("the limit of the workspace is reached"));
+    CHECK_EQUAL(1U, red.refusalsByReason.size());
+}
+
 TEST(workspace_counters, aWorkspaceThatIsRemovedIsForgotten)
 {
     start();
--- a/UnitTests/Soak/soak_workspaces_test.cpp
+++ b/UnitTests/Soak/soak_workspaces_test.cpp
@@ -173,3 +173,11 @@
     }
     CHECK_TRUE(withdrawn > 20 && withdrawn < 200);
 }
+
+TEST(soak_workspaces, aWorkspaceThatTookOverTheClientsOfTheLargestIsNotOwedAllEvenIfItsLimitIsRaised)
+{
+    workspaces.publish(soak_fault::limitLowered, 1, 0, start + 10s);
+    workspaces.publish(soak_fault::keyMoved, 0, 0, start + 11s);
+    workspaces.publish(soak_fault::limitRaised, 1, 0, start + 12s);
+    CHECK_FALSE(workspaces.isOwed(key, start + 60s, start + 60s));
+}
--- a/mustardrouter/Operators/explain_command.cpp
+++ b/mustardrouter/Operators/explain_command.cpp
@@ -66,7 +66,8 @@
     const std::vector<log_line> timeline = timelineOf(lines, subject);
     if (timeline.empty()) {
         std::cerr << "mustardrouter explain: the logs do not name " << subject
-                  << "; statements that are served at once are not logged, and lines beyond an instance's log budget are dropped\n";
+                  << "; statements that are served at once or refused by the limit of their workspace are not logged one by one (for "
+                     "the latter see limit_reached of the workspace), and lines beyond an instance's log budget are dropped\n";
         return exit_code::failed;
     }
     std::cout << toText(timeline);
--- a/mustardrouter/Proxy/engine_limits.cpp
+++ b/mustardrouter/Proxy/engine_limits.cpp
@@ -47,6 +47,9 @@
     constexpr const char *reason = "the limit of the workspace is reached";
     engine.counters.refusals += 1;
     engine.counters.refusalsByCause[reason] += 1;
+    if (!session.relayed) {
+        countRefusal(engine.counters.workspaces, session.caller.workspace, reason);
+    }
     client_reply reply;
     reply.code = reply_code::busy;
     reply.detail = reason;
--- a/mustardrouter/Soak/soak_workspaces.cpp
+++ b/mustardrouter/Soak/soak_workspaces.cpp
@@ -96,7 +96,7 @@
             taker.keys.push_back(changed.keys.back());
             changed.keys.pop_back();
             if (fromLargest) {
-                m_unusualUntil[taker.name] = time_point::max();
+                m_takers.insert(taker.name);
             }
         }
         break;
@@ -176,7 +176,7 @@
     }
     const std::string &holder = *holders.begin();
     const auto unusual = m_unusualUntil.find(holder);
-    return !m_busy.contains(holder) && (unusual == m_unusualUntil.end() || unusual->second < now);
+    return !m_busy.contains(holder) && !m_takers.contains(holder) && (unusual == m_unusualUntil.end() || unusual->second < now);
 }
 
 void soak_workspaces::visitVersions(time_point since, const std::function<void(const version &)> &visit) const
--- a/mustardrouter/Soak/soak_workspaces.h
+++ b/mustardrouter/Soak/soak_workspaces.h
@@ -75,6 +75,8 @@
     std::map<std::string, std::vector<std::string>> m_allKeys;
     std::map<std::string, std::string> m_firstHolder;
     std::set<std::string> m_busy;
+    /// Workspaces to which keys of the largest have moved, with its clients.
+    std::set<std::string> m_takers;
     /// Until when a workspace isn't owed all that it asks for.
     std::map<std::string, time_point> m_unusualUntil;
     std::set<std::uint64_t> m_countedAttempts;
--- a/tests.d/soak.sh
+++ b/tests.d/soak.sh
@@ -11,6 +11,8 @@
     "29 replaced primaries continue, scarce connections: statements are relayed"
     "118 an order without a reply is repeated: the claim must get a new revision"
     "571 a watch repeated while the store was silent was awaited after its return, and a removed route served (inc1)"
+    "5010 keys are withdrawn and a limit is lowered while instances can't read it (workspaces)"
+    "5101 two rounds: the same with returns of the store; once an answer was another's"
     "203 two rounds: a watch requested while the store was unresponsive was lost, and the configuration update with it"
 )
 pids=()
