Fuzz: messages about limits

Change: fuzz_platform decodes the messages about limits too; what was decoded must encode and decode to the same.

--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -1,6 +1,7 @@
 // Fuzzes what an instance on the users' platform receives: lines of clients, of databases and of relaying instances, messages between
 // instances, and objects of the store. Any input must be decoded or rejected without an exception.
 
+#include "mustardrouter/Edge/limit_codec.h"
 #include "mustardrouter/Schema/relay.pb.h"
 #include "platform/line_codec.h"
 #include "platform/stored_objects.h"
@@ -42,6 +43,14 @@
         return;
     }
     decodeLines(message.statements().lines());
+    if (message.has_limit()) {
+        if (const std::optional<limit_message> limit = decodeLimitMessage(message.limit())) {
+            // What was decoded can be passed on and is decoded to the same again.
+            const relay::relay_message passedOn = encodeLimitMessage(*limit);
+            const std::optional<limit_message> same = decodeLimitMessage(passedOn.limit());
+            require(same && encodeLimitMessage(*same).SerializeAsString() == passedOn.SerializeAsString());
+        }
+    }
     decodeLines(message.replies().lines());
     // What an instance passes on, another must be able to read.
     relay::relay_message again;
