--- a/mustardrouter/Operators/log_timeline.cpp
+++ b/mustardrouter/Operators/log_timeline.cpp
@@ -1,6 +1,6 @@
 #include "mustardrouter/Operators/log_timeline.h"
 
-#include <json/json.h>
+#include "mustardrouter/Runtime/json_object.h"
 
 #include <algorithm>
 #include <iomanip>
@@ -19,13 +19,16 @@
 constexpr std::int64_t contextMs = 5000;
 constexpr std::int64_t millisPerSecond = 1000;
 
-bool parseLine(const std::string &text, Json::CharReader &reader, log_line &line)
+bool parseLine(const std::string &text, log_line &line)
 {
     const std::size_t begin = text.find('{');
-    Json::Value value;
-    const bool isObject =
-        begin != std::string::npos && reader.parse(text.data() + begin, text.data() + text.size(), &value, nullptr) && value.isObject();
-    if (!isObject || !value["at"].isInt64() || !value["event"].isString() || !value["instance"].isString()) {
+    const std::optional<Json::Value> parsed =
+        begin == std::string::npos ? std::nullopt : parseJsonObject(std::string_view(text).substr(begin));
+    if (!parsed) {
+        return false;
+    }
+    const Json::Value &value = *parsed;
+    if (!value["at"].isInt64() || !value["event"].isString() || !value["instance"].isString()) {
         return false;
     }
     line.at = value["at"].asInt64();
@@ -33,7 +36,7 @@
     line.event = value["event"].asString();
     for (const std::string &name : value.getMemberNames()) {
         if (name != "at" && name != "event" && name != "instance") {
-            line.fields[name] = value[name].asString();
+            line.fields[name] = value[name].isConvertibleTo(Json::stringValue) ? value[name].asString() : std::string("?");
         }
     }
     return true;
@@ -75,6 +78,18 @@
     return fieldOf(line, "request") == request || fieldOf(line, "transaction") == request;
 }
 
+/// Why a statement was refused or left in doubt; empty for lines that don't say so.
+std::string causeOf(const log_line &line)
+{
+    if (line.event == "statement_refused") {
+        return fieldOf(line, "why");
+    }
+    if (line.event == "statement_in_doubt") {
+        return "in doubt: " + fieldOf(line, "why");
+    }
+    return line.event == "key_withdrawn" ? "the key was withdrawn" : "";
+}
+
 bool isDecision(const log_line &line)
 {
     return line.fields.contains("request");
@@ -84,11 +99,10 @@
 
 std::vector<log_line> readLog(std::istream &in, std::size_t &skipped)
 {
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     std::vector<log_line> lines;
     for (std::string text; std::getline(in, text);) {
         log_line line;
-        if (parseLine(text, *reader, line)) {
+        if (parseLine(text, line)) {
             lines.push_back(std::move(line));
         } else {
             skipped += text.empty() ? 0 : 1;
@@ -119,7 +133,7 @@
     std::int64_t from = subjectLines.front().at;
     for (const log_line &line : subjectLines) {
         instances.insert(line.instance);
-        for (const char *name : {"group", "from", "lead", "database"}) {
+        for (const char *name : {"group", "from", "lead", "database", "workspace", "key"}) {
             relatedNames.insert(fieldOf(line, name));
         }
         // The statement arrived before its first line was logged, by the time it had waited.
@@ -128,6 +142,7 @@
     }
     relatedNames.erase("");
     relatedNames.erase("none");
+    relatedNames.erase("-");
     const std::int64_t to = subjectLines.back().at;
     std::vector<log_line> timeline;
     for (const log_line &line : sorted) {
@@ -163,11 +178,10 @@
     std::map<std::int64_t, std::map<std::string, std::uint64_t>> bySecond;
     std::map<std::string, std::uint64_t> totals;
     for (const log_line &line : sorted) {
-        const bool refused = line.event == "statement_refused";
-        if (!refused && line.event != "statement_in_doubt") {
+        const std::string cause = causeOf(line);
+        if (cause.empty()) {
             continue;
         }
-        const std::string cause = (refused ? "" : "in doubt: ") + fieldOf(line, "why");
         const std::int64_t second = (line.at - sorted.front().at) / millisPerSecond;
         bySecond[second][cause] += 1;
         totals[cause] += 1;
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mustardrouter/Workspaces/workspace_usage.h"
+
 #include <cstdint>
 #include <map>
 #include <string_view>
@@ -35,6 +37,7 @@
     std::uint64_t relayedNotHandled = 0;
     /// Messages that other instances relayed to a channel that was not open here; they were not handled.
     std::uint64_t relayedRefused = 0;
+    workspace_usage_table workspaces;
     /// Sessions refused because their key is in no workspace, and those whose key was withdrawn later.
     std::uint64_t unknownKeys = 0;
     std::uint64_t keysWithdrawn = 0;
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/PlatformStandIn/standin_store.h"
 #include "mustardrouter/Soak/soak_history.h"
 #include "mustardrouter/Soak/soak_route.h"
+#include "mustardrouter/Soak/soak_workspaces.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -42,9 +43,11 @@
     bool connectionsAreScarce = false;
     /// All instances are in one data centre, where most of them learn of the store's changes from others.
     bool changesArePassedOn = false;
+    /// The configuration has workspaces; one route of each group is public.
+    bool hasWorkspaces = false;
 };
 
-/// The variant that a seed plays: two of five seeds play one, one of ten both.
+/// The variant that a seed plays: two of five seeds play one of the first two, one of ten both.
 soak_variant variantOf(std::uint64_t seed);
 
 /// The databases and the platform of a soak: groups, database servers, store entries, versions of the configuration.
@@ -62,6 +65,9 @@
                     std::uint64_t seed,
                     soak_variant variant);
 
+    /// The workspaces, or null if none are played. To be started before the deployment.
+    soak_workspaces *workspaces();
+
     /// Creates groups of three databases and the first configuration; false if a port could not be opened.
     bool start(std::size_t groupCount, std::size_t instanceCount);
 
@@ -110,6 +116,7 @@
     std::vector<soak_route> m_routes;
     std::vector<published_version> m_versions;
     soak_variant m_variant;
+    soak_workspaces m_workspaces;
     std::uint64_t m_nextDatabase = 1;
     std::uint64_t m_ticks = 0;
     bool m_failed = false;
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -124,6 +124,12 @@
     return signature;
 }
 
+const sent_statement *soak_history::findSent(const std::string &id) const
+{
+    const auto found = m_statements.find(id);
+    return found == m_statements.end() ? nullptr : &found->second.sent;
+}
+
 bool soak_history::hasRun(const std::string &id) const
 {
     const auto found = m_statements.find(id);
@@ -254,7 +260,10 @@
     }
     const auto run = m_runs.find(reply.signature);
     if (run == m_runs.end() || run->second.id != id || run->second.rows != reply.rows) {
-        reportViolation("MIXED: the answer to " + id + " has the signature '" + reply.signature + "'");
+        const std::string of = run == m_runs.end()    ? "no run"
+                               : run->second.id == id ? "its run, but other rows"
+                                                      : run->second.id + " at " + run->second.database.value();
+        reportViolation("MIXED: the answer to " + id + " has the signature '" + reply.signature + "' of " + of);
         return;
     }
     if (!isCommit(sent)) {
