Test: relayed messages carry the caller

Cause: nothing showed that workspace and digest arrive as they were sent, also a name that is no UTF-8.

--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -33,6 +33,7 @@
     std::vector<std::string> closing;
     std::map<std::uint64_t, std::string> replies;
     std::vector<std::string> statements;
+    std::vector<caller_identity> callers;
     std::vector<relay_channel> channels;
     std::vector<bool> opens;
     std::vector<relay_channel> closedChannels;
@@ -55,10 +56,11 @@
                                 bool opens,
                                 const std::string &route,
                                 duration timeLeft,
-                                const caller_identity &,
+                                const caller_identity &caller,
                                 std::string_view lines) {
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
         record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
+        record.callers.push_back(caller);
         record.channels.push_back(channel);
         record.opens.push_back(opens);
     };
@@ -144,11 +146,14 @@
         return pair.atEntry.opened.size() == 2;
     });
     pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
-    pair.entry.send(two, "route-b", 800ms, "QUERY b READ y\r\n");
+    // A name need not be UTF-8.
+    const caller_identity caller{workspace_name("w\xff"), key_digest(0xfedcba9876543210)};
+    pair.entry.send(two, "route-b", 800ms, "QUERY b READ y\r\n", caller);
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 2;
     });
     CHECK_EQUAL(std::string("route-a 700 QUERY a READ x\r\n"), pair.atHolder.statements.front());
+    CHECK_TRUE(pair.atHolder.callers == (std::vector<caller_identity>{{}, caller}));
     CHECK_EQUAL(pair.atHolder.channels[0].link, pair.atHolder.channels[1].link);
     pair.holder.reply(pair.atHolder.channels[1], "READY I -\r\n");
     pair.runUntil([&] {
