Tests of single decisions on the store's changes

Cause: taking out the age limit, the haste when all sources are cut, or the comparison of eras left the plays green, as the other decisions made up for it. Change: tests of these decisions by themselves, and of the time up to which an answer with a change completes a copy. Seen to fail: each without its decision (five mutations of change_feed.cpp and change_log.cpp).

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -303,6 +303,21 @@
     }
 }
 
+TEST(object_watch, anAnswerWithAChangeCompletesTheCopyOnlyUpToTheSendingOfTheRequest)
+{
+    // How long the answer was under way is not known.
+    watched_store fixture(100ms, 2s);
+    fixture.watch->start();
+    fixture.context.run_for(300ms);
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.notifyWatches();
+    const time_point answeredFrom = bootTime();
+    // Before the next request.
+    fixture.context.run_for(10ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+    CHECK_TRUE(answeredFrom - fixture.watch->completeSince() > 150ms);
+}
+
 namespace
 {
 
--- a/UnitTests/Membership/change_feed_test.cpp
+++ b/UnitTests/Membership/change_feed_test.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/Membership/feed_world.h"
+#include "mustardrouter/Membership/rendezvous.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -215,6 +216,99 @@
 namespace
 {
 
+/// One instance of a large data centre whose two sources reply as the test says.
+struct fed_by_hand {
+    feed_settings settings = playedSettings();
+    change_feed feed = makeFeed(settings, instance_name("self"), 1);
+    time_point now{std::chrono::hours(1)};
+
+    fed_by_hand()
+    {
+        std::vector<feed_peer> peers;
+        // The last in rank follows.
+        const std::vector<instance_name> ranked =
+            rankInstances("store changes", {instance_name("a"), instance_name("b"), instance_name("c"), instance_name("d")});
+        feed.self = ranked.back();
+        for (const instance_name &name : ranked) {
+            peers.push_back({name, name.value()});
+        }
+        setPeers(feed, peers);
+        for (int polls = 0; polls < 10; ++polls) {
+            step(settings.pollInterval, now + settings.pollInterval, true);
+        }
+        CHECK_TRUE(feed.role == feed_role::following);
+    }
+    /// Both sources reply at once; their copies are complete since the time.
+    void step(duration after, time_point completeSince, bool reachesStore)
+    {
+        now += after;
+        for (const feed_peer &peer : advance(feed, {true, true}, now)) {
+            feed_report report{now, reachesStore, false, {}};
+            report.completeSince.fill(completeSince);
+            onReport(feed, peer.name, report, now);
+        }
+        advance(feed, {true, true}, now);
+    }
+};
+
+} // namespace
+
+TEST(change_feed, sourcesThatReplyAndReachTheStoreButAreBehindAreNotBelieved)
+{
+    fed_by_hand one;
+    const time_point complete = one.now;
+    for (time_point end = one.now + one.settings.ageLimit; one.now < end;) {
+        one.step(50ms, complete, true);
+        CHECK_TRUE(one.now >= end || one.feed.role == feed_role::following);
+    }
+    one.step(one.settings.askJitter, complete, true);
+    CHECK_TRUE(one.feed.role == feed_role::asking);
+    // The timer that it asks for is not later than that.
+    fed_by_hand other;
+    CHECK_TRUE(nextDue(other.feed, other.now).has_value());
+    CHECK_TRUE(*nextDue(other.feed, other.now) <= other.now + other.settings.ageLimit + other.settings.askJitter);
+}
+
+TEST(change_feed, oneKindThatIsBehindIsEnough)
+{
+    fed_by_hand one;
+    one.feed.completeSince.at(1) = one.now - one.settings.ageLimit - one.settings.askJitter;
+    advance(one.feed, {true, true}, one.now);
+    CHECK_TRUE(one.feed.role == feed_role::asking);
+}
+
+TEST(change_feed, sourcesThatSayThatTheyAreCutAreNotWaitedFor)
+{
+    fed_by_hand one;
+    one.step(one.settings.pollInterval, one.now, false);
+    one.step(one.settings.askJitter, one.now, false);
+    CHECK_TRUE(one.feed.role == feed_role::asking);
+}
+
+TEST(change_feed, changesOfAnotherEraOrWithAGapDoNotContinueACopy)
+{
+    const auto position = [](std::uint64_t era, std::uint64_t revision) {
+        return store_position{store_era(era), store_revision(revision)};
+    };
+    CHECK_TRUE(continuesAt(position(1, 5), false, position(1, 5), position(1, 7)));
+    CHECK_TRUE(continuesAt(position(1, 6), false, position(1, 5), position(1, 7)));
+    CHECK_TRUE(continuesAt(position(1, 3), true, position(1, 5), position(1, 7)));
+    CHECK_FALSE(continuesAt(position(1, 4), false, position(1, 5), position(1, 7)));
+    CHECK_FALSE(continuesAt(position(1, 8), true, position(1, 5), position(1, 7)));
+    CHECK_FALSE(continuesAt(position(1, 5), false, position(1, 5), position(2, 3)));
+    CHECK_FALSE(continuesAt(position(1, 5), true, position(1, 5), position(2, 9)));
+    change_log log;
+    restartLog(log, position(1, 5));
+    appendToLog(log, {position(1, 5), position(1, 7), {}, {}, {"gone"}});
+    CHECK_TRUE(changesSince(log, position(1, 4))->whole);
+    CHECK_TRUE(changesSince(log, position(1, 6))->removed.contains("gone"));
+    CHECK_FALSE(changesSince(log, position(1, 7)).has_value());
+    CHECK_FALSE(changesSince(log, position(0, 6)).has_value());
+}
+
+namespace
+{
+
 /// One random fault, which ends by itself.
 void addFault(feed_world &world)
 {
