An instance follows from its start as soon as its sources confirm

Cause: at a start of 144 instances each sent a watch of its own first; the shortest time of asking is meant for those that followed. Change: the shortest time counts only after following.

--- a/mustardrouter/Membership/change_feed.cpp
+++ b/mustardrouter/Membership/change_feed.cpp
@@ -126,6 +126,7 @@
     if (feed.role == feed_role::following) {
         if (const char *reason = reasonToAsk(feed, now)) {
             feed.askingSince = now;
+            feed.askUntil = now + feed.settings.minAskTime;
             take(feed, feed_role::asking, reason);
         }
         return;
@@ -134,9 +135,8 @@
         feed.askingSince = now;
         take(feed, feed_role::asking, "no confirmation yet");
     }
-    const bool askedLongEnough = now - feed.askingSince >= feed.settings.minAskTime;
     const time_point fresh = now - feed.settings.ageLimit + feed.settings.pollInterval;
-    if (copies.complete && askedLongEnough && anyFit && isCompleteSince(feed, fresh)) {
+    if (copies.complete && now >= feed.askUntil && anyFit && isCompleteSince(feed, fresh)) {
         feed.jitter = drawBelow(feed, feed.settings.askJitter);
         take(feed, feed_role::following, "sources confirm");
     }
--- a/mustardrouter/Membership/change_feed.h
+++ b/mustardrouter/Membership/change_feed.h
@@ -85,6 +85,8 @@
     /// All changes that the store acknowledged before were told by the sources; the epoch if that is not known.
     std::array<time_point, feedKinds> completeSince{};
     time_point askingSince{};
+    /// One that followed asks until then at least.
+    time_point askUntil{};
     /// Random delay of the next time at which this instance asks the store itself.
     duration jitter{};
     /// Since when no source is fit; the epoch if one is.
--- a/mustardrouter/Membership/feed_settings.h
+++ b/mustardrouter/Membership/feed_settings.h
@@ -23,7 +23,7 @@
     duration silenceLimit{};
     /// A replaced source is tried again after this time, and up to as much more at random.
     duration retryAfter{};
-    /// Shortest time for which an instance asks the store itself.
+    /// Shortest time for which an instance asks the store itself after it followed.
     duration minAskTime{};
     /// An instance counts as a source of another for this time after the other's last poll.
     duration pollValidFor{};
