Soak: keys are withdrawn where clients are, and sessions outlive it

Change: two withdrawals in the quiet phase instead of one, drawn by clients and from a workspace that has keys; sessions on routes that need a key last about 100 operations.

--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -172,7 +172,9 @@
                 addQuietChange(plan, round, change, earlyChangeDelay);
             }
         }
-        for (const soak_fault kind : {soak_fault::limitLowered, soak_fault::keysWithdrawn, soak_fault::keyMoved, soak_fault::keyAdded}) {
+        constexpr std::array<soak_fault, 5> quietKinds{
+            soak_fault::limitLowered, soak_fault::keysWithdrawn, soak_fault::keysWithdrawn, soak_fault::keyMoved, soak_fault::keyAdded};
+        for (const soak_fault kind : quietKinds) {
             addQuietChange(
                 plan, round, drawWorkspaceFault(round, kind), m_workspaceRandom() % 2 == 0 ? earlyChangeDelay : plannedWorkDelay);
         }
--- a/mustardrouter/Soak/soak_client.cpp
+++ b/mustardrouter/Soak/soak_client.cpp
@@ -346,7 +346,8 @@
     m_step += 1;
     if (m_failed || m_step >= m_steps.size()) {
         endOperation(!m_failed);
-        constexpr std::uint64_t percentLeaving = 3;
+        // Long enough that many sessions are open when their key is withdrawn, and for longer than it may be served.
+        const std::uint64_t percentLeaving = m_route.isPublic ? 10 : 1;
         if (m_environment.workspaces != nullptr && m_random() % percent < percentLeaving) {
             // Otherwise all clients would end up where they need no key.
             reconnect();
--- a/mustardrouter/Soak/soak_workspaces.cpp
+++ b/mustardrouter/Soak/soak_workspaces.cpp
@@ -65,14 +65,19 @@
     return m_current;
 }
 
-standin_workspace &soak_workspaces::at(std::uint32_t target)
+standin_workspace &soak_workspaces::at(std::size_t target)
 {
     return m_current[target % workspaceCount];
 }
 
 void soak_workspaces::change(const planned_fault &fault, time_point now)
 {
-    standin_workspace &changed = at(fault.target);
+    // Keys are withdrawn where clients are: mostly from the large workspaces, and from one that has some.
+    std::size_t target = fault.kind == soak_fault::keysWithdrawn ? rankOf(fault.target) : fault.target;
+    for (std::size_t tries = 0; fault.kind == soak_fault::keysWithdrawn && tries < workspaceCount && at(target).keys.empty(); ++tries) {
+        target += 1;
+    }
+    standin_workspace &changed = at(target);
     switch (fault.kind) {
     case soak_fault::keysWithdrawn:
         if (fault.variant % 2 == 0) {
--- a/mustardrouter/Soak/soak_workspaces.h
+++ b/mustardrouter/Soak/soak_workspaces.h
@@ -57,7 +57,7 @@
         std::vector<standin_workspace> workspaces;
     };
 
-    standin_workspace &at(std::uint32_t target);
+    standin_workspace &at(std::size_t target);
     std::string holderOf(const std::string &key) const;
     /// Calls `visit` for each version that was the newest at some instant from `since` on.
     void visitVersions(time_point since, const std::function<void(const version &)> &visit) const;
