--- a/UnitTests/Edge/edge_metrics_test.cpp
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -15,6 +15,8 @@
 {
     proxy_engine engine{proxy_settings{}};
     engine.counters.refusalsByCause["the instance stops"] = 3;
+    onLimits(engine.limits, {{workspace_name("red \"1\""), {5, 2}}}, time_point(std::chrono::seconds(1)));
+    engine.limits.spender.uses[workspace_name("red \"1\"")].operations = 4;
     edge_metrics metrics;
     metrics.recordStatement(reply_code::done, 0.01);
     metrics.recordFirstWrite(failover_cause::leaving, 0.7);
@@ -37,5 +39,6 @@
     }
     CHECK_EQUAL(exposed.size(), rows);
     CHECK_TRUE(text.find("mustardrouter_refusals_by_cause_total{cause=\"the instance stops\"} 3") != std::string::npos);
+    CHECK_TRUE(text.find("mustardrouter_workspace_operations_total{workspace=\"red \\\"1\\\"\"} 4") != std::string::npos);
     CHECK_TRUE(text.find("mustardrouter_first_write_seconds_bucket{cause=\"primary leaves\",le=\"1\"} 1") != std::string::npos);
 }
--- a/UnitTests/PlatformAdapter/settings_file_test.cpp
+++ b/UnitTests/PlatformAdapter/settings_file_test.cpp
@@ -81,3 +81,27 @@
     text.replace(text.find("\"frontend\":\"10.1.0.8:8784\""), 26, "\"frontend\":8784          ");
     CHECK_TRUE(errorDetail(text, environment).find("frontend") != std::string::npos);
 }
+
+TEST(settings_file, boundsOfLimitsAreReadAndDamagedOnesReplacedByDefaults)
+{
+    const auto withBounds = [](const std::string &bounds) {
+        std::string text = validSettings;
+        text.replace(text.find("\"grace_s\":6"), 11, bounds);
+        instance_environment environment;
+        CHECK_EQUAL(std::string(), errorDetail(text, environment));
+        return environment;
+    };
+    const instance_environment given = withBounds(R"("quota_window_s":4,"quota_overrun":0.25,"quota_slack":8)");
+    CHECK_EQUAL(4000, given.quotaWindowMs);
+    DOUBLES_EQUAL(0.25, given.quotaOverrun, 0);
+    DOUBLES_EQUAL(8, given.quotaSlack, 0);
+    for (const char *damaged : {R"("grace_s":6)",
+                                R"("quota_window_s":0,"quota_overrun":-1,"quota_slack":"20")",
+                                R"("quota_window_s":[],"quota_overrun":{},"quota_slack":null)",
+                                R"("quota_window_s":1e300,"quota_overrun":1e300,"quota_slack":1e300)"}) {
+        const instance_environment environment = withBounds(damaged);
+        CHECK_EQUAL(5000, environment.quotaWindowMs);
+        DOUBLES_EQUAL(0.1, environment.quotaOverrun, 0);
+        DOUBLES_EQUAL(20, environment.quotaSlack, 0);
+    }
+}
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -102,6 +102,8 @@
     std::mt19937_64 random;
     time_point now{std::chrono::seconds(1000)};
     std::multimap<time_point, std::function<void()>> events;
+    /// Lines that the instance under test wrote to the log, by event.
+    std::map<std::string, std::size_t> reports;
     std::map<database_name, fake_database> databases;
     std::map<database_connection_id, database_name> databaseByConnection;
     /// The workspace that each connection was opened for.
--- a/UnitTests/Workspaces/limit_histories_main.cpp
+++ b/UnitTests/Workspaces/limit_histories_main.cpp
@@ -3,12 +3,39 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 using namespace mustardrouter;
 
-/// Runs COUNT random histories of each kind from FIRST_SEED on; prints those that exceed a limit.
+namespace
+{
+
+int printCost()
+{
+    for (const std::size_t spenders : {1U, 3U, 9U, 72U}) {
+        const limit_cost cost = measureLimitCost(spenders);
+        std::printf("%zu spenders for each workspace: %.0f operations/s, refused %.5f, mean wait %.1f ms, %.0f messages/s (%s), "
+                    "%.1f KB/s, between regions %.1f KB/s\n",
+                    spenders,
+                    cost.operationsPerSecond,
+                    cost.refusedShare,
+                    cost.meanWaitMillis,
+                    cost.messagesPerSecond,
+                    cost.byKind.c_str(),
+                    cost.bytesPerSecond / 1000,
+                    cost.bytesBetweenRegionsPerSecond / 1000);
+    }
+    return 0;
+}
+
+} // namespace
+
+/// Runs COUNT random histories of each kind from FIRST_SEED on; prints those that exceed a limit. With --cost, measures the messages.
 int main(int argc, char **argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "--cost") {
+        return printCost();
+    }
     const std::uint64_t count = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1000;
     const std::uint64_t firstSeed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
     double worst = 0;
--- a/UnitTests/Workspaces/limit_history.cpp
+++ b/UnitTests/Workspaces/limit_history.cpp
@@ -280,4 +280,52 @@
     return history(seed).steady();
 }
 
+limit_cost measureLimitCost(std::size_t spendersEach)
+{
+    constexpr std::size_t instances = 140;
+    constexpr std::size_t workspaces = 87;
+    constexpr double operations = 1000;
+    limit_world world(1);
+    for (std::size_t number = 0; number < instances; ++number) {
+        world.addNode(true);
+    }
+    double sum = 0;
+    for (std::size_t number = 1; number <= workspaces; ++number) {
+        sum += std::pow(static_cast<double>(number), -1.2);
+    }
+    std::map<workspace_name, workspace_limit> limits;
+    const time_point from = time_point(std::chrono::seconds(10));
+    constexpr int span = 20;
+    for (std::size_t number = 1; number <= workspaces; ++number) {
+        const double rate = operations * std::pow(static_cast<double>(number), -1.2) / sum;
+        const workspace_name name("workspace-" + std::to_string(number));
+        limits[name] = {1.6 * rate, 3.2 * rate};
+        for (time_point when = from; when < from + std::chrono::seconds(span);) {
+            when += seconds(std::exponential_distribution<double>(rate)(world.random));
+            const std::size_t node = (number * 31 + world.random() % spendersEach * 7) % instances;
+            world.at(when, [&world, node, name] {
+                world.operate(node, name, true);
+            });
+        }
+    }
+    world.setLimits(limits);
+    world.runUntil(from);
+    const std::uint64_t messages = world.messages;
+    const std::uint64_t bytes = world.messageBytes;
+    const std::uint64_t between = world.bytesBetweenRegions;
+    world.messagesByKind.clear();
+    world.runUntil(from + std::chrono::seconds(span));
+    limit_cost cost;
+    cost.messagesPerSecond = static_cast<double>(world.messages - messages) / span;
+    cost.bytesPerSecond = static_cast<double>(world.messageBytes - bytes) / span;
+    cost.bytesBetweenRegionsPerSecond = static_cast<double>(world.bytesBetweenRegions - between) / span;
+    cost.operationsPerSecond = static_cast<double>(world.served) / span;
+    cost.refusedShare = static_cast<double>(world.owedRefused) / static_cast<double>(world.owedRefused + world.owedServed);
+    cost.meanWaitMillis = std::chrono::duration<double, std::milli>(world.sumOfWaits).count() / static_cast<double>(world.served);
+    for (const auto &[kind, count] : world.messagesByKind) {
+        cost.byKind += kind + " " + std::to_string(count / span) + ", ";
+    }
+    return cost;
+}
+
 } // namespace mustardrouter
--- a/UnitTests/Workspaces/limit_world.cpp
+++ b/UnitTests/Workspaces/limit_world.cpp
@@ -319,6 +319,7 @@
         return;
     }
     const bool sameRegion = from % regions == to % regions;
+    bytesBetweenRegions += sameRegion ? 0 : encodedSize(sent.message);
     duration delay = sameRegion ? millis(1) : millis(20);
     delay += duration(static_cast<std::int64_t>(uniform() * 4000));
     if (uniform() < lateChance) {
--- a/UnitTests/Workspaces/limit_world.h
+++ b/UnitTests/Workspaces/limit_world.h
@@ -83,6 +83,7 @@
     std::uint64_t messages = 0;
     /// Estimated as encoded, without the headers of the network.
     std::uint64_t messageBytes = 0;
+    std::uint64_t bytesBetweenRegions = 0;
     std::map<std::string, std::uint64_t> messagesByKind;
     /// Longest time that a served operation waited for its token.
     duration longestWait{};
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -5,7 +5,10 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <utility>
+#include <vector>
 
 namespace mustardrouter
 {
@@ -19,6 +22,73 @@
 /// Upper bounds of the buckets of outages in seconds. A promotion takes 0.3 to 1 s from its order.
 const prometheus::Histogram::BucketBoundaries outageBuckets{0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
 
+/// Workspaces with figures of their own; the others are summed.
+constexpr std::size_t workspacesShown = 10;
+
+std::string escapedLabel(const std::string &value)
+{
+    std::string escaped;
+    for (const char letter : value) {
+        if (letter == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (letter == '"' || letter == '\\') {
+            escaped += '\\';
+        }
+        escaped += letter;
+    }
+    return escaped;
+}
+
+/// Operations, refusals, limits and shares of the workspaces that this instance sends most operations for.
+void appendWorkspaces(std::string &text, const limit_engine &limits)
+{
+    if (limits.limits.empty()) {
+        return;
+    }
+    std::vector<std::pair<workspace_name, const limit_use *>> uses;
+    for (const auto &[name, use] : limits.spender.uses) {
+        uses.emplace_back(name, &use);
+    }
+    std::ranges::stable_sort(uses, std::greater<>(), [](const auto &entry) {
+        return entry.second->operations + entry.second->refusals;
+    });
+    std::string operations = "# TYPE mustardrouter_workspace_operations_total counter\n";
+    std::string refusals = "# TYPE mustardrouter_workspace_refusals_total counter\n";
+    std::string rates = "# TYPE mustardrouter_workspace_limit_per_second gauge\n";
+    std::uint64_t otherOperations = 0;
+    std::uint64_t otherRefusals = 0;
+    const auto append = [](std::string &to, const char *metric, const std::string &workspace, const std::string &value) {
+        to += std::string("mustardrouter_workspace_") + metric + "{workspace=\"" + workspace + "\"} " + value + "\n";
+    };
+    for (std::size_t index = 0; index < uses.size(); ++index) {
+        const auto &[name, use] = uses[index];
+        if (index >= workspacesShown) {
+            otherOperations += use->operations;
+            otherRefusals += use->refusals;
+            continue;
+        }
+        const std::string label = escapedLabel(name.value());
+        append(operations, "operations_total", label, std::to_string(use->operations));
+        append(refusals, "refusals_total", label, std::to_string(use->refusals));
+        const auto limit = limits.limits.find(name);
+        if (limit != limits.limits.end()) {
+            append(rates, "limit_per_second", label, std::to_string(limit->second.operationsPerSecond));
+        }
+    }
+    // No workspace has an empty name.
+    append(operations, "operations_total", "", std::to_string(otherOperations));
+    append(refusals, "refusals_total", "", std::to_string(otherRefusals));
+    text += operations + refusals + rates;
+    text += "# TYPE mustardrouter_limit_members gauge\nmustardrouter_limit_members " + std::to_string(limits.ownership.owned) + "\n";
+    text += "# TYPE mustardrouter_limit_share_held gauge\n";
+    for (std::size_t slot = 0; slot < limits.pool.slots.size(); ++slot) {
+        text +=
+            "mustardrouter_limit_share_held{slot=\"" + std::to_string(slot) + "\"} " + std::to_string(limits.pool.slots[slot].share) + "\n";
+    }
+}
+
 } // namespace
 
 /// The Prometheus registry and one latency histogram for each outcome seen so far.
@@ -122,6 +192,7 @@
     appendMetric("holders_suspected", "gauge", suspectedHolders);
     appendMetric("instances_listed", "gauge", engine.instances.size());
     appendMetric("configuration_version", "gauge", engine.routes.version.value());
+    appendWorkspaces(text, engine.limits);
     return text + prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
 }
 
--- a/tests.d/spec.sh
+++ b/tests.d/spec.sh
@@ -43,7 +43,7 @@
 echo "bounds: 3 databases, 2 owners, 1 confirming replica; 4 terms and 2 writes, with reads 3 terms and 1 write;"
 echo "        records of 3 versions, 2 instances of 2 lives each, 1 outage;"
 echo "        replaced primaries: 3 databases, 2 claimants, 2 writers, 2 promotions;"
-echo "        shares: 2 pools, 1 member, 5 ticks, loans of 2, 1 restart of the member and 1 of a pool"
+echo "        shares: 2 pools, 1 member, 5 ticks, 2 polls and 1 return of each pool, loans of 2, 1 restart of the member and 1 of a pool"
 expect holds "writes" promotion -DTERMS=4 -DWRITES=2
 expect holds "reads without a token" promotion -DTERMS=3 -DREADS
 expect holds "reads with a token" promotion -DTERMS=3 -DREADS -DWITH_TOKEN
