--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace mustardrouter
 {
@@ -60,6 +61,17 @@
 /// Upper bounds of the buckets of outages in seconds. A promotion takes 0.3 to 1 s from its order.
 const prometheus::Histogram::BucketBoundaries outageBuckets{0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
 
+/// Who shares the limits of workspaces, and what this instance holds of them.
+void appendLimits(std::string &text, const limit_engine &limits)
+{
+    const std::string members = appendTypeLine(text, "limit_members", "gauge");
+    text += members + " " + std::to_string(limits.ownership.owned) + "\n";
+    const std::string share = appendTypeLine(text, "limit_share_held", "gauge");
+    for (std::size_t slot = 0; slot < limits.pool.slots.size(); ++slot) {
+        text += share + "{slot=\"" + std::to_string(slot) + "\"} " + std::to_string(limits.pool.slots[slot].share) + "\n";
+    }
+}
+
 } // namespace
 
 /// The Prometheus registry and one latency histogram for each outcome seen so far.
@@ -183,6 +195,9 @@
     appendMetric("holders_suspected", "gauge", suspectedHolders);
     appendMetric("instances_listed", "gauge", engine.instances.size());
     appendMetric("configuration_version", "gauge", engine.routes.version.value());
+    if (!engine.limits.limits.empty()) {
+        appendLimits(text, engine.limits);
+    }
     return text + prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
 }
 
