--- a/mustardrouter/Workspaces/limit_ownership.cpp
+++ b/mustardrouter/Workspaces/limit_ownership.cpp
@@ -58,6 +58,10 @@
     if (!ownership.uncounted || ownership.uncounted->empty()) {
         return true;
     }
+    if (ownership.joinSentAt == time_point{}) {
+        // Nothing is sent before the configuration has a limit.
+        return false;
+    }
     const duration waited = now - ownership.joiningSince;
     const auto missing = static_cast<double>(ownership.uncounted->size());
     const bool few = missing <= fewMissingShare * static_cast<double>(ownership.members.size());
@@ -153,6 +157,9 @@
     if (!ownership.uncounted || ownership.expected == 0 || now - ownership.joinSentAt < joinInterval) {
         return {};
     }
+    if (ownership.joinSentAt == time_point{}) {
+        ownership.joiningSince = now;
+    }
     ownership.joinSentAt = now;
     return {ownership.uncounted->begin(), ownership.uncounted->end()};
 }
