--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -132,15 +132,13 @@
     if (link == m_outgoing.end()) {
         return;
     }
-    const std::shared_ptr<frame_connection> frames = link->second.frames;
-    const std::string lost = address;
-    for (const database_connection_id connection : link->second.channels) {
+    // The argument may refer to the key that is taken out.
+    const auto taken = m_outgoing.extract(link);
+    for (const database_connection_id connection : taken.mapped().channels) {
         m_addressByChannel.erase(connection);
     }
-    // The argument may refer to the key that is erased.
-    m_outgoing.erase(link);
-    frames->close(failure::connectionLost);
-    tellPeerLost(lost);
+    taken.mapped().frames->close(failure::connectionLost);
+    tellPeerLost(taken.key());
 }
 
 void relay_links::tellPeerLost(const std::string &address)
