Limits: two tokens of a workspace come with the shares of restarted members too

After a loss of all power every bucket was empty, and small workspaces waited for their first token.

--- a/mustardrouter/Workspaces/limit_engine.cpp
+++ b/mustardrouter/Workspaces/limit_engine.cpp
@@ -407,7 +407,6 @@
     const bool firstList = !engine.ownership.listReceived;
     onOwnershipList(engine.ownership, engine.settings, listed, now);
     if (firstList) {
-        engine.lender.startedAt = now;
         engine.pool.startedAt = now;
         engine.lender.nothingSpentBefore = engine.settings.isFirstSystemStart && engine.ownership.uncounted.has_value();
     }
--- a/mustardrouter/Workspaces/limit_lender.cpp
+++ b/mustardrouter/Workspaces/limit_lender.cpp
@@ -16,15 +16,14 @@
     return now < share.until;
 }
 
-/// Whether tokens may come with the share: not twice in a window, nor where an earlier process may have given some.
+/// Whether tokens may come with the share: not twice in a window, except that a restarted process does not know of its predecessor's.
 loan_tokens tokensOf(lent_share &share, const limit_lender &lender, const limit_settings &settings, time_point now)
 {
     if (lender.nothingSpentBefore && !share.tokensAt) {
         share.tokensAt = now;
         return loan_tokens::burst;
     }
-    const time_point last = std::max(share.tokensAt.value_or(lender.startedAt), lender.startedAt);
-    if (now - last < settings.window + settings.loanTime) {
+    if (share.tokensAt && now - *share.tokensAt < settings.window + settings.loanTime) {
         return loan_tokens::none;
     }
     share.tokensAt = now;
--- a/mustardrouter/Workspaces/limit_lender.h
+++ b/mustardrouter/Workspaces/limit_lender.h
@@ -26,8 +26,6 @@
 };
 
 struct limit_lender {
-    /// When this process read its first list; it owned nothing before.
-    time_point startedAt{};
     /// No earlier process of this instance nor of another can have spent anything before.
     bool nothingSpentBefore = false;
     /// By slot.
--- a/mustardrouter/Workspaces/limit_settings.cpp
+++ b/mustardrouter/Workspaces/limit_settings.cpp
@@ -18,7 +18,7 @@
 
 double spareTokens(const limit_settings &settings)
 {
-    return settings.slack * 0.2;
+    return settings.slack * 0.15;
 }
 
 double movingTokens(const limit_settings &settings)
@@ -28,7 +28,7 @@
 
 std::uint32_t unitMembers(const limit_settings &settings)
 {
-    return static_cast<std::uint32_t>(std::max(0.0, settings.slack * 0.4));
+    return static_cast<std::uint32_t>(std::max(0.0, settings.slack * 0.35));
 }
 
 } // namespace mustardrouter
