Limits: a statement that waits for a token stays where it is, and waits for one that comes soon

And statements were refused in the moment in which the buckets of new pools were empty (2,209 in half a second). Ruled out: shares that come late. They came 1.0 s after the list, as designed. Change: the time that a holder lets a statement wait for the primary counts from its last wait for a token; a token that comes within a fifth of the latency target is awaited. Figures: two tests that failed before.

--- a/UnitTests/Proxy/workspace_limits_test.cpp
+++ b/UnitTests/Proxy/workspace_limits_test.cpp
@@ -98,3 +98,28 @@
     CHECK_EQUAL(1, world.reports["limit_reached"]);
     CHECK_EQUAL(1, world.reports["limit_ended"]);
 }
+
+TEST(workspace_limits, aStatementWaitsForATokenThatComesSoon)
+{
+    limited_world world;
+    world.workspaces.workspaces.at(workspace_name("red")).limit = workspace_limit{20, 2};
+    world.configure(2);
+    world.runFor(6s);
+    fake_client &client = world.connect("latest", "key-r");
+    // A token comes each 50 ms, which is less than a fifth of the latency target of 600 ms.
+    CHECK_EQUAL(60, served(world, client, client_verb::read, 60));
+    CHECK_EQUAL(0U, world.engine.counters.refusals);
+}
+
+TEST(workspace_limits, aRelayedStatementThatWaitsForATokenIsNotSentOnForLackOfThePrimary)
+{
+    // After a loss of all power, the statements that waited for tokens went round all holders until they were refused.
+    limited_world world;
+    // The list names another instance as the pool, which does not reply.
+    world.addEntry(1);
+    world.runFor(5s);
+    fake_client &client = world.connectToEntry("latest", "key-r");
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(600ms);
+    CHECK_EQUAL(0U, world.engine.counters.refusalsByCause["the primary is out of reach from here"]);
+}
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -115,6 +115,8 @@
     bool failureUntold = false;
     /// Whether it is in the group's queue for connections.
     bool waiting = false;
+    /// When the limit of its workspace last kept its statement waiting.
+    time_point heldByLimitAt{};
 };
 
 } // namespace mustardrouter
--- a/mustardrouter/Proxy/engine_limits.cpp
+++ b/mustardrouter/Proxy/engine_limits.cpp
@@ -41,6 +41,19 @@
     }
 }
 
+/// Whether the next token comes soon enough to wait for it: a bucket is empty for a moment after a pool was replaced, and a refusal
+/// costs the caller one of few attempts. At most a fifth of the route's latency target.
+bool mayWaitForToken(const proxy_engine &engine, const client_session &session, duration retryAfter, time_point now)
+{
+    constexpr std::int64_t waitShare = 5;
+    const auto found = engine.routes.routes.find(session.database);
+    if (!session.transaction && found == engine.routes.routes.end()) {
+        return false;
+    }
+    const route &sessionRoute = session.transaction ? session.transaction->sessionRoute : found->second;
+    return now - session.current->arrivedAt + retryAfter <= sessionRoute.latencyTarget / waitShare;
+}
+
 /// Refuses the session's statement as not run. Not logged: a span of refusals has one line.
 void refuseBeyondLimit(proxy_engine &engine, client_session &session, duration retryAfter, time_point now)
 {
@@ -95,6 +108,7 @@
         counted = check == limit_check::beforeSending;
         return std::nullopt;
     case limit_decision::wait:
+        session.heldByLimitAt = now;
         return false;
     case limit_decision::refuse:
         break;
@@ -103,6 +117,12 @@
         // The refusal of a BEGIN is the reply to its first statement, which is yet to come.
         return false;
     }
+    if (mayWaitForToken(engine, session, verdict.retryAfter, now)) {
+        session.heldByLimitAt = now;
+        const group_state *group = groupOf(engine, session);
+        scheduleTimer(engine, now + verdict.retryAfter, timer_kind::dispatch, 0, group->name);
+        return false;
+    }
     refuseBeyondLimit(engine, session, verdict.retryAfter, now);
     return true;
 }
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -396,7 +396,9 @@
     if (!outOfReach && hasOpenConnection(engine, primary->second)) {
         return false;
     }
-    const time_point refuseAt = session.current->arrivedAt + (outOfReach ? primaryWait : firstConnectionWait);
+    // Before that, it did not need the primary: no other holder would serve it sooner.
+    const time_point needsPrimarySince = std::max(session.current->arrivedAt, session.heldByLimitAt);
+    const time_point refuseAt = needsPrimarySince + (outOfReach ? primaryWait : firstConnectionWait);
     if (now < refuseAt) {
         scheduleTimer(engine, refuseAt, timer_kind::dispatch, 0, group.name);
         return false;
