Workspaces: three holders at least, one in each of three regions

Cause: with two, an entry in the third region relays each statement across regions, and most holders send it across once more. Change: at least three. The tests' numbers follow; the one on a holder that goes asked nothing where it was used (kept >= 0), and asks now for exactly two of three.

--- a/UnitTests/Proxy/workspaces_test.cpp
+++ b/UnitTests/Proxy/workspaces_test.cpp
@@ -444,7 +444,7 @@
         // A link that is being opened already is used again.
         const database_name holder = holderOfNext(number);
         const std::set<database_name> &preferred = group.preferredHolders.at(workspace_name("w" + std::to_string(number)));
-        CHECK_EQUAL(2, preferred.size());
+        CHECK_EQUAL(3, preferred.size());
         CHECK_TRUE(holder == database_name() || preferred.contains(holder));
         used.insert(preferred.begin(), preferred.end());
     }
--- a/UnitTests/Workspaces/holder_affinity_test.cpp
+++ b/UnitTests/Workspaces/holder_affinity_test.cpp
@@ -34,9 +34,9 @@
 
 TEST_GROUP(holder_affinity){};
 
-TEST(holder_affinity, theNumberOfHoldersFollowsTheShareAndIsAtLeastTwo)
+TEST(holder_affinity, theNumberOfHoldersFollowsTheShareAndIsAtLeastThree)
 {
-    for (const auto &[share, expected] : std::map<double, std::size_t>{{0, 2}, {0.01, 2}, {0.28, 6}, {0.5, 10}, {1, 20}, {7, 20}}) {
+    for (const auto &[share, expected] : std::map<double, std::size_t>{{0, 3}, {0.01, 3}, {0.28, 6}, {0.5, 10}, {1, 20}, {7, 20}}) {
         CHECK_EQUAL(expected, preferredHolders("g", workspace_name("w"), share, holders(20)).size());
     }
     CHECK_EQUAL(1, preferredHolders("g", workspace_name("w"), 0, holders(1)).size());
@@ -85,8 +85,7 @@
         const auto kept = std::ranges::count_if(after, [&](const instance_name &holder) {
             return before.contains(holder);
         });
-        // Where the first one goes, its region is free for the second.
-        CHECK_TRUE(used ? kept >= 0 : kept == 2);
+        CHECK_EQUAL(used ? 2 : 3, kept);
     }
 }
 
--- a/mustardrouter/Workspaces/holder_affinity.cpp
+++ b/mustardrouter/Workspaces/holder_affinity.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// The loss of one leaves another with connections.
-constexpr std::size_t minPreferred = 2;
+/// One in each of three regions: a statement then crosses regions once at most, and the loss of one leaves others with connections.
+constexpr std::size_t minPreferred = 3;
 
 } // namespace
 
--- a/mustardrouter/Workspaces/holder_affinity.h
+++ b/mustardrouter/Workspaces/holder_affinity.h
@@ -21,7 +21,7 @@
 /// equal share where none has one. Callers without a workspace have a share of 0.
 double shareOf(const workspace_table &table, const workspace_name &workspace);
 
-/// The holders that serve a workspace, as indexes: its share of them, at least two, from different regions as far as there are some. The
+/// The holders that serve a workspace, as indexes: its share of them, at least three, from different regions as far as there are some. The
 /// same on all instances with the same holders and table. One that comes or goes changes at most one of them.
 std::vector<std::size_t> preferredHolders(std::string_view group,
                                           const workspace_name &workspace,
