--- a/UnitTests/Edge/edge_metrics_test.cpp
+++ b/UnitTests/Edge/edge_metrics_test.cpp
@@ -31,7 +31,8 @@
         const std::size_t end = text.find(' ', begin);
         const std::string name = text.substr(begin, end - begin);
         const std::string type = text.substr(end + 1, text.find('\n', end) - end - 1);
-        const std::string row = "| `" + name + "` | " + type + " |";
+        std::string row = "| `";
+        row.append(name).append("` | ").append(type).append(" |");
         CHECK_TEXT(page.find(row) != std::string::npos, row.c_str());
         exposed.insert(name);
     }
