A watch that fails again lists the configuration instead of asking for all changes since its last answer

Eight instances whose watch of the configuration had failed in an outage from 3 to 12.5 s went on with an old version until 23.8 s, although their other watches had answers from 12.6 s on; they went on when the store dropped its history, so that they had to list. Ruled out: passing on of changes. These instances were watchers, whose own watch did not answer. Change: after two failures in a row the configuration is listed; it is one object. Figures: the test fails without the change (1 object where 2 are).

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -30,7 +30,7 @@
     int timesRegained = 0;
     time_point changedSince{};
 
-    explicit watched_store(duration maxBackoff, duration held = 300ms)
+    explicit watched_store(duration maxBackoff, duration held = 300ms, std::uint32_t listAfterFailures = 0)
     {
         store.objects().put("k", "a", "one");
         address = store.addInstance();
@@ -46,7 +46,12 @@
             timesRegained += reachable ? 1 : 0;
         };
         watch = std::make_shared<object_watch>(
-            context, address, history, object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}}, 1, callbacks);
+            context,
+            address,
+            history,
+            object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}, listAfterFailures},
+            1,
+            callbacks);
     }
     ~watched_store()
     {
@@ -381,3 +386,21 @@
     fixture.context.run_for(50ms);
     CHECK_EQUAL(std::string("told"), fixture.watch->current().at("a").content.asString());
 }
+
+TEST(object_watch, changesThatAreTooManyForOneAnswerAreNotWaitedForWhereTheListIsShort)
+{
+    // A hunted day: many versions of a large configuration during an outage; instances stayed at the old one for 11 s after it.
+    watched_store fixture(100ms, 300ms, 2);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.store.faults().down = store_failure::busy;
+    fixture.context.run_for(500ms);
+    const std::string large(700'000, 'x');
+    for (int version = 0; version < 15; ++version) {
+        fixture.store.objects().put("k", "a", large + std::to_string(version));
+    }
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.faults().down = store_failure::none;
+    fixture.context.run_for(1500ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+}
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -367,7 +367,8 @@
     m_listDelayed = false;
     m_retryScheduled = false;
     m_timer.cancel();
-    if (m_listComplete) {
+    const bool listInstead = m_options.listAfterFailures > 0 && m_consecutiveFailures >= m_options.listAfterFailures;
+    if (m_listComplete && !listInstead) {
         watch();
     } else {
         list({});
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -69,6 +69,9 @@
         /// Maximum pause between retries, before jitter of up to half of the pause is added.
         duration maxBackoff{};
         watch_timing timing;
+        /// After so many failures in a row all objects are listed instead of the changes since the last answer, which may be too many
+        /// to arrive in time; 0: never. For kinds with few objects.
+        std::uint32_t listAfterFailures = 0;
     };
 
     /// `history` is shared by all that speak to the store and has to live longer than this.
