--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -132,6 +132,28 @@
            + std::to_string(age.count()) + "\n";
 }
 
+/// Sums over all groups of databases.
+struct group_figures {
+    std::size_t waiting = 0;
+    std::size_t withoutLead = 0;
+    std::size_t relaying = 0;
+    std::size_t suspectedHolders = 0;
+};
+
+group_figures figuresOf(const std::map<group_name, group_state> &groups)
+{
+    group_figures figures;
+    for (const auto &[name, group] : groups) {
+        figures.waiting += group.waiting.size();
+        figures.withoutLead += group.primary ? 0 : 1;
+        figures.relaying += group.holders.empty() ? 0 : 1;
+        figures.suspectedHolders += static_cast<std::size_t>(std::ranges::count_if(group.holders, [](const auto &holder) {
+            return holder.second.suspectedSince != time_point{};
+        }));
+    }
+    return figures;
+}
+
 } // namespace
 
 std::string edge_metrics::text(
@@ -177,22 +199,11 @@
     text += feedText(store);
     appendMetric("sessions", "gauge", sessions);
     appendMetric("connections", "gauge", engine.connections.size());
-    std::size_t waiting = 0;
-    std::size_t withoutLead = 0;
-    std::size_t relaying = 0;
-    std::size_t suspectedHolders = 0;
-    for (const auto &[name, group] : engine.groups) {
-        waiting += group.waiting.size();
-        withoutLead += group.primary ? 0 : 1;
-        relaying += group.holders.empty() ? 0 : 1;
-        suspectedHolders += static_cast<std::size_t>(std::ranges::count_if(group.holders, [](const auto &holder) {
-            return holder.second.suspectedSince != time_point{};
-        }));
-    }
-    appendMetric("waiting_sessions", "gauge", waiting);
-    appendMetric("groups_without_lead", "gauge", withoutLead);
-    appendMetric("groups_relayed", "gauge", relaying);
-    appendMetric("holders_suspected", "gauge", suspectedHolders);
+    const group_figures groups = figuresOf(engine.groups);
+    appendMetric("waiting_sessions", "gauge", groups.waiting);
+    appendMetric("groups_without_lead", "gauge", groups.withoutLead);
+    appendMetric("groups_relayed", "gauge", groups.relaying);
+    appendMetric("holders_suspected", "gauge", groups.suspectedHolders);
     appendMetric("instances_listed", "gauge", engine.instances.size());
     appendMetric("configuration_version", "gauge", engine.routes.version.value());
     if (!engine.limits.limits.empty()) {
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -6,8 +6,8 @@
 #include "mustardrouter/Proxy/database_command.h"
 #include "mustardrouter/Proxy/failover_state.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
-#include "mustardrouter/Workspaces/limit_action.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
+#include "mustardrouter/Workspaces/limit_action.h"
 
 #include <string>
 #include <utility>
