Log what answers of the store bring, and those that end before they are whole

Cause: the logs could not tell the hypotheses of the incident apart: an answer that never came and one that was given up while it arrived leave the same store_lost, and an adoption doesn't say how long ago the copy was complete. Change: store_changes_read (kind, source, bytes, changes, time, age before) with each configuration, store_answer_incomplete (bytes) with an answer that was cut off. No logic changes.

--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -94,6 +94,7 @@
     feed_settings feedSettings() const;
     void startWatches();
     store_history::handlers historyHandlers();
+    void logTransfer(const char *kind, bool always, const object_watch::transfer &what);
     void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
     void onConfigurationChanged(const object_watch::objects &objects);
     void onInstancesChanged(const object_watch::objects &objects);
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -163,6 +163,11 @@
             m_log.write("store_listed_again", {{"kind", kind}, {"after_ms", std::to_string(millis)}});
         };
     };
+    const auto onTransfer = [this](const char *kind, bool always) {
+        return [this, kind, always](const object_watch::transfer &what) {
+            logTransfer(kind, always, what);
+        };
+    };
     const watch_timing timing = watchTimingFor(std::chrono::milliseconds(m_environment.stableWindowMs));
     const std::uint64_t seed = m_engine.settings.seed;
     // Stale reads may be seconds late. That is acceptable for databases, since a leaving one must be noticed within 7 s, but
@@ -178,7 +183,8 @@
                                                               },
                                                               onReachable("databases"),
                                                               onListedAgain("databases"),
-                                                              onState});
+                                                              onState,
+                                                              onTransfer("databases", false)});
     m_configurationWatch = std::make_shared<object_watch>(
         m_context,
         m_environment.storeAddress,
@@ -191,7 +197,8 @@
                                },
                                onReachable("configuration"),
                                onListedAgain("configuration"),
-                               onState});
+                               onState,
+                               onTransfer("configuration", true)});
     m_instanceWatch =
         std::make_shared<object_watch>(m_context,
                                        m_environment.storeAddress,
@@ -203,13 +210,34 @@
                                                               },
                                                               onReachable("instances"),
                                                               onListedAgain("instances"),
-                                                              onState});
+                                                              onState,
+                                                              onTransfer("instances", false)});
     m_databaseWatch->start();
     m_configurationWatch->start();
     m_instanceWatch->start();
     m_storeFeed.start({m_databaseWatch, m_configurationWatch, m_instanceWatch});
 }
 
+void edge_instance::logTransfer(const char *kind, bool always, const object_watch::transfer &what)
+{
+    const auto millis = [](duration span) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    };
+    if (what.complete && !always) {
+        return;
+    }
+    m_log.write(what.complete ? "store_changes_read" : "store_answer_incomplete",
+                {{"kind", kind},
+                 {"by",
+                  what.told   ? "instance"
+                  : what.list ? "list"
+                              : "watch"},
+                 {"bytes", std::to_string(what.bytes)},
+                 {"changes", std::to_string(what.changes)},
+                 {"took_ms", millis(what.took)},
+                 {"complete_ms_ago", millis(what.ageBefore)}});
+}
+
 void edge_instance::onDatabasesChanged(const object_watch::objects &objects, time_point changedSince)
 {
     std::erase_if(m_loggedInvalidEntries, [&](const auto &entry) {
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -96,6 +96,7 @@
             return false;
         }
         const bool changed = told.whole || !told.changed.empty() || !told.removed.empty();
+        const std::size_t changedCount = told.changed.size() + told.removed.size();
         const time_point changedSince = std::max(completeBefore, told.changedSince.value_or(completeBefore));
         if (told.whole) {
             m_objects = std::move(told.changed);
@@ -117,6 +118,8 @@
         m_completeSince = std::max(m_completeSince, told.completeSince);
         m_answeredAt = std::max(m_answeredAt, m_completeSince);
         if (changed) {
+            tellTransfer(
+                {.told = true, .complete = true, .bytes = told.bytes, .changes = changedCount, .ageBefore = bootTime() - completeBefore});
             m_changeAnsweredAt = answeredAt;
             m_handlers.onChange(m_objects, changedSince);
         }
@@ -193,7 +196,16 @@
     }
     const bool done = era && platform::outcomeOfStatus(response.status) == platform::request_outcome::done;
     std::optional<platform::object_page> page = done ? platform::decodePage(response.body, *era) : std::nullopt;
+    const transfer answer{.list = true,
+                          .complete = page.has_value(),
+                          .bytes = response.receivedBytes,
+                          .changes = page ? page->objects.size() : 0,
+                          .took = bootTime() - m_listSentAt,
+                          .ageBefore = bootTime() - m_completeSince};
     if (!page) {
+        if (done || response.status == 0) {
+            tellTransfer(answer);
+        }
         m_listComplete = false;
         scheduleRetry();
         return;
@@ -213,6 +225,7 @@
         list(lastName);
         return;
     }
+    tellTransfer(answer);
     m_listComplete = true;
     m_objects = std::exchange(m_incompleteList, {});
     m_completeSince = m_listSentAt;
@@ -268,7 +281,15 @@
     }
     std::optional<platform::object_changes> changes =
         outcome == platform::request_outcome::done ? platform::decodeChanges(response.body, *era) : std::nullopt;
+    const transfer answer{.complete = changes.has_value(),
+                          .bytes = response.receivedBytes,
+                          .changes = changes ? changes->changes.size() : 0,
+                          .took = bootTime() - m_sentAt,
+                          .ageBefore = bootTime() - m_completeSince};
     if (!changes) {
+        if (outcome == platform::request_outcome::done || response.status == 0) {
+            tellTransfer(answer);
+        }
         scheduleRetry();
         return;
     }
@@ -284,6 +305,7 @@
         watch();
         return;
     }
+    tellTransfer(answer);
     change_batch batch{m_position, changes->position, changedSince, m_answeredAt, {}};
     for (platform::object_change &change : changes->changes) {
         if (change.removed) {
@@ -397,6 +419,13 @@
     }
 }
 
+void object_watch::tellTransfer(transfer what) const
+{
+    if (m_handlers.onTransfer && (what.complete || what.bytes > 0)) {
+        m_handlers.onTransfer(what);
+    }
+}
+
 void object_watch::recordFailure()
 {
     m_unanswered = true;
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,19 @@
 {
 public:
     using objects = std::map<std::string, platform::stored_object>;
+    /// An answer of the store, or changes that another instance told.
+    struct transfer {
+        bool told = false;
+        bool list = false;
+        /// False for an answer that was given up, or that can't be used.
+        bool complete = false;
+        std::size_t bytes = 0;
+        std::size_t changes = 0;
+        /// Since the request was sent; 0 for what was told.
+        duration took{};
+        /// How long ago the copy was last known to be complete, before this.
+        duration ageBefore{};
+    };
     struct handlers {
         /// Called with all objects after each change. The change was made after `changedSince`: after the last answer if requests
         /// have failed since, else just now.
@@ -40,6 +54,8 @@
         std::function<void(duration after)> onListedAgain;
         /// Called after an answer with changes, and when the store becomes unreachable or reachable again.
         std::function<void()> onState{};
+        /// Called with each transfer that changes the copy, and with each answer of which only a part arrived in time.
+        std::function<void(const transfer &)> onTransfer{};
     };
 
     /// Changes that another instance told, with times on this instance's clock.
@@ -57,6 +73,7 @@
         /// not known.
         std::optional<time_point> changedSince;
         std::optional<time_point> answeredAt;
+        std::size_t bytes = 0;
     };
 
     /// What to watch, and how.
@@ -124,6 +141,7 @@
     time_point recordAnswer();
     void recordFailure();
     void tellState();
+    void tellTransfer(transfer what) const;
 
     asio::io_context &m_context;
     store_history &m_history;
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -315,6 +315,7 @@
         if (!content) {
             return std::nullopt;
         }
+        told.bytes += object.content().size();
         told.changed[object.name()] = {object.name(), {told.to.era, store_revision(object.revision())}, std::move(*content)};
     }
     told.removed.insert(message.removed().begin(), message.removed().end());
