--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -404,3 +404,52 @@
     fixture.context.run_for(1500ms);
     CHECK_EQUAL(2U, fixture.objectCount);
 }
+
+namespace
+{
+
+/// The link of most of the users' instances, 10 Mbit/s, and the size of a configuration with 1,400 routes.
+constexpr std::size_t narrowLink = 10'000'000 / 8;
+constexpr std::size_t largeObject = 300'000;
+
+std::string largeVersion(int version)
+{
+    return std::string(largeObject, 'x') + std::to_string(version);
+}
+
+} // namespace
+
+TEST(object_watch, oneThatFollowedReadsTheNewestOfManyLargeVersionsInTheTimeOfOne)
+{
+    // As many as followers have missed when their sources are behind; all of them would take 2.9 s.
+    watched_store fixture(100ms, 300ms, 1);
+    fixture.store.objects().put("k", "a", largeVersion(0));
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.watch->pause();
+    for (int version = 1; version <= 12; ++version) {
+        fixture.store.objects().put("k", "a", largeVersion(version));
+    }
+    fixture.store.faults().bytesPerSecond = narrowLink;
+    fixture.watch->proceed();
+    fixture.context.run_for(700ms);
+    STRCMP_EQUAL(largeVersion(12).c_str() + largeObject, fixture.watch->current().at("a").content.asCString() + largeObject);
+}
+
+TEST(object_watch, anAnswerThatIsArrivingIsNotGivenUpForANewRequest)
+{
+    // 1.5 MB at 10 Mbit/s take 1.2 s, more than the time for an answer that is due at once.
+    watched_store fixture(100ms, 300ms);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.watch->pause();
+    for (int version = 1; version <= 5; ++version) {
+        fixture.store.objects().put("k", "a", largeVersion(version));
+    }
+    fixture.store.faults().bytesPerSecond = narrowLink;
+    const std::uint64_t before = fixture.store.requestCount();
+    fixture.watch->proceed();
+    fixture.context.run_for(1500ms);
+    STRCMP_EQUAL(largeVersion(5).c_str() + largeObject, fixture.watch->current().at("a").content.asCString() + largeObject);
+    CHECK_TRUE(fixture.store.requestCount() - before <= 2);
+}
--- a/UnitTests/Edge/store_feed_test.cpp
+++ b/UnitTests/Edge/store_feed_test.cpp
@@ -86,6 +86,12 @@
         const object_watch::objects &objects = m_watches.at(1)->current();
         return objects.contains("main") ? objects.at("main").content.asString() : std::string();
     }
+    /// The configuration; null if there is none.
+    Json::Value configuration() const
+    {
+        const object_watch::objects &objects = m_watches.at(1)->current();
+        return objects.contains("main") ? objects.at("main").content : Json::Value();
+    }
     std::uint64_t requests() const
     {
         return m_feed.currentFigures().requests;
@@ -100,12 +106,15 @@
     }
     bool cutFromPeers = false;
     bool ended = false;
+    /// Size of what its sources told it.
+    std::size_t toldBytes = 0;
 
 private:
     relay_links::handlers linkHandlers()
     {
         relay_links::handlers callbacks;
         callbacks.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
+            toldBytes += message.ByteSizeLong();
             if (!cutFromPeers) {
                 m_feed.onPeerMessage(address, message.changes());
             }
@@ -198,7 +207,7 @@
         }
         return found;
     }
-    void publish(const char *version)
+    void publish(const Json::Value &version)
     {
         store.objects().put(platform::configurationKind, "main", version);
         store.notifyWatches();
@@ -294,3 +303,49 @@
         CHECK_EQUAL(1U, part->databases());
     }
 }
+
+namespace
+{
+
+/// A configuration as large as some of the users': 277 kB.
+Json::Value largeConfiguration(int version)
+{
+    Json::Value content;
+    content["version"] = version;
+    for (int index = 0; index < 1400; ++index) {
+        Json::Value route;
+        route["host"] = "route-with-a-name-of-usual-length-" + std::to_string(index);
+        route["service"] = "service-" + std::to_string(index % 8);
+        route["type"] = "bounded_staleness";
+        route["max_staleness_ms"] = 1500;
+        route["timeout_ms"] = 800 + index % 7;
+        route["target_latency_ms"] = 1000;
+        route["priority"] = index % 3;
+        content["routes"].append(route);
+    }
+    return content;
+}
+
+} // namespace
+
+TEST(store_feed, aSmallChangeOfALargeConfigurationIsNotPassedOnAsAllOfIt)
+{
+    fed_data_centre place;
+    Json::Value content = largeConfiguration(1);
+    place.publish(content);
+    place.context.run_for(600ms);
+    const std::size_t follower = place.withRole(feed_role::following).front();
+    CHECK_TRUE(place.parts[follower]->configuration() == content);
+    for (int version = 2; version <= 4; ++version) {
+        content["version"] = version;
+        content["routes"][700]["timeout_ms"] = version;
+        Json::Value added = content["routes"][0];
+        added["host"] = "added-" + std::to_string(version);
+        content["routes"].append(added);
+        const std::size_t before = place.parts[follower]->toldBytes;
+        place.publish(content);
+        place.context.run_for(600ms);
+        CHECK_TRUE(place.parts[follower]->configuration() == content);
+        CHECK_TRUE(place.parts[follower]->toldBytes - before < 10'000);
+    }
+}
--- a/mustardrouter/PlatformStandIn/standin_http.cpp
+++ b/mustardrouter/PlatformStandIn/standin_http.cpp
@@ -3,11 +3,14 @@
 #include "mustardrouter/PlatformStandIn/loopback_listener.h"
 
 #include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -20,6 +23,8 @@
 {
 
 constexpr std::size_t readBytes = 4096;
+/// Pause between the parts of an answer that is sent at a limited rate.
+constexpr std::chrono::milliseconds partInterval{10};
 
 standin_request toRequest(const http::request<http::string_body> &raw)
 {
@@ -49,6 +54,7 @@
 public:
     http_connection(asio::ip::tcp::socket socket, const standin_http::handler &handle)
         : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
         , m_handle(handle)
     {
     }
@@ -98,18 +104,44 @@
         }
         m_out = "HTTP/1.1 " + std::to_string(response.status) + " -\r\nContent-Type: application/json\r\nContent-Length: "
                 + std::to_string(response.body.size()) + "\r\n" + response.headers + "\r\n" + response.body;
-        asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const asio::error_code &problem, std::size_t) {
+        const std::size_t intervalsPerSecond = std::chrono::seconds(1) / partInterval;
+        m_partBytes = response.bytesPerSecond > 0 ? std::max<std::size_t>(1, response.bytesPerSecond / intervalsPerSecond) : m_out.size();
+        sendPart(0);
+    }
+
+    void sendPart(std::size_t sent)
+    {
+        const std::size_t size = std::min(m_partBytes, m_out.size() - sent);
+        asio::async_write(m_socket,
+                          asio::buffer(m_out.data() + sent, size),
+                          [self = shared_from_this(), sent, size](const asio::error_code &problem, std::size_t) {
+                              if (!problem) {
+                                  self->onPartSent(sent + size);
+                              }
+                          });
+    }
+
+    void onPartSent(std::size_t sent)
+    {
+        if (sent == m_out.size()) {
+            receive();
+            return;
+        }
+        m_timer.expires_after(partInterval);
+        m_timer.async_wait([self = shared_from_this(), sent](const asio::error_code &problem) {
             if (!problem) {
-                self->receive();
+                self->sendPart(sent);
             }
         });
     }
 
     asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
     const standin_http::handler &m_handle;
     std::array<char, readBytes> m_buffer{};
     std::string m_pending;
     std::string m_out;
+    std::size_t m_partBytes = 0;
 };
 
 } // namespace
--- a/mustardrouter/PlatformStandIn/standin_http.h
+++ b/mustardrouter/PlatformStandIn/standin_http.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -30,6 +31,8 @@
     bool closes = false;
     /// Additional header lines, each with its terminator.
     std::string headers{};
+    /// Rate at which the answer is sent; 0: at once.
+    std::size_t bytesPerSecond = 0;
 };
 
 /// HTTP server whose requests are answered asynchronously. Runs on the thread of its context.
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -141,6 +141,7 @@
     m_requestCount += 1;
     const bool isOrder = request.method == "POST" && request.path == "/failover";
     const standin_http::responder respond = [this, isOrder, respondTo](standin_answer answer) {
+        answer.bytesPerSecond = m_faults.bytesPerSecond;
         if (!isOrder) {
             answer.headers = "Store-Era: " + std::to_string(m_era) + "\r\n";
         }
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -31,6 +31,8 @@
     store_failure refusal = store_failure::busy;
     /// Added to the time of each answer.
     std::chrono::milliseconds extraDelay{0};
+    /// Rate at which each answer is sent, as over a narrow link; 0: not limited.
+    std::size_t bytesPerSecond = 0;
     /// Percentage of writes that get no answer; they are done at once, or later if `writesLate` is set.
     unsigned percentAnswersLost = 0;
     bool writesLate = false;
