--- a/UnitTests/PlatformAdapter/http_client_test.cpp
+++ b/UnitTests/PlatformAdapter/http_client_test.cpp
@@ -1,9 +1,12 @@
 #include "platform/http_client.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 
 #include <chrono>
 #include <list>
+#include <optional>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -41,3 +44,26 @@
     CHECK_EQUAL(0U, status);
     CHECK_TRUE(std::chrono::steady_clock::now() - startedAt < 3s);
 }
+
+TEST(http_client, aResponseThatStopsArrivingIsGivenUp)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket server(context);
+    acceptor.async_accept(server, [&](const asio::error_code &) {
+        asio::write(server, asio::buffer(std::string("HTTP/1.1 200 -\r\nContent-Length: 100\r\n\r\na part")));
+    });
+    const auto client = std::make_shared<platform::http_client>(context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    platform::http_request request;
+    request.target = "/";
+    request.requestTimeout = 30s;
+    std::optional<platform::http_response> received;
+    client->call(std::move(request), [&](const platform::http_response &response) {
+        received = response;
+        context.stop();
+    });
+    context.run_for(3s);
+    CHECK_TRUE(received.has_value());
+    CHECK_EQUAL(0U, received->status);
+    CHECK_TRUE(received->receivedBytes > 0);
+}
