A copy of the configuration that is behind is listed, not asked for all its changes

Cause: a question about changes brings each version since the last answer, whole. Ruled out: listing each time; one version in an answer is the usual case, and no smaller as a list. Change: the configuration is listed after a failure, after a pause, and after an answer with several versions of one object. A list that fails leaves the copy as it is, so that what another instance tells is still taken over; a list that is older than that changes nothing; and followers are told what it changed, not all objects. The links are still full of what is passed on.

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -30,7 +30,7 @@
     int timesRegained = 0;
     time_point changedSince{};
 
-    explicit watched_store(duration maxBackoff, duration held = 300ms, std::uint32_t listAfterFailures = 0)
+    explicit watched_store(duration maxBackoff, duration held = 300ms, bool listsWhenBehind = false)
     {
         store.objects().put("k", "a", "one");
         address = store.addInstance();
@@ -49,7 +49,7 @@
             context,
             address,
             history,
-            object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}, listAfterFailures},
+            object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}, listsWhenBehind},
             1,
             callbacks);
     }
@@ -390,7 +390,7 @@
 TEST(object_watch, changesThatAreTooManyForOneAnswerAreNotWaitedForWhereTheListIsShort)
 {
     // A hunted day: many versions of a large configuration during an outage; instances stayed at the old one for 11 s after it.
-    watched_store fixture(100ms, 300ms, 2);
+    watched_store fixture(100ms, 300ms, true);
     fixture.watch->start();
     fixture.context.run_for(100ms);
     fixture.store.faults().down = store_failure::busy;
@@ -422,7 +422,7 @@
 TEST(object_watch, oneThatFollowedReadsTheNewestOfManyLargeVersionsInTheTimeOfOne)
 {
     // As many as followers have missed when their sources are behind; all of them would take 2.9 s.
-    watched_store fixture(100ms, 300ms, 1);
+    watched_store fixture(100ms, 300ms, true);
     fixture.store.objects().put("k", "a", largeVersion(0));
     fixture.watch->start();
     fixture.context.run_for(100ms);
@@ -453,3 +453,32 @@
     STRCMP_EQUAL(largeVersion(5).c_str() + largeObject, fixture.watch->current().at("a").content.asCString() + largeObject);
     CHECK_TRUE(fixture.store.requestCount() - before <= 2);
 }
+
+TEST(object_watch, aListThatIsOlderThanWhatWasToldChangesNothing)
+{
+    watched_store fixture(100ms, 300ms, true);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.watch->pause();
+    fixture.watch->proceed();
+    // The list is under way when a later change is told.
+    CHECK_TRUE(fixture.watch->adopt(toldChange(*fixture.watch, 2, "a")));
+    const store_position told = fixture.watch->position();
+    fixture.context.run_for(50ms);
+    CHECK_EQUAL(std::string("told"), fixture.watch->current().at("a").content.asString());
+    CHECK_TRUE(fixture.watch->position() == told);
+}
+
+TEST(object_watch, aFailedListLeavesACopyThatCanBeBroughtForward)
+{
+    watched_store fixture(10s, 300ms, true);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.watch->pause();
+    fixture.store.faults().down = store_failure::busy;
+    fixture.watch->proceed();
+    fixture.context.run_for(400ms);
+    CHECK_FALSE(fixture.watch->isReachable());
+    CHECK_TRUE(fixture.watch->adopt(toldChange(*fixture.watch, 2, "a")));
+    CHECK_EQUAL(std::string("told"), fixture.watch->current().at("a").content.asString());
+}
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -19,8 +19,6 @@
 /// first to succeed makes the other retry at once: after a power failure nothing can be served before both have answered.
 constexpr duration configurationMaxBackoff = std::chrono::milliseconds(400);
 constexpr duration databaseMaxBackoff = std::chrono::milliseconds(1600);
-/// The configuration is one object: listing it costs what asking for its changes costs, and is smaller than many versions of it.
-constexpr std::uint32_t listConfigurationAfterFailures = 2;
 /// Changes of the list of instances are batched over this delay: it decides only where statements are relayed to.
 constexpr duration instanceBatchDelay = std::chrono::milliseconds(700);
 
@@ -189,8 +187,7 @@
         m_context,
         m_environment.storeAddress,
         m_storeHistory,
-        object_watch::options{
-            platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, timing, listConfigurationAfterFailures},
+        object_watch::options{platform::configurationKind, configurationBatchDelay, false, configurationMaxBackoff, timing, true},
         seed + 1,
         object_watch::handlers{[this](const object_watch::objects &objects, time_point) {
                                    onConfigurationChanged(objects);
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -12,10 +12,12 @@
 namespace
 {
 
-/// Backoff after the first failure; doubled with each further failure, up to the watch's maximum.
+/// Backoff after the first failure; doubled with each further failure, up to
+/// the watch's maximum.
 constexpr std::uint64_t minBackoffMs = 100;
 constexpr std::uint32_t maxBackoffDoublings = 3;
-/// After a loss of the store's history hundreds of instances list all kinds again; they spread over this time.
+/// After a loss of the store's history hundreds of instances list all kinds
+/// again; they spread over this time.
 constexpr std::uint64_t listSpreadMs = 600;
 
 } // namespace
@@ -73,6 +75,7 @@
         return;
     }
     m_paused = false;
+    m_isBehind = m_isBehind || m_options.listsWhenBehind;
     resume();
 }
 
@@ -172,6 +175,9 @@
 
 void object_watch::list(const std::string &afterName)
 {
+    if (m_stopped || m_paused) {
+        return;
+    }
     if (afterName.empty()) {
         m_incompleteList.clear();
         m_listSentAt = bootTime();
@@ -206,15 +212,13 @@
         if (done || response.status == 0) {
             tellTransfer(answer);
         }
-        m_listComplete = false;
         scheduleRetry();
         return;
     }
     const time_point changedSince = recordAnswer();
     if (afterName.empty()) {
         m_listChangedSince = changedSince;
-        // The watch starts at the revision of the first page and so reports changes made while later pages are read.
-        m_position = page->position;
+        m_listPosition = page->position;
     }
     std::string lastName;
     for (platform::stored_object &object : page->objects) {
@@ -226,11 +230,7 @@
         return;
     }
     tellTransfer(answer);
-    m_listComplete = true;
-    m_objects = std::exchange(m_incompleteList, {});
-    m_completeSince = m_listSentAt;
-    m_changeAnsweredAt = m_answeredAt;
-    restartLog(m_log, m_position);
+    takeList();
     if (const time_point lostAt = std::exchange(m_historyLostAt, time_point{}); lostAt != time_point{}) {
         m_handlers.onListedAgain(bootTime() - lostAt);
     }
@@ -239,6 +239,33 @@
     watchAfterDelay(m_options.batchDelay);
 }
 
+void object_watch::takeList()
+{
+    objects listed = std::exchange(m_incompleteList, {});
+    m_isBehind = false;
+    m_completeSince = std::max(m_completeSince, m_listSentAt);
+    const bool continues = m_listComplete && m_position.era == m_listPosition.era;
+    if (continues && m_listPosition < m_position) {
+        // Another instance has told later changes while the list was under way.
+        return;
+    }
+    if (continues) {
+        change_batch batch{m_position, m_listPosition, m_listChangedSince, m_answeredAt, {}};
+        for (const auto &[name, object] : m_objects) {
+            if (!listed.contains(name)) {
+                batch.removed.insert(name);
+            }
+        }
+        appendToLog(m_log, std::move(batch));
+    } else {
+        restartLog(m_log, m_listPosition);
+    }
+    m_listComplete = true;
+    m_objects = std::move(listed);
+    m_position = m_listPosition;
+    m_changeAnsweredAt = m_answeredAt;
+}
+
 void object_watch::watch()
 {
     if (m_stopped || m_paused) {
@@ -275,7 +302,7 @@
     if (outcome == platform::request_outcome::historyExpired) {
         // What the list shows may have changed at any time since the last answer.
         m_unanswered = true;
-        m_listComplete = false;
+        m_isBehind = true;
         list({});
         return;
     }
@@ -294,10 +321,12 @@
         return;
     }
     const time_point changedSince = recordAnswer();
-    // What was acknowledged before the request was sent is part of the answer; if the store held it to the end, what came until then.
+    // What was acknowledged before the request was sent is part of the answer; if
+    // the store held it to the end, what came until then.
     const bool heldToEnd = changes->changes.empty() && m_answeredAt - m_sentAt >= m_sentHeld;
     m_completeSince = std::max(m_completeSince, m_sentAt + (heldToEnd ? m_sentHeld : duration{}));
-    // Another instance may have told later changes while the answer was under way.
+    // Another instance may have told later changes while the answer was under
+    // way.
     const bool isOlder = changes->position < m_position;
     if (changes->changes.empty() || isOlder) {
         m_position = std::max(m_position, changes->position);
@@ -307,7 +336,10 @@
     }
     tellTransfer(answer);
     change_batch batch{m_position, changes->position, changedSince, m_answeredAt, {}};
+    std::set<std::string> changed;
     for (platform::object_change &change : changes->changes) {
+        const bool again = !changed.insert(change.object.name).second;
+        m_isBehind = m_isBehind || (again && m_options.listsWhenBehind);
         if (change.removed) {
             m_objects.erase(change.object.name);
             batch.removed.insert(change.object.name);
@@ -331,8 +363,8 @@
 {
     m_timer.expires_after(delay);
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &problem) {
-        if (!problem && !self->m_paused) {
-            self->watch();
+        if (!problem && !self->m_stopped && !self->m_paused) {
+            self->resume();
         }
     });
 }
@@ -389,14 +421,18 @@
     m_listDelayed = false;
     m_retryScheduled = false;
     m_timer.cancel();
-    const bool listInstead = m_options.listAfterFailures > 0 && m_consecutiveFailures >= m_options.listAfterFailures;
-    if (m_listComplete && !listInstead) {
-        watch();
-    } else {
+    if (isToList()) {
         list({});
+    } else {
+        watch();
     }
 }
 
+bool object_watch::isToList() const
+{
+    return !m_listComplete || m_isBehind || (m_options.listsWhenBehind && m_consecutiveFailures > 0);
+}
+
 time_point object_watch::recordAnswer()
 {
     const time_point now = bootTime();
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -86,9 +86,9 @@
         /// Maximum pause between retries, before jitter of up to half of the pause is added.
         duration maxBackoff{};
         watch_timing timing;
-        /// After so many failures in a row all objects are listed instead of the changes since the last answer, which may be too many
-        /// to arrive in time; 0: never. For kinds with few objects.
-        std::uint32_t listAfterFailures = 0;
+        /// All objects together are no larger than a change of them. They are listed after a failure, a pause, and an answer with
+        /// several versions of one object: the changes since the last answer may be many versions.
+        bool listsWhenBehind = false;
     };
 
     /// `history` is shared by all that speak to the store and has to live longer than this.
@@ -130,10 +130,13 @@
 
 private:
     void list(const std::string &afterName);
+    /// The last page of a list was read.
+    void takeList();
     void handlePage(const std::string &afterName, const platform::http_response &response);
     void watch();
     /// Sends the next request, for the list or for changes.
     void resume();
+    bool isToList() const;
     void handleChanges(const platform::http_response &response);
     void scheduleRetry();
     void watchAfterDelay(duration delay);
@@ -153,6 +156,8 @@
     objects m_objects;
     objects m_incompleteList;
     time_point m_listChangedSince{};
+    /// Of the first page: a watch from there reports changes made while later pages are read.
+    store_position m_listPosition;
     /// When the store lost the history of `m_objects`; the epoch if it has not.
     time_point m_historyLostAt{};
     /// When the last answer arrived, on the clock of bootTime().
@@ -170,7 +175,10 @@
     std::uint64_t m_requests = 0;
     bool m_paused = false;
     std::uint32_t m_consecutiveFailures = 0;
+    /// The objects were listed since the start and since the last loss of the store's history.
     bool m_listComplete = false;
+    /// The copy is behind by more than a watch tells.
+    bool m_isBehind = false;
     bool m_reachable = true;
     bool m_retryScheduled = false;
     /// The next list waits for its random delay after a loss of the store's history.
