A change of the configuration is passed on between instances as its difference

Cause: a watcher passes a version on whole, once to each of some 20 followers, over a link of 10 Mbit/s. One version of 277 kB takes that link for 4.4 s; the next one comes after 1.2 s. Everything else that leaves through it waits as well: replies to polls, so that followers ask the store and others are polled and watch, and the statements that it relays. Weighed: each follower reads large versions from the store (144 calls for each version, which is what passing on was to save); a tree of instances (ages add up with each level). Change: Edge/content_difference finds what differs between two JSON values; a watcher keeps small differences in its change log and tells these. A follower checks that they begin at the revision that it has; if not, it asks for the whole. Objects that have not changed are named only, also to one whose position is older than the log. Ruled out: a difference to another version than the follower's: revisions of one era name one content.

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -30,7 +30,7 @@
     int timesRegained = 0;
     time_point changedSince{};
 
-    explicit watched_store(duration maxBackoff, duration held = 300ms, bool listsWhenBehind = false)
+    explicit watched_store(duration maxBackoff, duration held = 300ms, bool fewLargeObjects = false)
     {
         store.objects().put("k", "a", "one");
         address = store.addInstance();
@@ -49,7 +49,7 @@
             context,
             address,
             history,
-            object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}, listsWhenBehind},
+            object_watch::options{"k", 20ms, false, maxBackoff, watch_timing{held, held + 1s}, fewLargeObjects},
             1,
             callbacks);
     }
--- a/UnitTests/Edge/store_feed_test.cpp
+++ b/UnitTests/Edge/store_feed_test.cpp
@@ -62,8 +62,13 @@
             callbacks.onState = [this] {
                 m_feed.onWatchState();
             };
-            m_watches.at(kind) = std::make_shared<object_watch>(
-                context, store, m_history, object_watch::options{kinds[kind], 400ms, false, 400ms, watchTimingFor(5s)}, kind, callbacks);
+            m_watches.at(kind) =
+                std::make_shared<object_watch>(context,
+                                               store,
+                                               m_history,
+                                               object_watch::options{kinds[kind], 400ms, false, 400ms, watchTimingFor(5s), kind == 1},
+                                               kind,
+                                               callbacks);
             m_watches.at(kind)->start();
         }
         m_feed.start(m_watches);
@@ -92,6 +97,15 @@
         const object_watch::objects &objects = m_watches.at(1)->current();
         return objects.contains("main") ? objects.at("main").content : Json::Value();
     }
+    /// Another instance's reply, as if it came from there.
+    void hear(const std::string &address, const relay::store_changes &reply)
+    {
+        m_feed.onPeerMessage(address, reply);
+    }
+    store_position position() const
+    {
+        return m_watches.at(1)->position();
+    }
     std::uint64_t requests() const
     {
         return m_feed.currentFigures().requests;
@@ -349,3 +363,35 @@
         CHECK_TRUE(place.parts[follower]->toldBytes - before < 10'000);
     }
 }
+
+TEST(store_feed, aDifferenceThatDoesNotFitIsFollowedByTheWhole)
+{
+    fed_data_centre place;
+    const Json::Value content = largeConfiguration(1);
+    place.publish(content);
+    place.context.run_for(600ms);
+    fed_part &follower = *place.parts[place.withRole(feed_role::following).front()];
+    relay::store_changes reply;
+    reply.set_reply(true);
+    reply.set_polled_at(static_cast<std::uint64_t>(bootTime().time_since_epoch().count()));
+    reply.set_reaches_store(true);
+    relay::told_kind &kind = *reply.add_kinds();
+    kind.set_kind(1);
+    kind.mutable_from()->set_era(follower.position().era.value());
+    kind.mutable_from()->set_revision(follower.position().revision.value());
+    kind.mutable_to()->set_era(follower.position().era.value());
+    kind.mutable_to()->set_revision(follower.position().revision.value() + 2);
+    relay::told_object &object = *kind.add_objects();
+    object.set_name("main");
+    object.set_revision(follower.position().revision.value() + 2);
+    relay::told_difference &difference = *object.add_differences();
+    difference.set_before(follower.position().revision.value() + 1);
+    difference.set_after(follower.position().revision.value() + 2);
+    difference.set_difference("{}");
+    const std::size_t before = follower.toldBytes;
+    follower.hear(place.parts[place.withRole(feed_role::watching).front()]->address(), reply);
+    CHECK_TRUE(follower.configuration() == content);
+    place.context.run_for(1200ms);
+    CHECK_TRUE(follower.toldBytes - before > 200'000);
+    CHECK_TRUE(follower.configuration() == content);
+}
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Edge/object_watch.h"
 
 #include "mustardrouter/Edge/boot_time.h"
+#include "mustardrouter/Edge/content_difference.h"
 #include "platform/store_client.h"
 
 #include <algorithm>
@@ -12,13 +13,13 @@
 namespace
 {
 
-/// Backoff after the first failure; doubled with each further failure, up to
-/// the watch's maximum.
+/// Backoff after the first failure; doubled with each further failure, up to the watch's maximum.
 constexpr std::uint64_t minBackoffMs = 100;
 constexpr std::uint32_t maxBackoffDoublings = 3;
-/// After a loss of the store's history hundreds of instances list all kinds
-/// again; they spread over this time.
+/// After a loss of the store's history hundreds of instances list all kinds again; they spread over this time.
 constexpr std::uint64_t listSpreadMs = 600;
+/// Larger differences are not kept for followers.
+constexpr std::size_t maxDifferenceBytes = 16U << 10U;
 
 } // namespace
 
@@ -75,7 +76,7 @@
         return;
     }
     m_paused = false;
-    m_isBehind = m_isBehind || m_options.listsWhenBehind;
+    m_isBehind = m_isBehind || m_options.fewLargeObjects;
     resume();
 }
 
@@ -114,7 +115,7 @@
         }
         const time_point answeredAt = std::max(completeBefore, told.answeredAt.value_or(completeBefore));
         if (changed && !told.whole) {
-            appendToLog(m_log, {m_position, told.to, changedSince, answeredAt, std::move(told.removed)});
+            appendToLog(m_log, {m_position, told.to, changedSince, answeredAt, std::move(told.removed), std::move(told.differences)});
         }
         extendLog(m_log, told.to);
         m_position = told.to;
@@ -239,6 +240,18 @@
     watchAfterDelay(m_options.batchDelay);
 }
 
+void object_watch::addDifference(change_batch &batch, const platform::stored_object &before, const platform::stored_object &after) const
+{
+    const bool changed = before.position != after.position && !before.name.empty();
+    if (!m_options.fewLargeObjects || !m_answerInterval || !changed) {
+        return;
+    }
+    std::string text = platform::encodeContent(differenceOf(before.content, after.content));
+    if (text.size() <= maxDifferenceBytes) {
+        batch.differences[after.name] = {before.position, after.position, std::move(text)};
+    }
+}
+
 void object_watch::takeList()
 {
     objects listed = std::exchange(m_incompleteList, {});
@@ -252,8 +265,11 @@
     if (continues) {
         change_batch batch{m_position, m_listPosition, m_listChangedSince, m_answeredAt, {}};
         for (const auto &[name, object] : m_objects) {
-            if (!listed.contains(name)) {
+            const auto after = listed.find(name);
+            if (after == listed.end()) {
                 batch.removed.insert(name);
+            } else {
+                addDifference(batch, object, after->second);
             }
         }
         appendToLog(m_log, std::move(batch));
@@ -321,12 +337,10 @@
         return;
     }
     const time_point changedSince = recordAnswer();
-    // What was acknowledged before the request was sent is part of the answer; if
-    // the store held it to the end, what came until then.
+    // What was acknowledged before the request was sent is part of the answer; if the store held it to the end, what came until then.
     const bool heldToEnd = changes->changes.empty() && m_answeredAt - m_sentAt >= m_sentHeld;
     m_completeSince = std::max(m_completeSince, m_sentAt + (heldToEnd ? m_sentHeld : duration{}));
-    // Another instance may have told later changes while the answer was under
-    // way.
+    // Another instance may have told later changes while the answer was under way.
     const bool isOlder = changes->position < m_position;
     if (changes->changes.empty() || isOlder) {
         m_position = std::max(m_position, changes->position);
@@ -336,15 +350,24 @@
     }
     tellTransfer(answer);
     change_batch batch{m_position, changes->position, changedSince, m_answeredAt, {}};
-    std::set<std::string> changed;
+    objects before;
     for (platform::object_change &change : changes->changes) {
-        const bool again = !changed.insert(change.object.name).second;
-        m_isBehind = m_isBehind || (again && m_options.listsWhenBehind);
+        const std::string name = change.object.name;
+        const bool again = before.contains(name);
+        m_isBehind = m_isBehind || (again && m_options.fewLargeObjects);
+        if (!again) {
+            before[name] = std::exchange(m_objects[name], {});
+        }
         if (change.removed) {
-            m_objects.erase(change.object.name);
-            batch.removed.insert(change.object.name);
+            m_objects.erase(name);
+            batch.removed.insert(name);
         } else {
-            m_objects[change.object.name] = std::move(change.object);
+            m_objects[name] = std::move(change.object);
+        }
+    }
+    for (const auto &[name, object] : before) {
+        if (const auto after = m_objects.find(name); after != m_objects.end()) {
+            addDifference(batch, object, after->second);
         }
     }
     m_position = changes->position;
@@ -430,7 +453,7 @@
 
 bool object_watch::isToList() const
 {
-    return !m_listComplete || m_isBehind || (m_options.listsWhenBehind && m_consecutiveFailures > 0);
+    return !m_listComplete || m_isBehind || (m_options.fewLargeObjects && m_consecutiveFailures > 0);
 }
 
 time_point object_watch::recordAnswer()
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -74,6 +74,8 @@
         std::optional<time_point> changedSince;
         std::optional<time_point> answeredAt;
         std::size_t bytes = 0;
+        /// Of changed objects, by name, if they were told as such.
+        std::map<std::string, object_difference> differences{};
     };
 
     /// What to watch, and how.
@@ -86,9 +88,9 @@
         /// Maximum pause between retries, before jitter of up to half of the pause is added.
         duration maxBackoff{};
         watch_timing timing;
-        /// All objects together are no larger than a change of them. They are listed after a failure, a pause, and an answer with
-        /// several versions of one object: the changes since the last answer may be many versions.
-        bool listsWhenBehind = false;
+        /// The kind has few objects, and these may be large. They are listed after a failure, a pause, and an answer with several
+        /// versions of one object, since changes may be many whole versions; and small differences are kept for followers.
+        bool fewLargeObjects = false;
     };
 
     /// `history` is shared by all that speak to the store and has to live longer than this.
@@ -132,6 +134,8 @@
     void list(const std::string &afterName);
     /// The last page of a list was read.
     void takeList();
+    /// Adds to the batch how the object changed, if that is small and there may be followers.
+    void addDifference(change_batch &batch, const platform::stored_object &before, const platform::stored_object &after) const;
     void handlePage(const std::string &afterName, const platform::http_response &response);
     void watch();
     /// Sends the next request, for the list or for changes.
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Edge/store_feed.h"
 
 #include "mustardrouter/Edge/boot_time.h"
+#include "mustardrouter/Edge/told_objects.h"
 
 #include <algorithm>
 #include <set>
@@ -193,8 +194,12 @@
     relay::relay_message message;
     relay::store_changes &changes = *message.mutable_changes();
     changes.set_polled_at(static_cast<std::uint64_t>(bootTime().time_since_epoch().count()));
-    for (const std::shared_ptr<object_watch> &watch : m_watches) {
-        toMessage(watch->position(), *changes.add_known());
+    for (std::size_t kind = 0; kind < feedKinds; ++kind) {
+        store_position known = m_watches.at(kind)->position();
+        if (m_wantsAll.at(kind)) {
+            known.revision = store_revision();
+        }
+        toMessage(known, *changes.add_known());
     }
     m_links.sendToPeer(peer.address, message);
 }
@@ -254,10 +259,7 @@
         toMessage(watch.position(), *last.mutable_to());
         for (const auto &[name, object] : watch.current()) {
             if (lacking && (lacking->whole || object.position > known)) {
-                relay::told_object &sent = *last.add_objects();
-                sent.set_name(name);
-                sent.set_revision(object.position.revision.value());
-                sent.set_content(platform::encodeContent(object.content));
+                tellObject(object, known, *lacking, *last.add_objects());
             }
         }
         if (lacking) {
@@ -306,17 +308,18 @@
 
 std::optional<time_point> store_feed::take(const relay::told_kind &message, time_point polledAt)
 {
+    object_watch &watch = *m_watches.at(message.kind());
     object_watch::told_changes told;
     told.whole = message.whole();
     told.from = fromMessage(message.from());
     told.to = fromMessage(message.to());
+    const bool isLater = told.to > watch.position();
     for (const relay::told_object &object : message.objects()) {
-        std::optional<Json::Value> content = platform::decodeContent(object.content());
-        if (!content) {
+        if (isLater && !takeObject(object, watch.current(), told)) {
+            m_wantsAll.at(message.kind()) = true;
+            m_log.write("told_change_unfit", {{"kind", std::to_string(message.kind())}, {"object", object.name()}});
             return std::nullopt;
         }
-        told.bytes += object.content().size();
-        told.changed[object.name()] = {object.name(), {told.to.era, store_revision(object.revision())}, std::move(*content)};
     }
     told.removed.insert(message.removed().begin(), message.removed().end());
     // The reply was sent after the poll, so that its spans end after that. What arrives long after the poll may have been held up.
@@ -330,7 +333,9 @@
         told.answeredAt = before(heldUp ? polledAt : now, message.answered_micros_ago());
     }
     const time_point completeSince = told.completeSince;
-    return m_watches.at(message.kind())->adopt(std::move(told)) ? std::optional(completeSince) : std::nullopt;
+    const bool adopted = watch.adopt(std::move(told));
+    m_wantsAll.at(message.kind()) = m_wantsAll.at(message.kind()) && !adopted;
+    return adopted ? std::optional(completeSince) : std::nullopt;
 }
 
 store_feed::figures store_feed::currentFigures() const
--- a/mustardrouter/Edge/store_feed.h
+++ b/mustardrouter/Edge/store_feed.h
@@ -89,6 +89,8 @@
     std::map<std::uint64_t, follower> m_followers;
     /// The changes that were sent last, by kind: most followers lack the same.
     std::array<relay::told_kind, feedKinds> m_lastTold;
+    /// What was told of the kind did not follow from this copy: all of it is asked for.
+    std::array<bool, feedKinds> m_wantsAll{};
     bool m_started = false;
 };
 
--- a/mustardrouter/Membership/change_log.cpp
+++ b/mustardrouter/Membership/change_log.cpp
@@ -40,8 +40,8 @@
         return std::nullopt;
     }
     lacking_changes lacking;
-    if (known < log.start) {
-        lacking.whole = true;
+    lacking.whole = known < log.start;
+    if (known.revision == store_revision()) {
         return lacking;
     }
     bool any = false;
@@ -49,6 +49,12 @@
         if (batch.to <= known) {
             continue;
         }
+        for (const auto &[name, difference] : batch.differences) {
+            lacking.differences[name].push_back(difference);
+        }
+        if (lacking.whole) {
+            continue;
+        }
         lacking.changedSince = any ? std::min(lacking.changedSince, batch.changedSince) : batch.changedSince;
         lacking.answeredAt = any ? std::min(lacking.answeredAt, batch.answeredAt) : batch.answeredAt;
         lacking.removed.insert(batch.removed.begin(), batch.removed.end());
@@ -57,6 +63,16 @@
     return lacking;
 }
 
+std::vector<object_difference> leadingTo(const std::vector<object_difference> &differences, store_position position)
+{
+    std::vector<object_difference> leading;
+    for (auto one = differences.rbegin(); one != differences.rend() && one->after == position; ++one) {
+        leading.insert(leading.begin(), *one);
+        position = one->before;
+    }
+    return leading;
+}
+
 bool continuesAt(store_position known, bool whole, store_position from, store_position to)
 {
     return known.era == to.era && known <= to && (whole || (from.era == known.era && from <= known));
