A follower asks the store early enough to read the configuration over its link

Change: the age limit is shorter by the time that the configuration takes over the instance's own link (limits.link_mbps of the settings, half of it for other traffic); where no time is left for sources, each instance asks the store itself. Not covered: a configuration that grows many times over while both sources are silent; its size is known only when it is read. Test: aFollowerAsksEarlyEnoughToReadALargeConfigurationOverItsLink.

--- a/UnitTests/Membership/change_feed_test.cpp
+++ b/UnitTests/Membership/change_feed_test.cpp
@@ -75,6 +75,20 @@
     CHECK_EQUAL(0U, feedSettingsFor(4000ms, 3500ms, 8).minInstances);
 }
 
+TEST(change_feed, aFollowerAsksEarlyEnoughToReadALargeConfigurationOverItsLink)
+{
+    constexpr double tenMegabit = 10e6 / 8;
+    const duration readTime = readTimeOf(277'000, tenMegabit);
+    CHECK_TRUE(readTime >= 221ms);
+    const feed_settings settings = feedSettingsFor(6s, 10s, 8, readTime);
+    CHECK_EQUAL(8U, settings.minInstances);
+    CHECK_TRUE(settings.ageLimit + settings.askJitter + 400ms + readTime <= 6s);
+    CHECK_TRUE(settings.held + settings.pollInterval + 200ms <= settings.ageLimit);
+    // Where that leaves no time for sources, each asks the store itself.
+    CHECK_EQUAL(0U, feedSettingsFor(3s, 10s, 8, readTimeOf(1'000'000, tenMegabit)).minInstances);
+    CHECK_TRUE(readTimeOf(1'000'000, 0) == duration{});
+}
+
 TEST(change_feed, twoInstancesAskTheStoreAndTheOthersFollow)
 {
     settled_world world(30);
--- a/UnitTests/PlatformAdapter/settings_file_test.cpp
+++ b/UnitTests/PlatformAdapter/settings_file_test.cpp
@@ -15,7 +15,7 @@
 
 const char *const validSettings = R"({"node_name":"edge-1","role":"edge","ip":"10.1.0.8","zone":"z","zones":{"z":"r","y":"q"},
 "bind_addrs":{"frontend":"10.1.0.8:8784","readiness":"10.1.0.8:8785"},"internal_ports":[7440,7455],"bounds":{"grace_s":6},"bootstrap":true,
-"platform":{"address":"10.200.1.7:8783"},"provider_api":{"address":"10.200.0.160:8783"},"something_new":[1]})";
+"platform":{"address":"10.200.1.7:8783"},"provider_api":{"address":"10.200.0.160:8783"},"limits":{"link_mbps":10.0},"something_new":[1]})";
 
 /// Writes the text to a temporary file and reads it as settings. Returns the error detail, or an empty string on success.
 std::string errorDetail(const std::string &text, instance_environment &environment)
@@ -47,6 +47,7 @@
     CHECK_EQUAL(std::string("q"), environment.regions.at("y"));
     CHECK_EQUAL(std::string("10.1.0.8:7440"), environment.metricsAddress);
     CHECK_EQUAL(6000, environment.stopGraceMs);
+    DOUBLES_EQUAL(1.25e6, environment.linkBytesPerSecond, 0);
     CHECK_TRUE(environment.isFirstSystemStart);
     CHECK_FALSE(environment.promotionsAreFenced);
 }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -109,6 +109,8 @@
 
     std::string m_settingsPath;
     platform::instance_environment m_environment;
+    /// Size of the largest configuration that was read, about.
+    std::size_t m_configurationBytes = 0;
     event_log &m_log;
     asio::io_context m_context;
     proxy_engine m_engine;
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -134,7 +134,8 @@
 {
     return feedSettingsFor(std::chrono::milliseconds(m_environment.configurationDelayMs),
                            std::chrono::milliseconds(m_environment.drainMs),
-                           m_environment.relayAddress.empty() ? 0 : m_environment.feedMinInstances);
+                           m_environment.relayAddress.empty() ? 0 : m_environment.feedMinInstances,
+                           readTimeOf(m_configurationBytes, m_environment.linkBytesPerSecond));
 }
 
 void edge_instance::startWatches()
@@ -223,6 +224,10 @@
     if (what.complete && !always) {
         return;
     }
+    if (what.complete && what.changes == 1 && what.bytes > m_configurationBytes + m_configurationBytes / 4) {
+        m_configurationBytes = what.bytes;
+        m_storeFeed.configure(feedSettings());
+    }
     m_log.write(what.complete ? "store_changes_read" : "store_answer_incomplete",
                 {{"kind", kind},
                  {"by",
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -82,7 +82,7 @@
 
 void object_watch::setAnswerInterval(std::optional<duration> interval)
 {
-    const bool shorter = interval && !m_answerInterval;
+    const bool shorter = interval && (!m_answerInterval || *interval < *m_answerInterval);
     m_answerInterval = interval;
     if (shorter && m_listComplete && m_requestOutstanding && !m_paused && !m_stopped) {
         watch();
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -65,6 +65,11 @@
 void store_feed::configure(feed_settings settings)
 {
     m_feed.settings = settings;
+    for (const std::shared_ptr<object_watch> &watch : m_watches) {
+        if (m_started && m_feed.role == feed_role::watching) {
+            watch->setAnswerInterval(settings.held);
+        }
+    }
     reconsider();
 }
 
--- a/mustardrouter/Membership/feed_settings.cpp
+++ b/mustardrouter/Membership/feed_settings.cpp
@@ -22,16 +22,18 @@
 /// The store's answer to a watcher, and the reply of the watcher to its follower.
 constexpr duration answerMargin = 400ms;
 constexpr duration minHeld = 500ms;
+/// Part of the link that an answer gets beside the traffic of clients and databases.
+constexpr double usableShare = 0.5;
 /// A lost poll and its repetition are not yet a silence.
 constexpr int pollsUntilSilent = 2;
 constexpr duration silenceMargin = 500ms;
 
 } // namespace
 
-feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances)
+feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances, duration readTime)
 {
     feed_settings settings;
-    settings.ageLimit = std::min(configurationDelay, drainTime - lateNotice) - askJitter - ownAnswer;
+    settings.ageLimit = std::min(configurationDelay, drainTime - lateNotice) - askJitter - ownAnswer - readTime;
     settings.askJitter = askJitter;
     settings.pollInterval = std::clamp(settings.ageLimit / pollsPerAgeLimit, minPollInterval, maxPollInterval);
     settings.held = settings.ageLimit - settings.pollInterval - answerMargin;
@@ -43,4 +45,13 @@
     return settings;
 }
 
+duration readTimeOf(std::size_t bytes, double linkBytesPerSecond)
+{
+    if (linkBytesPerSecond <= 0) {
+        return {};
+    }
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) / (linkBytesPerSecond * usableShare)));
+}
+
 } // namespace mustardrouter
--- a/mustardrouter/Membership/feed_settings.h
+++ b/mustardrouter/Membership/feed_settings.h
@@ -30,7 +30,11 @@
 };
 
 /// The times with which an instance in touch has adopted each configuration within `configurationDelay`, and knows of each leaving
-/// database in time for `drainTime`, whatever happens to its sources. `minInstances` becomes 0 where the bounds leave no room.
-feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances);
+/// database in time for `drainTime`, whatever happens to its sources. `readTime` is what an answer of the store takes to arrive.
+/// `minInstances` becomes 0 where the bounds leave no room.
+feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances, duration readTime = {});
+
+/// Time in which an answer of so many bytes arrives over this instance's link, beside its other traffic. 0 if the link is not known.
+duration readTimeOf(std::size_t bytes, double linkBytesPerSecond);
 
 } // namespace mustardrouter
