What would fill a link is not passed on: a follower reads it from the store

Weighed: passing it on more slowly (it then misses the bound); to the first few followers only (they would have to pass it on). Change: an instance passes on at most what its link carries in 1 s beside other traffic, to all followers together; of a larger object it says so, and a follower then asks the store at once instead of at the age limit. Tests: aConfigurationThatWouldFillTheLinkIsReadFromTheStore.

--- a/UnitTests/Edge/store_feed_test.cpp
+++ b/UnitTests/Edge/store_feed_test.cpp
@@ -30,7 +30,7 @@
 class fed_part
 {
 public:
-    fed_part(asio::io_context &context, const std::string &store, listed_instance self, event_log &log, std::size_t minInstances)
+    fed_part(asio::io_context &context, const std::string &store, listed_instance self, event_log &log, const feed_settings &settings)
         : m_self(std::move(self))
         , m_links(context, linkHandlers())
         , m_history({[](store_era) {
@@ -43,10 +43,9 @@
                      },
                      [] {
                      }})
-        , m_feed(
-              context, m_links, log, feedSettingsFor(configurationDelay, drainTime, minInstances), m_self.name, 1, [this](store_era era) {
-                  m_history.learn(era);
-              })
+        , m_feed(context, m_links, log, settings, m_self.name, 1, [this](store_era era) {
+            m_history.learn(era);
+        })
     {
         CHECK_TRUE(m_links.listen(m_self.relayAddress));
         const char *const kinds[] = {platform::databaseKind, platform::configurationKind, platform::instanceKind};
@@ -180,8 +179,10 @@
     std::unique_ptr<event_log> log;
     std::vector<std::unique_ptr<fed_part>> parts;
 
-    explicit fed_data_centre(std::size_t minInstances = instanceCount)
+    explicit fed_data_centre(std::size_t minInstances = instanceCount, std::size_t passedOnBytes = SIZE_MAX)
     {
+        feed_settings settings = feedSettingsFor(configurationDelay, drainTime, minInstances);
+        settings.passedOnBytes = passedOnBytes;
         CHECK_EQUAL(0, ::pipe(output));
         log = std::make_unique<event_log>("test", output[1]);
         std::vector<listed_instance> instances;
@@ -197,7 +198,7 @@
         store.objects().put(platform::configurationKind, "main", "first");
         store.objects().put(platform::databaseKind, "db", "one");
         for (const listed_instance &instance : instances) {
-            parts.push_back(std::make_unique<fed_part>(context, store.addInstance(), instance, *log, minInstances));
+            parts.push_back(std::make_unique<fed_part>(context, store.addInstance(), instance, *log, settings));
         }
         context.run_for(3500ms);
     }
@@ -395,3 +396,19 @@
     CHECK_TRUE(follower.toldBytes - before > 200'000);
     CHECK_TRUE(follower.configuration() == content);
 }
+
+TEST(store_feed, aConfigurationThatWouldFillTheLinkIsReadFromTheStore)
+{
+    fed_data_centre place(instanceCount, 100'000);
+    fed_part &follower = *place.parts[place.withRole(feed_role::following).front()];
+    const std::uint64_t requests = follower.requests();
+    const Json::Value content = largeConfiguration(1);
+    place.publish(content);
+    place.context.run_for(600ms);
+    CHECK_TRUE(follower.configuration() == content);
+    CHECK_TRUE(follower.toldBytes < 10'000);
+    CHECK_TRUE(follower.requests() > requests);
+    // It follows again after that.
+    place.context.run_for(4s);
+    CHECK_TRUE(follower.role() == feed_role::following);
+}
--- a/UnitTests/Edge/told_objects_test.cpp
+++ b/UnitTests/Edge/told_objects_test.cpp
@@ -44,7 +44,7 @@
 int afterTelling(int known, int newest, const lacking_changes &lacking, std::uint64_t knownPosition)
 {
     relay::told_object sent;
-    tellObject(versionOf(newest), at(knownPosition), lacking, sent);
+    tellObject(versionOf(newest), at(knownPosition), lacking, 1000, sent);
     object_watch::told_changes told;
     told.to = at(static_cast<std::uint64_t>(newest) * 10 + 5);
     if (!takeObject(sent, {{"main", versionOf(known)}}, told)) {
@@ -88,7 +88,7 @@
 TEST(told_objects, anObjectThatHasNotChangedIsOnlyNamed)
 {
     relay::told_object sent;
-    tellObject(versionOf(4), at(45), {}, sent);
+    tellObject(versionOf(4), at(45), {}, 1000, sent);
     CHECK_TRUE(sent.kept() && sent.content().empty());
     object_watch::told_changes told;
     told.to = at(60);
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -132,10 +132,12 @@
 
 feed_settings edge_instance::feedSettings() const
 {
-    return feedSettingsFor(std::chrono::milliseconds(m_environment.configurationDelayMs),
-                           std::chrono::milliseconds(m_environment.drainMs),
-                           m_environment.relayAddress.empty() ? 0 : m_environment.feedMinInstances,
-                           readTimeOf(m_configurationBytes, m_environment.linkBytesPerSecond));
+    feed_settings settings = feedSettingsFor(std::chrono::milliseconds(m_environment.configurationDelayMs),
+                                             std::chrono::milliseconds(m_environment.drainMs),
+                                             m_environment.relayAddress.empty() ? 0 : m_environment.feedMinInstances,
+                                             readTimeOf(m_configurationBytes, m_environment.linkBytesPerSecond));
+    settings.passedOnBytes = passedOnBytesOf(m_environment.linkBytesPerSecond);
+    return settings;
 }
 
 void edge_instance::startWatches()
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -255,6 +255,7 @@
     const object_watch &watch = *m_watches.at(kind);
     const time_point now = bootTime();
     const std::optional<lacking_changes> lacking = changesSince(watch.log(), known);
+    const std::size_t maxBytes = maxBytesToEach(m_feed.settings, m_followers.size());
     relay::told_kind &last = m_lastTold.at(kind);
     const bool same = last.has_to() && fromMessage(last.to()) == watch.position() && fromMessage(last.from()) == known;
     if (!same) {
@@ -264,7 +265,7 @@
         toMessage(watch.position(), *last.mutable_to());
         for (const auto &[name, object] : watch.current()) {
             if (lacking && (lacking->whole || object.position > known)) {
-                tellObject(object, known, *lacking, *last.add_objects());
+                tellObject(object, known, *lacking, maxBytes, *last.add_objects());
             }
         }
         if (lacking) {
@@ -320,6 +321,12 @@
     told.to = fromMessage(message.to());
     const bool isLater = told.to > watch.position();
     for (const relay::told_object &object : message.objects()) {
+        if (isLater && object.too_large()) {
+            const feed_role role = m_feed.role;
+            onChangeNotTold(m_feed, bootTime());
+            applyRole(role);
+            return std::nullopt;
+        }
         if (isLater && !takeObject(object, watch.current(), told)) {
             m_wantsAll.at(message.kind()) = true;
             m_log.write("told_change_unfit", {{"kind", std::to_string(message.kind())}, {"object", object.name()}});
--- a/mustardrouter/Edge/told_objects.cpp
+++ b/mustardrouter/Edge/told_objects.cpp
@@ -41,7 +41,11 @@
 
 } // namespace
 
-void tellObject(const platform::stored_object &object, store_position known, const lacking_changes &lacking, relay::told_object &sent)
+void tellObject(const platform::stored_object &object,
+                store_position known,
+                const lacking_changes &lacking,
+                std::size_t maxBytes,
+                relay::told_object &sent)
 {
     sent.set_name(object.name);
     sent.set_revision(object.position.revision.value());
@@ -58,9 +62,15 @@
             difference.set_difference(one.difference);
         }
     }
-    if (sent.differences().empty()) {
-        sent.set_content(platform::encodeContent(object.content));
+    if (!sent.differences().empty()) {
+        return;
+    }
+    std::string content = platform::encodeContent(object.content);
+    if (content.size() > maxBytes) {
+        sent.set_too_large(true);
+        return;
     }
+    sent.set_content(std::move(content));
 }
 
 bool takeObject(const relay::told_object &object, const object_watch::objects &copy, object_watch::told_changes &told)
--- a/mustardrouter/Membership/change_feed.cpp
+++ b/mustardrouter/Membership/change_feed.cpp
@@ -220,6 +220,16 @@
     }
 }
 
+void onChangeNotTold(change_feed &feed, time_point now)
+{
+    if (feed.role != feed_role::following) {
+        return;
+    }
+    feed.askingSince = now;
+    feed.askUntil = now + feed.settings.minAskTime;
+    take(feed, feed_role::asking, "a change is too large to be passed on");
+}
+
 void onCopiesInvalid(change_feed &feed, time_point now)
 {
     feed.completeSince = {};
--- a/mustardrouter/Membership/change_feed.h
+++ b/mustardrouter/Membership/change_feed.h
@@ -106,6 +106,8 @@
 void onReport(change_feed &feed, const instance_name &source, const feed_report &report, time_point now);
 /// The link to the address was lost.
 void onSourceLost(change_feed &feed, const std::string &address, time_point now);
+/// A source named a change without telling it.
+void onChangeNotTold(change_feed &feed, time_point now);
 /// The store has lost its history, or another store is used: the copies are being read again from the store.
 void onCopiesInvalid(change_feed &feed, time_point now);
 
--- a/mustardrouter/Membership/feed_settings.cpp
+++ b/mustardrouter/Membership/feed_settings.cpp
@@ -45,6 +45,17 @@
     return settings;
 }
 
+std::size_t maxBytesToEach(const feed_settings &settings, std::size_t followers)
+{
+    return settings.passedOnBytes / std::max<std::size_t>(1, followers);
+}
+
+std::size_t passedOnBytesOf(double linkBytesPerSecond)
+{
+    constexpr std::chrono::duration<double> longestWait = 1s;
+    return linkBytesPerSecond <= 0 ? SIZE_MAX : static_cast<std::size_t>(linkBytesPerSecond * usableShare * longestWait.count());
+}
+
 duration readTimeOf(std::size_t bytes, double linkBytesPerSecond)
 {
     if (linkBytesPerSecond <= 0) {
--- a/mustardrouter/Membership/feed_settings.h
+++ b/mustardrouter/Membership/feed_settings.h
@@ -3,6 +3,7 @@
 #include "mustardrouter/Core/virtual_clock.h"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace mustardrouter
 {
@@ -25,6 +26,8 @@
     duration retryAfter{};
     /// Shortest time for which an instance asks the store itself after it followed.
     duration minAskTime{};
+    /// What an instance passes on at once, to all that follow it, in bytes. Statements that it relays wait behind that.
+    std::size_t passedOnBytes = SIZE_MAX;
     /// An instance counts as a source of another for this time after the other's last poll.
     duration pollValidFor{};
 };
@@ -34,6 +37,13 @@
 /// `minInstances` becomes 0 where the bounds leave no room.
 feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances, duration readTime = {});
 
+/// Largest content that is passed on to each of so many followers.
+std::size_t maxBytesToEach(const feed_settings &settings, std::size_t followers);
+
+/// Bytes that leave over this instance's link within the time for which callers' statements may wait behind them. Not limited if the
+/// link is not known.
+std::size_t passedOnBytesOf(double linkBytesPerSecond);
+
 /// Time in which an answer of so many bytes arrives over this instance's link, beside its other traffic. 0 if the link is not known.
 duration readTimeOf(std::size_t bytes, double linkBytesPerSecond);
 
