--- a/mustardrouter/PlatformStandIn/standin_documents.cpp
+++ b/mustardrouter/PlatformStandIn/standin_documents.cpp
@@ -121,6 +121,9 @@
     root["platform"]["address"] = settings.storeAddress;
     root["provider_api"]["address"] = settings.storeAddress;
     root["change_feed_min_instances"] = settings.feedMinInstances;
+    if (settings.linkMegabits > 0) {
+        root["limits"]["link_mbps"] = settings.linkMegabits;
+    }
     root["note"] = settings.note;
     return root.toStyledString();
 }
--- a/mustardrouter/PlatformStandIn/standin_documents.h
+++ b/mustardrouter/PlatformStandIn/standin_documents.h
@@ -40,6 +40,8 @@
     unsigned relayPort = 0;
     /// Where a data centre has fewer instances, each asks the store itself.
     unsigned feedMinInstances = 0;
+    /// Rate of the instance's link; 0: not written.
+    double linkMegabits = 0;
     /// The platform checks the fences of promotion orders, and replaced primaries step down at once.
     bool promotionsAreFenced = true;
     /// The bounds of limits are written.
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t databasesPerGroup = 3;
 /// Connections beyond one for each instance where they are scarce.
 constexpr std::uint32_t scarceReserve = 2;
+/// Routes that make a configuration of 0.2 MB.
+constexpr std::size_t furtherRoutes = 1400;
+constexpr double bytesPerMegabit = 1e6 / 8;
 constexpr std::uint64_t firstVersion = 10;
 
 const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
@@ -39,7 +42,9 @@
     constexpr std::uint64_t kinds = 5;
     const bool both = seed % (2 * kinds) == 2 * kinds - 1;
     constexpr std::uint64_t passingOn = 7;
-    return {seed % kinds == kinds - 1, seed % kinds == 0 || both, seed % passingOn == 3, playsWorkspaces(seed)};
+    constexpr std::uint64_t firstLarge = 30'000;
+    const bool isLarge = seed >= firstLarge;
+    return {seed % kinds == kinds - 1, seed % kinds == 0 || both, isLarge || seed % passingOn == 3, playsWorkspaces(seed), isLarge};
 }
 
 soak_deployment::soak_deployment(
@@ -57,6 +62,9 @@
     , m_timer(context)
     , m_variant(variant)
 {
+    if (m_variant.configurationIsLarge) {
+        m_store.faults().bytesPerSecond = static_cast<std::size_t>(narrowLinkMegabits * bytesPerMegabit);
+    }
     m_store.setChecksFences(!variant.replacedPrimariesContinue);
 }
 
@@ -255,6 +263,9 @@
     for (const soak_route &one : m_routes) {
         routes[one.name] = one.sessionRoute;
     }
+    for (std::size_t index = 0; m_variant.configurationIsLarge && index < furtherRoutes; ++index) {
+        routes["further-" + std::to_string(index)] = m_routes.front().sessionRoute;
+    }
     Json::Value configuration = configurationOf(newest.version, routes, m_groups);
     if (m_variant.hasWorkspaces) {
         std::set<std::string> publicRoutes;
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -45,9 +45,15 @@
     bool changesArePassedOn = false;
     /// The configuration has workspaces; one route of each group is public.
     bool hasWorkspaces = false;
+    /// The configuration has many more routes, and instances have narrow links to the store.
+    bool configurationIsLarge = false;
 };
 
+/// Link of the instances where the configuration is large.
+constexpr double narrowLinkMegabits = 10;
+
 /// The variant that a seed plays: two of five seeds play one of the first two, one of ten both.
+/// A configuration that is large is played by seeds from 30000.
 soak_variant variantOf(std::uint64_t seed);
 
 /// The databases and the platform of a soak: groups, database servers, store entries, versions of the configuration.
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -117,6 +117,7 @@
     settings.hasWorkspaces = m_options.hasWorkspaces;
     settings.relayPort = static_cast<unsigned>(std::stoul(m_relayAddress.substr(m_relayAddress.rfind(':') + 1)));
     settings.feedMinInstances = m_options.feedMinInstances;
+    settings.linkMegabits = m_options.linkMegabits;
     settings.note = starts;
     const std::string text = settingsText(settings);
     std::ofstream file(m_options.folder + "/" + m_options.name + ".json");
--- a/mustardrouter/Soak/soak_instance.h
+++ b/mustardrouter/Soak/soak_instance.h
@@ -28,6 +28,7 @@
         bool promotionsAreFenced = true;
         /// Where a data centre has fewer instances, each asks the store itself; 0: everywhere.
         unsigned feedMinInstances = 0;
+        double linkMegabits = 0;
         bool hasWorkspaces = false;
     };
 
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -92,6 +92,7 @@
         const bool passedOn = variantOf(m_settings.seed).changesArePassedOn;
         options.dataCentre = dataCentres[passedOn ? 0 : index % std::size(dataCentres)];
         options.feedMinInstances = passedOn ? smallestFeed : 0;
+        options.linkMegabits = variantOf(m_settings.seed).configurationIsLarge ? narrowLinkMegabits : 0;
         options.store = m_deployment.store().addInstance();
         options.hasWorkspaces = m_deployment.workspaces() != nullptr;
         options.promotionsAreFenced = !variantOf(m_settings.seed).replacedPrimariesContinue;
