One that the store refuses asks its source for what was too large to be passed on

Change: what was not told is read from the store; from the source, whatever its size, if the store does not answer here. Ruled out: asking the source first; its link carries callers' statements.

--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -201,6 +201,7 @@
     changes.set_polled_at(static_cast<std::uint64_t>(bootTime().time_since_epoch().count()));
     for (std::size_t kind = 0; kind < feedKinds; ++kind) {
         store_position known = m_watches.at(kind)->position();
+        m_wantsAll.at(kind) = m_wantsAll.at(kind) && !m_watches.at(kind)->isReachable();
         if (m_wantsAll.at(kind)) {
             known.revision = store_revision();
         }
@@ -255,7 +256,9 @@
     const object_watch &watch = *m_watches.at(kind);
     const time_point now = bootTime();
     const std::optional<lacking_changes> lacking = changesSince(watch.log(), known);
-    const std::size_t maxBytes = maxBytesToEach(m_feed.settings, m_followers.size());
+    // One that asks for all of it can't read it from the store.
+    const bool limited = known.revision != store_revision();
+    const std::size_t maxBytes = limited ? maxBytesToEach(m_feed.settings, m_followers.size()) : SIZE_MAX;
     relay::told_kind &last = m_lastTold.at(kind);
     const bool same = last.has_to() && fromMessage(last.to()) == watch.position() && fromMessage(last.from()) == known;
     if (!same) {
@@ -321,15 +324,8 @@
     told.to = fromMessage(message.to());
     const bool isLater = told.to > watch.position();
     for (const relay::told_object &object : message.objects()) {
-        if (isLater && object.too_large()) {
-            const feed_role role = m_feed.role;
-            onChangeNotTold(m_feed, bootTime());
-            applyRole(role);
-            return std::nullopt;
-        }
-        if (isLater && !takeObject(object, watch.current(), told)) {
-            m_wantsAll.at(message.kind()) = true;
-            m_log.write("told_change_unfit", {{"kind", std::to_string(message.kind())}, {"object", object.name()}});
+        if (isLater && (object.too_large() || !takeObject(object, watch.current(), told))) {
+            askForWhole(message.kind(), object);
             return std::nullopt;
         }
     }
@@ -350,6 +346,23 @@
     return adopted ? std::optional(completeSince) : std::nullopt;
 }
 
+void store_feed::askForWhole(std::size_t kind, const relay::told_object &object)
+{
+    // The store first, since the source's link carries callers' statements. The next poll asks the source.
+    const bool asksSource = !m_watches.at(kind)->isReachable();
+    m_wantsAll.at(kind) = asksSource;
+    m_log.write("change_not_told",
+                {{"kind", std::to_string(kind)},
+                 {"object", object.name()},
+                 {"why", object.too_large() ? "too large" : "does not fit"},
+                 {"asks", asksSource ? "source" : "store"}});
+    const feed_role role = m_feed.role;
+    if (!asksSource) {
+        onChangeNotTold(m_feed, bootTime());
+    }
+    applyRole(role);
+}
+
 store_feed::figures store_feed::currentFigures() const
 {
     figures now;
--- a/mustardrouter/Edge/store_feed.h
+++ b/mustardrouter/Edge/store_feed.h
@@ -77,6 +77,8 @@
     void tell(std::size_t kind, store_position known, relay::told_kind &told);
     /// Takes over what a source told of one kind. Returns since when this copy is complete, if it is up to date with the source's.
     std::optional<time_point> take(const relay::told_kind &told, time_point polledAt);
+    /// What was told of an object is not enough to bring this copy forward.
+    void askForWhole(std::size_t kind, const relay::told_object &object);
     bool reachesStore() const;
 
     relay_links &m_links;
@@ -89,7 +91,7 @@
     std::map<std::uint64_t, follower> m_followers;
     /// The changes that were sent last, by kind: most followers lack the same.
     std::array<relay::told_kind, feedKinds> m_lastTold;
-    /// What was told of the kind did not follow from this copy: all of it is asked for.
+    /// This copy of the kind can't be brought forward otherwise: the sources are asked for all of it.
     std::array<bool, feedKinds> m_wantsAll{};
     bool m_started = false;
 };
--- a/mustardrouter/Membership/change_feed.cpp
+++ b/mustardrouter/Membership/change_feed.cpp
@@ -227,7 +227,7 @@
     }
     feed.askingSince = now;
     feed.askUntil = now + feed.settings.minAskTime;
-    take(feed, feed_role::asking, "a change is too large to be passed on");
+    take(feed, feed_role::asking, "a change was not told");
 }
 
 void onCopiesInvalid(change_feed &feed, time_point now)
