--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -593,7 +593,14 @@
                 m_edgeMetrics.text(m_engine,
                                    m_clients.size(),
                                    m_log.dropped(),
-                                   {m_registration.writes(), m_listedAgainAfter, feed.role, feed.followers, feed.age, feed.requests},
+                                   {m_registration.writes(),
+                                    m_listedAgainAfter,
+                                    feed.role,
+                                    feed.followers,
+                                    feed.age,
+                                    feed.requests,
+                                    m_incompleteAnswers,
+                                    feed.changesNotTold},
                                    now())};
     }
     return {404, {}};
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -141,6 +141,7 @@
     std::shared_ptr<object_watch> m_databaseWatch;
     std::shared_ptr<object_watch> m_configurationWatch;
     std::shared_ptr<object_watch> m_instanceWatch;
+    std::uint64_t m_incompleteAnswers = 0;
     /// No watch has failed since one of them last reached the store again.
     bool m_storeReached = true;
     /// Time from the last loss of the store's history to the last list that was complete again.
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -122,7 +122,11 @@
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(store.age);
     std::string text = "# TYPE mustardrouter_store_requests_total counter\nmustardrouter_store_requests_total "
-                       + std::to_string(store.requests) + "\n# TYPE mustardrouter_store_changes_from gauge\n";
+                       + std::to_string(store.requests)
+                       + "\n# TYPE mustardrouter_store_answers_incomplete_total counter\nmustardrouter_store_answers_incomplete_total "
+                       + std::to_string(store.incompleteAnswers)
+                       + "\n# TYPE mustardrouter_store_changes_not_told_total counter\nmustardrouter_store_changes_not_told_total "
+                       + std::to_string(store.changesNotTold) + "\n# TYPE mustardrouter_store_changes_from gauge\n";
     for (const feed_role role : {feed_role::alone, feed_role::watching, feed_role::following, feed_role::asking}) {
         text += std::string("mustardrouter_store_changes_from{role=\"") + toString(role) + "\"} " + (role == store.role ? "1" : "0") + "\n";
     }
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -38,6 +38,10 @@
         duration age{};
         /// Requests for lists and changes.
         std::uint64_t requests = 0;
+        /// Answers of which only a part arrived.
+        std::uint64_t incompleteAnswers = 0;
+        /// Changes that a source named without telling them.
+        std::uint64_t changesNotTold = 0;
     };
 
     /// Formats all metrics. `sessions` is the number of open sessions, `linesDropped` the number of dropped log lines.
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -223,6 +223,7 @@
     const auto millis = [](duration span) {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
     };
+    m_incompleteAnswers += what.complete ? 0 : 1;
     if (what.complete && !always) {
         return;
     }
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -351,6 +351,7 @@
     // The store first, since the source's link carries callers' statements. The next poll asks the source.
     const bool asksSource = !m_watches.at(kind)->isReachable();
     m_wantsAll.at(kind) = asksSource;
+    m_changesNotTold += 1;
     m_log.write("change_not_told",
                 {{"kind", std::to_string(kind)},
                  {"object", object.name()},
@@ -368,6 +369,7 @@
     figures now;
     now.role = m_feed.role;
     now.followers = m_followers.size();
+    now.changesNotTold = m_changesNotTold;
     if (!m_started) {
         return now;
     }
--- a/mustardrouter/Edge/store_feed.h
+++ b/mustardrouter/Edge/store_feed.h
@@ -34,6 +34,8 @@
         /// Requests for lists and changes that were sent to the store.
         std::uint64_t requests = 0;
         std::size_t followers = 0;
+        /// Changes that a source named without telling them, or that did not fit this copy.
+        std::uint64_t changesNotTold = 0;
     };
 
     /// `onEra` is called with the era that another instance names.
@@ -93,6 +95,7 @@
     std::array<relay::told_kind, feedKinds> m_lastTold;
     /// This copy of the kind can't be brought forward otherwise: the sources are asked for all of it.
     std::array<bool, feedKinds> m_wantsAll{};
+    std::uint64_t m_changesNotTold = 0;
     bool m_started = false;
 };
 
