--- a/UnitTests/PlatformAdapter/http_client_test.cpp
+++ b/UnitTests/PlatformAdapter/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/http_client.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <chrono>
@@ -67,3 +68,29 @@
     CHECK_EQUAL(0U, received->status);
     CHECK_TRUE(received->receivedBytes > 0);
 }
+
+TEST(http_client, aHeaderThatComesLongBeforeItsAnswerDoesNotEndTheRequest)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket server(context);
+    asio::steady_timer later(context);
+    acceptor.async_accept(server, [&](const asio::error_code &) {
+        asio::write(server, asio::buffer(std::string("HTTP/1.1 200 -\r\nContent-Length: 4\r\n\r\n")));
+        later.expires_after(1500ms);
+        later.async_wait([&](const asio::error_code &) {
+            asio::write(server, asio::buffer(std::string("done")));
+        });
+    });
+    const auto client = std::make_shared<platform::http_client>(context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    platform::http_request request;
+    request.target = "/";
+    request.requestTimeout = 5s;
+    std::string body;
+    client->call(std::move(request), [&](const platform::http_response &response) {
+        body = response.body;
+        context.stop();
+    });
+    context.run_for(3s);
+    CHECK_EQUAL(std::string("done"), body);
+}
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -350,8 +350,23 @@
     }
     tellTransfer(answer);
     change_batch batch{m_position, changes->position, changedSince, m_answeredAt, {}};
+    takeChanges(*changes, batch);
+    m_position = changes->position;
+    m_changeAnsweredAt = m_answeredAt;
+    appendToLog(m_log, std::move(batch));
+    m_handlers.onChange(m_objects, changedSince);
+    tellState();
+    duration delay = m_options.batchDelay;
+    if (m_answerInterval) {
+        delay = std::clamp(m_completeSince + *m_answerInterval - bootTime(), duration{}, delay);
+    }
+    watchAfterDelay(delay);
+}
+
+void object_watch::takeChanges(platform::object_changes &changes, change_batch &batch)
+{
     objects before;
-    for (platform::object_change &change : changes->changes) {
+    for (platform::object_change &change : changes.changes) {
         const std::string name = change.object.name;
         const bool again = before.contains(name);
         m_isBehind = m_isBehind || (again && m_options.fewLargeObjects);
@@ -370,16 +385,6 @@
             addDifference(batch, object, after->second);
         }
     }
-    m_position = changes->position;
-    m_changeAnsweredAt = m_answeredAt;
-    appendToLog(m_log, std::move(batch));
-    m_handlers.onChange(m_objects, changedSince);
-    tellState();
-    duration delay = m_options.batchDelay;
-    if (m_answerInterval) {
-        delay = std::clamp(m_completeSince + *m_answerInterval - bootTime(), duration{}, delay);
-    }
-    watchAfterDelay(delay);
 }
 
 void object_watch::watchAfterDelay(duration delay)
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -142,6 +142,8 @@
     void resume();
     bool isToList() const;
     void handleChanges(const platform::http_response &response);
+    /// Applies the changes to the copy and adds to the batch what followers can't tell from the copy.
+    void takeChanges(platform::object_changes &changes, change_batch &batch);
     void scheduleRetry();
     void watchAfterDelay(duration delay);
     /// Returns the time after which the changes in this answer were made.
--- a/mustardrouter/Edge/told_objects.cpp
+++ b/mustardrouter/Edge/told_objects.cpp
@@ -35,7 +35,7 @@
     if (only != nullptr) {
         told.differences[object.name()] = {known.position, position, only->difference()};
     }
-    told.changed[object.name()] = {object.name(), position, content ? std::move(*content) : known.content};
+    told.changed[object.name()] = {object.name(), position, content ? std::move(content).value() : known.content};
     return true;
 }
 
