Log lines for statements without an answer: late answers, what is unfinished at a stop

The incident's hypotheses could not be told apart: whether the answer to a read that was given up arrives, and what a session waits for when its instance exits, was not logged. New: answer_late (with a counter), unfinished_at_stop, statements_left and unsent_bytes in stop.

--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -159,7 +159,17 @@
     startWatches();
     pollSettingsFile();
     m_context.run();
-    m_log.write("stop", {{"sessions_left", std::to_string(m_clients.size())}, {"lines_dropped", std::to_string(m_log.dropped())}});
+    reportUnfinished(m_engine, now());
+    performActions();
+    std::size_t unsentBytes = 0;
+    for (const auto &[id, client] : m_clients) {
+        unsentBytes += client.stream->unsentBytes();
+    }
+    m_log.write("stop",
+                {{"sessions_left", std::to_string(m_clients.size())},
+                 {"statements_left", std::to_string(m_engine.counters.unfinishedAtStop)},
+                 {"unsent_bytes", std::to_string(unsentBytes)},
+                 {"lines_dropped", std::to_string(m_log.dropped())}});
     return true;
 }
 
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -178,6 +178,7 @@
     }
     appendMetric("in_doubt_total", "counter", counters.inDoubt);
     appendMetric("retries_total", "counter", counters.retries);
+    appendMetric("late_answers_total", "counter", counters.lateReplies);
     appendMetric("connections_opened_total", "counter", counters.connectionsOpened);
     appendMetric("connections_refused_total", "counter", counters.connectionsRefused);
     appendMetric("lead_questions_total", "counter", counters.primaryChecks);
--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -54,6 +54,11 @@
     return m_pendingOutput;
 }
 
+std::size_t line_stream::unsentBytes() const
+{
+    return m_pendingOutput.size() + m_writeBuffer.size();
+}
+
 void line_stream::flush()
 {
     if (m_ended || !m_writeBuffer.empty() || m_pendingOutput.empty() || !m_socket.is_open()) {
--- a/mustardrouter/Edge/line_stream.h
+++ b/mustardrouter/Edge/line_stream.h
@@ -37,6 +37,8 @@
     std::string &out();
     /// Sends the buffered output.
     void flush();
+    /// Output that the socket has not taken yet.
+    std::size_t unsentBytes() const;
     /// Closes the connection at once, without a callback.
     void close();
     /// Sends the buffered output, shuts down sending, and closes once the peer has closed or after a timeout. No callback
--- a/mustardrouter/Proxy/database_connection.h
+++ b/mustardrouter/Proxy/database_connection.h
@@ -67,6 +67,9 @@
     bool inTransaction = false;
     /// When the last successful primary check on this connection was sent.
     time_point primaryCheckedAt{};
+    /// The client's statement that it last ran and that was given up before its reply, and when; for the log.
+    std::string abandonedRequest;
+    time_point abandonedAt{};
     time_point since{};
 };
 
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -357,6 +357,15 @@
     case reply_purpose::statement:
         if (session != nullptr && session->current) {
             session->current->reply = std::move(reply);
+        } else if (!connection.abandonedRequest.empty()) {
+            engine.counters.lateReplies += 1;
+            reportEvent(engine,
+                        "answer_late",
+                        {{"request", std::exchange(connection.abandonedRequest, {})},
+                         {"database", connection.database.value()},
+                         {"code", std::string(toString(reply.code))},
+                         {"asked_ms_ago", toMillisText(now - expected.sentAt)},
+                         {"given_up_ms_ago", toMillisText(now - connection.abandonedAt)}});
         }
         break;
     case reply_purpose::begin:
@@ -493,6 +502,11 @@
         return;
     }
     database_connection &connection = found->second;
+    const client_session *session = sessionOf(engine, connection);
+    if (session != nullptr && session->current && session->current->connection == id && !connection.expected.empty()) {
+        connection.abandonedRequest = session->current->statement.id;
+        connection.abandonedAt = now;
+    }
     connection.session = session_id{};
     connection.since = now;
     if (connection.prepared.size() > maxPreparedPerConnection) {
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -19,6 +19,9 @@
     std::map<std::string_view, std::uint64_t> refusalsByCause;
     std::uint64_t inDoubt = 0;
     std::uint64_t retries = 0;
+    /// Replies to statements that had been given up, and statements without a reply when the instance stopped.
+    std::uint64_t lateReplies = 0;
+    std::uint64_t unfinishedAtStop = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsRefused = 0;
     std::uint64_t primaryChecks = 0;
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -202,6 +202,8 @@
 
 /// The instance is to stop: idle sessions are closed, and transactions get time to end.
 void onStop(proxy_engine &engine, time_point now);
+/// Logs what each session waits for that is not idle.
+void reportUnfinished(proxy_engine &engine, time_point now);
 
 /// Runs all timers that are due.
 void onTimer(proxy_engine &engine, time_point now);
