--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -125,6 +125,8 @@
             ++position;
             state = text == "COMMIT" ? 'I' : state;
             send(socket, signature + ready());
+        } else if (text == "READ never") {
+            // As a database that is still at work.
         } else if (text.find("READ ") != std::string::npos) {
             send(socket, "DATAROW value\r\n" + signature + ready());
         } else {
@@ -225,7 +227,7 @@
     std::thread thread;
     std::atomic<bool> ranToEnd{false};
 
-    running_edge()
+    explicit running_edge(std::uint32_t stopGraceMs = platform::instance_environment().stopGraceMs)
     {
         // As the edge command does, so that a write to a closed connection returns an error.
         std::signal(SIGPIPE, SIG_IGN);
@@ -238,6 +240,7 @@
         environment.storeAddress = store.address();
         environment.promotionAddress = store.address();
         environment.promotionsAreFenced = true;
+        environment.stopGraceMs = stopGraceMs;
         log = std::make_unique<event_log>("edge-1", logPipe[1]);
         instance = std::make_unique<edge_instance>("/nonexistent", environment, *log);
         thread = std::thread([this] {
@@ -345,3 +348,23 @@
     edge.instance.reset();
     CHECK_TRUE(edge.ranToEnd);
 }
+
+TEST(edge_loopback, aStatementTakenAfterTheStopSignalIsAnsweredBeforeTheInstanceExits)
+{
+    running_edge edge(1000);
+    wire_client reader(edge.environment.clientAddress);
+    reader.exchange("STARTUP shop someone");
+    wire_client behind(edge.environment.clientAddress);
+    behind.exchange("STARTUP shop someone");
+    edge.instance->requestStop();
+    send(behind.socket, "QUERY d1 READ never\r\nQUERY d2 WRITE x 1\r\n");
+    CHECK_TRUE(reader.exchange("QUERY d3 READ never").starts_with("ERROR ABORTED"));
+    CHECK_TRUE(behind.readLine().starts_with("ERROR ABORTED"));
+    CHECK_TRUE(behind.readLine().starts_with("READY I"));
+    CHECK_TRUE(behind.readLine().starts_with("ERROR BUSY"));
+    CHECK_TRUE(behind.readLine().starts_with("READY I"));
+    CHECK_EQUAL(std::string(), behind.readLine());
+    edge.thread.join();
+    edge.instance.reset();
+    CHECK_TRUE(edge.ranToEnd);
+}
--- /dev/null
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -0,0 +1,65 @@
+#include "UnitTests/Proxy/proxy_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace mustardrouter;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A group whose statements take longer than the time after which a reply counts as overdue.
+struct slow_world : proxy_world {
+    slow_world()
+        : proxy_world(7)
+    {
+        addGroup();
+        configure(1);
+        runFor(5s);
+        for (auto &[name, database] : databases) {
+            database.serviceTime = engine.settings.replyTimeout + 10ms;
+        }
+    }
+};
+
+void checkNoViolations(const proxy_world &world)
+{
+    CHECK_TRUE_TEXT(world.violations.empty(), world.violations.empty() ? "" : world.violations.front().c_str());
+}
+
+} // namespace
+
+TEST_GROUP(long_statements){};
+
+TEST(long_statements, aReadThatRunsLongerThanTheReplyTimeoutGetsItsAnswer)
+{
+    for (const char *route : {"age", "session", "latest"}) {
+        slow_world world;
+        fake_client &client = world.connect(route);
+        CHECK_TRUE_TEXT(world.sendAndWait(client, client_verb::read, "x").code == reply_code::done, route);
+        checkNoViolations(world);
+    }
+}
+
+TEST(long_statements, aLongReadTakesNoMoreThanTwoSlotsAtOnce)
+{
+    slow_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 900ms;
+    }
+    fake_client &client = world.connect("age");
+    world.send(client, client_verb::read, "x");
+    std::ptrdiff_t most = 0;
+    for (int step = 0; step < 190; ++step) {
+        world.runFor(5ms);
+        most = std::max(most, std::ranges::count_if(world.engine.connections, [&](const auto &connection) {
+                            return connection.second.session == client.id;
+                        }));
+    }
+    CHECK_EQUAL(1, client.replies.size());
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    CHECK_TRUE(most <= 2);
+    checkNoViolations(world);
+}
