A read whose reply is overdue keeps its first run while a second database is asked

Callers saw: a read whose run takes longer than 400 ms never got its answer.

Cause: a fixed time since the statement was sent was taken for silence of the database, independently of the work.

Ruled out: a lost answer or a silent database. A larger constant moves the limit, and slows the change away from a dark database. Not re-asking a database that has replied to others since: the reply may be lost on this connection alone.

Change: Proxy/engine_runs: the first run goes on, and the first whole answer of either run counts. No more than two runs at once; if both are overdue, the one at a suspected database goes, else the later one, and later runs are given more time. A refusal of another run is not a refusal of the statement while the first run is under way. Its connection is the price; before, the same connection waited for the abandoned reply.

Shown: long_statements tests failed before.

--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -23,23 +23,33 @@
     std::string statementText;
 };
 
-/// A read, write or commit that waits for a connection or for its reply.
-struct running_statement {
-    client_statement statement;
-    bool writes = false;
-    time_point arrivedAt{};
-    time_point deadline{};
+/// One run of a statement at a database.
+struct statement_run {
     /// Connection that it was sent on; zero while it waits for one.
     database_connection_id connection;
     time_point sentAt{};
-    /// Databases that refused or failed it; retries avoid them.
-    std::vector<database_name> excludedDatabases;
+    /// From then on its reply is overdue.
+    time_point replyDueAt{};
     /// Log entry that the replying database must have; none when a primary check takes its place.
     std::optional<log_entry> floor;
     bool needsPrimaryCheck = false;
     bool primaryCheckedAfter = false;
     bool primaryCheckedBefore = false;
     std::optional<database_reply> reply;
+};
+
+/// A read, write or commit that waits for a connection or for its reply. The members of its base are those of its latest run.
+struct running_statement : statement_run {
+    client_statement statement;
+    bool writes = false;
+    time_point arrivedAt{};
+    time_point deadline{};
+    /// For a read whose reply was overdue and which was sent to a second database: its run at the first one, which goes on.
+    std::optional<statement_run> earlierRun;
+    /// How often it was sent elsewhere because its reply was overdue.
+    std::uint32_t overdueRuns = 0;
+    /// Databases that refused or failed it; retries avoid them.
+    std::vector<database_name> excludedDatabases;
     std::uint32_t attempts = 0;
     /// It was counted for the limit of its workspace.
     bool counted = false;
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -61,7 +61,9 @@
         }
         return;
     }
-    if (session->current && session->current->connection == connection.id && session->current->reply) {
+    const statement_run *run = runOn(*session, connection.id);
+    if (run != nullptr && run->reply) {
+        makeLatestRun(*session, connection.id);
         finishAutocommit(engine, connection, *session, now);
     }
 }
@@ -75,9 +77,8 @@
 {
     const bool isPrimary = reply.code == reply_code::done && reply.state == transaction_state::open;
     client_session *session = sessionOf(engine, connection);
-    if (session != nullptr && session->current && session->current->connection == connection.id) {
-        bool &checkedFlag = session->current->reply ? session->current->primaryCheckedAfter : session->current->primaryCheckedBefore;
-        checkedFlag = isPrimary;
+    if (statement_run *run = session == nullptr ? nullptr : runOn(*session, connection.id)) {
+        (run->reply ? run->primaryCheckedAfter : run->primaryCheckedBefore) = isPrimary;
     }
     if (isPrimary) {
         connection.primaryCheckedAt = requestedAt;
@@ -179,6 +180,10 @@
         refuseStatement(engine, session, reply_code::aborted, "connection lost inside a transaction", now);
         return;
     }
+    if (session.current && session.current->earlierRun && session.current->earlierRun->connection == lostConnection.id) {
+        session.current->earlierRun.reset();
+        return;
+    }
     if (!session.current || session.current->connection != lostConnection.id) {
         return;
     }
@@ -355,8 +360,8 @@
         primaryCheckAnswered(engine, group, connection, reply, expected.sentAt, now);
         break;
     case reply_purpose::statement:
-        if (session != nullptr && session->current) {
-            session->current->reply = std::move(reply);
+        if (statement_run *run = session == nullptr ? nullptr : runOn(*session, id)) {
+            run->reply = std::move(reply);
         } else if (!connection.abandonedRequest.empty()) {
             engine.counters.lateReplies += 1;
             reportEvent(engine,
@@ -502,8 +507,8 @@
         return;
     }
     database_connection &connection = found->second;
-    const client_session *session = sessionOf(engine, connection);
-    if (session != nullptr && session->current && session->current->connection == id && !connection.expected.empty()) {
+    client_session *session = sessionOf(engine, connection);
+    if (session != nullptr && !connection.expected.empty() && runOn(*session, id) != nullptr) {
         connection.abandonedRequest = session->current->statement.id;
         connection.abandonedAt = now;
     }
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -77,8 +77,9 @@
     running.sentAt = now;
     running.reply.reset();
     running.attempts += 1;
+    running.replyDueAt = now + replyTimeoutOf(engine, running);
     connection.session = session.id;
-    scheduleTimer(engine, now + engine.settings.replyTimeout, timer_kind::session, session.id.value());
+    scheduleTimer(engine, running.replyDueAt, timer_kind::session, session.id.value());
 }
 
 } // namespace
@@ -307,7 +308,9 @@
 {
     running_statement &running = *session.current;
     if (now - running.arrivedAt >= sessionRoute.latencyTarget * admissionWaitTenths / 10) {
-        refuseStatement(engine, session, reply_code::busy, reason, now);
+        if (!awaitEarlierRun(engine, session, now)) {
+            refuseStatement(engine, session, reply_code::busy, reason, now);
+        }
         return true;
     }
     running.notBefore = now + admissionBackoff + duration(static_cast<std::int64_t>(engine.random() % admissionBackoff.count()));
@@ -345,7 +348,9 @@
         return false;
     }
     if (now - session.current->arrivedAt >= sessionRoute.latencyTarget * admissionWaitTenths / 10) {
-        refuseStatement(engine, session, reply_code::busy, "the primary can't be verified", now);
+        if (!awaitEarlierRun(engine, session, now)) {
+            refuseStatement(engine, session, reply_code::busy, "the primary can't be verified", now);
+        }
         return true;
     }
     if (group.primary) {
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -32,6 +32,21 @@
 /// Applies the timeouts of the session: session start, statement deadline, missing reply, idle transaction and stop.
 void checkSession(proxy_engine &engine, client_session &session, time_point now);
 
+// Runs of a read at two databases (engine_runs.cpp)
+
+/// The run of the session's current statement on this connection; nullptr without one.
+statement_run *runOn(client_session &session, database_connection_id connection);
+/// Makes the run on this connection, which may be the earlier one, the latest of the session's current statement.
+void makeLatestRun(client_session &session, database_connection_id connection);
+/// How long the latest run of the statement may take until it counts as overdue.
+duration replyTimeoutOf(const proxy_engine &engine, const running_statement &running);
+/// Queues a read whose reply is overdue for a run at another database, while the first run goes on.
+void runElsewhere(proxy_engine &engine, client_session &session, time_point now);
+/// Has the statement wait for its earlier run instead of another one. Returns false if there is no earlier run.
+bool awaitEarlierRun(proxy_engine &engine, client_session &session, time_point now);
+/// Gives up the earlier run of the session's current statement, if there is one.
+void releaseEarlierRun(proxy_engine &engine, client_session &session, time_point now);
+
 // Dispatch (engine_dispatch.cpp)
 
 /// Queues the session for a connection and marks its group for dispatch.
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -80,6 +80,7 @@
     }
     (group.primary == connection.database ? engine.counters.primaryReads : engine.counters.replicaReads) += 1;
     if (running.needsPrimaryCheck) {
+        releaseEarlierRun(engine, session, now);
         deliverVerified(
             engine, group, session, {.database = connection.database, .since = running.arrivedAt, .reply = toClient(reply)}, now);
         return;
@@ -207,7 +208,9 @@
                  {"attempts", std::to_string(running.attempts)},
                  {"after_ms", toMillisText(now - running.arrivedAt)}});
     if (running.attempts >= maxAttempts) {
-        refuseStatement(engine, session, reply_code::busy, reason, now);
+        if (!awaitEarlierRun(engine, session, now)) {
+            refuseStatement(engine, session, reply_code::busy, reason, now);
+        }
         return;
     }
     running.notBefore = now + pause;
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -318,7 +318,8 @@
     client_session &session = found->second;
     if (session.transaction) {
         endTransaction(engine, session, transaction_state::none, now);
-    } else if (session.current && session.current->connection != database_connection_id{}) {
+    } else if (session.current) {
+        releaseEarlierRun(engine, session, now);
         releaseConnection(engine, session.current->connection, now);
     }
     engine.sessions.erase(found);
@@ -340,6 +341,7 @@
 void replyToStatement(proxy_engine &engine, client_session &session, client_reply reply, time_point now)
 {
     assert(session.current.has_value());
+    releaseEarlierRun(engine, session, now);
     session.current.reset();
     reply.state = session.state;
     sendReply(engine, session, std::move(reply));
@@ -431,7 +433,7 @@
 void handleStatementTimeout(proxy_engine &engine, client_session &session, time_point now)
 {
     running_statement &running = *session.current;
-    const bool sent = running.connection != database_connection_id{} || running.replyHeld;
+    const bool sent = running.connection != database_connection_id{} || running.earlierRun || running.replyHeld;
     if (!sent) {
         recordPrimaryOverload(engine, session, now);
         refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "no connection in time", now);
@@ -462,7 +464,7 @@
 }
 
 /// Handles an overdue reply: the database is suspected unless it has replied since the statement was sent, and a read
-/// outside a transaction is retried on another database.
+/// outside a transaction is sent to another database, too.
 void handleReplyTimeout(proxy_engine &engine, client_session &session, time_point now)
 {
     running_statement &running = *session.current;
@@ -496,9 +498,7 @@
                  {"from", connection->second.database.value()},
                  {"waited_ms", toMillisText(now - running.sentAt)}});
     running.excludedDatabases.push_back(connection->second.database);
-    engine.counters.retries += 1;
-    releaseConnection(engine, running.connection, now);
-    queueForConnection(engine, session, now);
+    runElsewhere(engine, session, now);
 }
 
 } // namespace
@@ -514,9 +514,7 @@
             handleStatementTimeout(engine, session, now);
             return;
         }
-        const bool overdue =
-            session.current->connection != database_connection_id{} && now - session.current->sentAt >= engine.settings.replyTimeout;
-        if (overdue) {
+        if (session.current->connection != database_connection_id{} && now >= session.current->replyDueAt) {
             handleReplyTimeout(engine, session, now);
         }
         return;
--- a/mustardrouter/Proxy/engine_stop.cpp
+++ b/mustardrouter/Proxy/engine_stop.cpp
@@ -17,7 +17,8 @@
     if (session.current->replyHeld) {
         return "evidence";
     }
-    return session.current->connection == database_connection_id{} ? "a connection" : "a database";
+    const bool sent = session.current->connection != database_connection_id{} || session.current->earlierRun;
+    return sent ? "a database" : "a connection";
 }
 
 } // namespace
--- a/mustardrouter/Proxy/engine_workspaces.cpp
+++ b/mustardrouter/Proxy/engine_workspaces.cpp
@@ -37,7 +37,8 @@
 
 bool statementWasSent(const client_session &session)
 {
-    return session.current && (session.current->connection != database_connection_id{} || session.current->replyHeld);
+    return session.current
+           && (session.current->connection != database_connection_id{} || session.current->earlierRun || session.current->replyHeld);
 }
 
 /// Ends a transaction under way whose workspace is not the session's any more. What was sent before is answered: only a COMMIT
