An instance that stops gives each unanswered statement a last answer before it exits

Cause: the exit depended on the clock alone. What was still waiting, running, held or queued was dropped with the event loop, and so was output that a socket had not taken.

Ruled out: to refuse statements earlier after the signal; a statement taken at any moment may be long, so that moves the case and costs those that are served. To answer from the exit handler of each session: one place that goes through all sessions can't miss one.

Change: finishStop (Proxy/engine_stop): at 0.9 of the grace period each statement gets the answer that is true: refused if it was not sent, aborted if nothing of it can be kept, in doubt if it may be committed; what is queued behind it is refused; a session whose start waits is refused. giveUpStatement is the one place for this and for the statement's time-out. The instance then waits for clients to take their answers, until 0.97.

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -126,7 +126,8 @@
             state = text == "COMMIT" ? 'I' : state;
             send(socket, signature + ready());
         } else if (text == "READ never") {
-            // As a database that is still at work.
+            // A database that is at work until the connection is closed.
+            while (!readUntil(socket, buffer, "\r\n").empty()) { }
         } else if (text.find("READ ") != std::string::npos) {
             send(socket, "DATAROW value\r\n" + signature + ready());
         } else {
@@ -358,13 +359,16 @@
     behind.exchange("STARTUP shop someone");
     edge.instance->requestStop();
     send(behind.socket, "QUERY d1 READ never\r\nQUERY d2 WRITE x 1\r\n");
-    CHECK_TRUE(reader.exchange("QUERY d3 READ never").starts_with("ERROR ABORTED"));
+    send(reader.socket, "QUERY d3 READ never\r\n");
+    edge.thread.join();
+    edge.instance.reset();
+    CHECK_TRUE(edge.ranToEnd);
+    CHECK_TRUE(reader.readLine().starts_with("ERROR ABORTED"));
+    CHECK_TRUE(reader.readLine().starts_with("READY I"));
+    CHECK_EQUAL(std::string(), reader.readLine());
     CHECK_TRUE(behind.readLine().starts_with("ERROR ABORTED"));
     CHECK_TRUE(behind.readLine().starts_with("READY I"));
     CHECK_TRUE(behind.readLine().starts_with("ERROR BUSY"));
     CHECK_TRUE(behind.readLine().starts_with("READY I"));
     CHECK_EQUAL(std::string(), behind.readLine());
-    edge.thread.join();
-    edge.instance.reset();
-    CHECK_TRUE(edge.ranToEnd);
 }
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -28,8 +28,10 @@
 constexpr auto settingsPollInterval = std::chrono::seconds(2);
 /// Interval at which a stopping instance checks whether all sessions have ended.
 constexpr auto drainPollInterval = std::chrono::milliseconds(50);
-/// Tenths of the grace period after which the instance exits even if sessions are still open.
-constexpr std::int64_t forcedStopTenths = 9;
+/// Tenths of the grace period after which what is still unanswered gets its last answer, and hundredths after which the instance exits
+/// even if clients have not taken theirs.
+constexpr std::int64_t lastAnswersTenths = 9;
+constexpr std::int64_t forcedStopHundredths = 97;
 /// Tenths of the grace period over which idle sessions are closed, and during which new statements are accepted.
 constexpr std::int64_t sessionCloseTenths = 4;
 constexpr std::int64_t statementDrainTenths = 7;
@@ -159,11 +161,10 @@
     startWatches();
     pollSettingsFile();
     m_context.run();
-    reportUnfinished(m_engine, now());
-    performActions();
     std::size_t unsentBytes = 0;
-    for (const auto &[id, client] : m_clients) {
-        unsentBytes += client.stream->unsentBytes();
+    for (const std::weak_ptr<line_stream> &closing : m_closingStreams) {
+        const std::shared_ptr<line_stream> stream = closing.lock();
+        unsentBytes += stream ? stream->unsentBytes() : 0;
     }
     m_log.write("stop",
                 {{"sessions_left", std::to_string(m_clients.size())},
@@ -390,6 +391,9 @@
         platform::encodeSessionRefused(stream->out(), action.code, action.detail);
     }
     stream->closeAfterFlush();
+    if (m_stopping) {
+        m_closingStreams.push_back(stream);
+    }
 }
 
 void edge_instance::performAction(reply_to_client &action)
@@ -571,6 +575,13 @@
         asio::error_code ignored;
         m_acceptor.close(ignored);
     }
+    if (elapsed >= gracePeriod * lastAnswersTenths / 10 && !m_engine.exiting) {
+        finishStop(m_engine, now());
+        performActions();
+    }
+    std::erase_if(m_closingStreams, [](const std::weak_ptr<line_stream> &stream) {
+        return stream.expired();
+    });
     const bool drained = m_clients.empty() && m_sessionByChannel.empty() && elapsed >= minAcceptTimeAfterStop;
     if (drained && m_refusingSince == time_point{}) {
         // What other instances relay from now on is not run, and they know.
@@ -579,7 +590,8 @@
     }
     const time_point lastRelayed = std::max(m_refusingSince, m_relayLinks.lastRefusedAt());
     const bool quiet = drained && now() - lastRelayed >= relayQuietTime;
-    if (quiet || elapsed >= gracePeriod * forcedStopTenths / 10) {
+    const bool answered = m_closingStreams.empty() && (quiet || m_engine.exiting);
+    if (answered || elapsed >= gracePeriod * forcedStopHundredths / 100) {
         m_context.stop();
         return;
     }
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -138,6 +138,8 @@
     instance_registration m_registration;
     store_feed m_storeFeed;
     std::vector<std::shared_ptr<line_stream>> m_streamsToFlush;
+    /// Streams of clients that are being closed since the stop request; they exist until the client has closed its end.
+    std::vector<std::weak_ptr<line_stream>> m_closingStreams;
     std::shared_ptr<object_watch> m_databaseWatch;
     std::shared_ptr<object_watch> m_configurationWatch;
     std::shared_ptr<object_watch> m_instanceWatch;
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -24,6 +24,8 @@
 void replyToStatement(proxy_engine &engine, client_session &session, client_reply reply, time_point now);
 /// Refuses the session's current statement. Only for statements of which nothing has been or will be committed.
 void refuseStatement(proxy_engine &engine, client_session &session, reply_code code, const char *reason, time_point now);
+/// Replies to the session's current statement without waiting for its database any longer: as refused, unless it may be committed.
+void giveUpStatement(proxy_engine &engine, client_session &session, const char *reason, time_point now);
 /// Logs that it is unknown whether the session's statement was committed.
 void reportInDoubt(proxy_engine &engine, const client_session &session, const database_name &from, const char *reason);
 /// Ends the session's transaction and releases its connection; the database rolls back what is still open. `stateAfter` is
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -201,8 +201,8 @@
     session.current = std::move(running);
     scheduleTimer(engine, session.current->deadline, timer_kind::session, session.id.value());
     const bool tooLateToStart = engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.statementDrainTimeout;
-    if (tooLateToStart && !session.transaction) {
-        refuseStatement(engine, session, reply_code::busy, "the instance stops", now);
+    if (engine.exiting || (tooLateToStart && !session.transaction)) {
+        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "the instance stops", now);
         return;
     }
     if (session.transaction && session.transaction->readOnly && session.current->writes) {
@@ -430,37 +430,19 @@
     }
 }
 
+bool wasSent(const running_statement &running)
+{
+    return running.connection != database_connection_id{} || running.earlierRun || running.replyHeld;
+}
+
 void handleStatementTimeout(proxy_engine &engine, client_session &session, time_point now)
 {
-    running_statement &running = *session.current;
-    const bool sent = running.connection != database_connection_id{} || running.earlierRun || running.replyHeld;
-    if (!sent) {
+    if (!wasSent(*session.current)) {
         recordPrimaryOverload(engine, session, now);
-        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "no connection in time", now);
-        return;
-    }
-    const bool mayBeCommitted =
-        session.transaction ? running.statement.verb == client_verb::commit && session.transaction->wrote : running.writes;
-    if (!mayBeCommitted) {
-        if (!session.transaction) {
-            releaseConnection(engine, running.connection, now);
-        }
-        refuseStatement(engine, session, reply_code::aborted, "no answer in time", now);
+        giveUpStatement(engine, session, "no connection in time", now);
         return;
     }
-    engine.counters.inDoubt += 1;
-    const auto connection = engine.connections.find(running.connection);
-    reportInDoubt(
-        engine, session, connection == engine.connections.end() ? database_name() : connection->second.database, "no answer in time");
-    if (session.transaction) {
-        endTransaction(engine, session, transaction_state::none, now);
-    } else {
-        releaseConnection(engine, running.connection, now);
-    }
-    client_reply reply;
-    reply.code = reply_code::inDoubt;
-    reply.detail = "the database did not answer in time";
-    replyToStatement(engine, session, std::move(reply), now);
+    giveUpStatement(engine, session, "no answer in time", now);
 }
 
 /// Handles an overdue reply: the database is suspected unless it has replied since the statement was sent, and a read
@@ -503,6 +485,27 @@
 
 } // namespace
 
+void giveUpStatement(proxy_engine &engine, client_session &session, const char *reason, time_point now)
+{
+    const running_statement &running = *session.current;
+    if (!wasSent(running)) {
+        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, reason, now);
+        return;
+    }
+    const bool mayBeCommitted =
+        session.transaction ? running.statement.verb == client_verb::commit && session.transaction->wrote : running.writes;
+    const auto connection = engine.connections.find(running.connection);
+    const database_name from = connection == engine.connections.end() ? database_name() : connection->second.database;
+    if (!session.transaction) {
+        releaseConnection(engine, running.connection, now);
+    }
+    if (mayBeCommitted) {
+        inDoubt(engine, session, from, reason, now);
+    } else {
+        refuseStatement(engine, session, reply_code::aborted, reason, now);
+    }
+}
+
 void checkSession(proxy_engine &engine, client_session &session, time_point now)
 {
     if (!session.accepted) {
--- a/mustardrouter/Proxy/engine_stop.cpp
+++ b/mustardrouter/Proxy/engine_stop.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Proxy/engine_parts.h"
 
+#include <vector>
+
 /// The end of a planned stop.
 namespace mustardrouter
 {
@@ -21,25 +23,52 @@
     return sent ? "a database" : "a connection";
 }
 
+void reportUnfinished(proxy_engine &engine, const client_session &session, time_point now)
+{
+    const auto connection = session.current ? engine.connections.find(session.current->connection) : engine.connections.end();
+    reportEvent(engine,
+                "unfinished_at_stop",
+                {{"request", session.current ? session.current->statement.id : std::string("-")},
+                 {"transaction", session.transaction ? session.transaction->beginStatementId : std::string("-")},
+                 {"waits_for", waitsFor(session)},
+                 {"database", connection == engine.connections.end() ? std::string("-") : connection->second.database.value()},
+                 {"waited_ms", toMillisText(session.current ? now - session.current->arrivedAt : now - session.startedAt)},
+                 {"attempts", std::to_string(session.current ? session.current->attempts : 0)},
+                 {"queued", std::to_string(session.queuedStatements.size())}});
+}
+
+/// Answers the statement that the session waits for, and those behind it.
+void answerLast(proxy_engine &engine, client_session &session, time_point now)
+{
+    // Each answer starts the next statement of the session, and none is sent any more.
+    while (session.current) {
+        engine.counters.unfinishedAtStop += 1;
+        giveUpStatement(engine, session, "the instance stops", now);
+    }
+}
+
 } // namespace
 
-void reportUnfinished(proxy_engine &engine, time_point now)
+void finishStop(proxy_engine &engine, time_point now)
 {
+    engine.exiting = true;
+    std::vector<session_id> ids;
+    ids.reserve(engine.sessions.size());
     for (const auto &[id, session] : engine.sessions) {
-        if (session.accepted && !session.current && !session.transaction) {
-            continue;
+        ids.push_back(id);
+    }
+    for (const session_id id : ids) {
+        client_session &session = engine.sessions.at(id);
+        if (!session.accepted || session.current || session.transaction) {
+            reportUnfinished(engine, session, now);
+        }
+        answerLast(engine, session, now);
+        if (session.transaction) {
+            endTransaction(engine, session, transaction_state::none, now);
         }
-        engine.counters.unfinishedAtStop += session.current ? 1 : 0;
-        const auto connection = session.current ? engine.connections.find(session.current->connection) : engine.connections.end();
-        reportEvent(engine,
-                    "unfinished_at_stop",
-                    {{"request", session.current ? session.current->statement.id : std::string("-")},
-                     {"transaction", session.transaction ? session.transaction->beginStatementId : std::string("-")},
-                     {"waits_for", waitsFor(session)},
-                     {"database", connection == engine.connections.end() ? std::string("-") : connection->second.database.value()},
-                     {"waited_ms", toMillisText(session.current ? now - session.current->arrivedAt : now - session.startedAt)},
-                     {"attempts", std::to_string(session.current ? session.current->attempts : 0)},
-                     {"queued", std::to_string(session.queuedStatements.size())}});
+        const reply_code code = session.accepted ? reply_code::done : reply_code::busy;
+        engine.actions.emplace_back(close_session{id, code, session.accepted ? "" : "the instance stops"});
+        engine.sessions.erase(id);
     }
 }
 
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -132,6 +132,8 @@
     std::uint64_t nextConnectionId = 1;
     /// When the stop request arrived; the epoch before.
     time_point stoppingSince{};
+    /// Nothing is sent to databases any more: the process is about to end.
+    bool exiting = false;
 };
 
 /// A version of the configuration was read; one that is not newer is ignored.
@@ -202,8 +204,8 @@
 
 /// The instance is to stop: idle sessions are closed, and transactions get time to end.
 void onStop(proxy_engine &engine, time_point now);
-/// Logs what each session waits for that is not idle.
-void reportUnfinished(proxy_engine &engine, time_point now);
+/// The process ends: each statement without a reply gets a last one, which says whether it may have run, and all sessions are closed.
+void finishStop(proxy_engine &engine, time_point now);
 
 /// Runs all timers that are due.
 void onTimer(proxy_engine &engine, time_point now);
