A session that is closed at a stop is told so with a promise: a statement that crosses the close has not run

Cause: closing is not acknowledged in this protocol, so a statement can always cross it, and the close said nothing.

Change: the close carries an error that promises that nothing was kept, before the end of the stream. What arrives later is not run (as before).

Two tests expected a close without a word: they now expect the error and then the end, and fail on the code before, as does the new one.

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -343,7 +343,9 @@
     edge.instance->requestStop();
     CHECK_TRUE(active.exchange("QUERY c2 WRITE x 1").starts_with("COMPLETE signed-c2|READY T"));
     CHECK_TRUE(active.exchange("QUERY c3 COMMIT").starts_with("COMPLETE signed-c3|READY I"));
+    CHECK_TRUE(idle.readLine().starts_with("ERROR BUSY"));
     CHECK_EQUAL(std::string(), idle.readLine());
+    CHECK_TRUE(active.readLine().starts_with("ERROR BUSY"));
     CHECK_EQUAL(std::string(), active.readLine());
     edge.thread.join();
     edge.instance.reset();
--- a/UnitTests/Proxy/engine_stop_test.cpp
+++ b/UnitTests/Proxy/engine_stop_test.cpp
@@ -122,3 +122,16 @@
     CHECK_TRUE(early.closed);
     CHECK_TRUE(early.closedWith == reply_code::busy);
 }
+
+TEST(engine_stop, aStatementThatCrossesTheCloseOfItsSessionIsToldThatItDidNotRun)
+{
+    stopping_world world;
+    fake_client &client = world.connect("session");
+    for (int step = 0; step < 3000 && !client.closed; ++step) {
+        world.runFor(1ms);
+    }
+    CHECK_TRUE(client.closedWith == reply_code::busy);
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(12s);
+    CHECK_TRUE(world.committed().empty());
+}
--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -500,7 +500,7 @@
     CHECK_TRUE(world.sendAndWait(transactionClient, client_verb::commit).code == reply_code::done);
     world.runFor(3s);
     CHECK_TRUE(idleClient.closed);
-    CHECK_TRUE(idleClient.closedWith == reply_code::done);
+    CHECK_TRUE(idleClient.closedWith == reply_code::busy);
     CHECK_TRUE(transactionClient.closed);
 }
 
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -269,7 +269,8 @@
     if (session.closeAt == time_point{} || now < session.closeAt || !isIdle(session)) {
         return;
     }
-    engine.actions.emplace_back(close_session{session.id, reply_code::done, {}});
+    // To a client whose next statement is under way the error is its answer: the statement does not run.
+    engine.actions.emplace_back(close_session{session.id, reply_code::busy, "the instance stops"});
     engine.sessions.erase(session.id);
 }
 
