A test notices that an answer with several versions of one object is followed by a list

Two large versions arrive in one answer over a narrow link while ten more are written: the list brings the newest in 0.2 s, another answer all ten in 2.4 s.

--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -436,6 +436,24 @@
     STRCMP_EQUAL(largeVersion(12).c_str() + largeObject, fixture.watch->current().at("a").content.asCString() + largeObject);
 }
 
+TEST(object_watch, anAnswerWithSeveralVersionsOfOneObjectIsNotFollowedByAllThatCameMeanwhile)
+{
+    // Two versions take 0.5 s and the list 0.2 s; the ten that come meanwhile would take 2.4 s.
+    watched_store fixture(100ms, 300ms, true);
+    fixture.store.objects().put("k", "a", largeVersion(0));
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.store.faults().bytesPerSecond = narrowLink;
+    fixture.store.objects().put("k", "a", largeVersion(1));
+    fixture.store.objects().put("k", "a", largeVersion(2));
+    fixture.store.notifyWatches();
+    for (int version = 3; version <= 12; ++version) {
+        fixture.store.objects().put("k", "a", largeVersion(version));
+    }
+    fixture.context.run_for(1500ms);
+    STRCMP_EQUAL(largeVersion(12).c_str() + largeObject, fixture.watch->current().at("a").content.asCString() + largeObject);
+}
+
 TEST(object_watch, anAnswerThatIsArrivingIsNotGivenUpForANewRequest)
 {
     // 1.5 MB at 10 Mbit/s take 1.2 s, more than the time for an answer that is due at once.
