Commands that open and close connections are kept when the ring to the network thread is full

Where the ring was full, decision_thread::send gave a connection up and posted its close command to the same ring; the command was lost, its result ignored, and the other end kept a connection that nobody read for. The same held for close commands of engines and for opened connections, which then never reported anything.

Open and close commands now go to an overflow queue; while it holds any, messages are refused as by a full ring, so that none overtakes the opening of its connection.

--- a/mustardrouter/Instance/network_thread.cpp
+++ b/mustardrouter/Instance/network_thread.cpp
@@ -67,7 +67,16 @@
 
 failure network_thread::post(network_command command)
 {
-    return m_commands.push(std::move(command));
+    if (!m_overflowing.load() && m_commands.offer(command) == failure::none) {
+        return failure::none;
+    }
+    if (std::holds_alternative<send_message>(command)) {
+        return failure::ringFull;
+    }
+    const std::scoped_lock lock(m_overflowMutex);
+    m_overflow.push_back(std::move(command));
+    m_overflowing.store(true);
+    return failure::none;
 }
 
 void network_thread::flush()
@@ -107,13 +116,39 @@
 
 void network_thread::runCommands()
 {
-    while (std::optional<network_command> command = m_commands.pop()) {
-        std::visit(
-            [this](auto &what) {
-                run(what);
-            },
-            *command);
+    do {
+        // Taken before the ring is emptied, so that no command in the ring is younger.
+        std::deque<network_command> overflow;
+        if (m_overflowing.load()) {
+            const std::scoped_lock lock(m_overflowMutex);
+            std::swap(overflow, m_overflow);
+        }
+        while (std::optional<network_command> command = m_commands.pop()) {
+            run(*command);
+        }
+        for (network_command &command : overflow) {
+            run(command);
+        }
+    } while (!endOverflow());
+}
+
+bool network_thread::endOverflow()
+{
+    if (!m_overflowing.load()) {
+        return true;
     }
+    const std::scoped_lock lock(m_overflowMutex);
+    m_overflowing.store(!m_overflow.empty());
+    return m_overflow.empty();
+}
+
+void network_thread::run(network_command &command)
+{
+    std::visit(
+        [this](auto &what) {
+            run(what);
+        },
+        command);
 }
 
 void network_thread::run(const open_frame_connection &command)
--- a/mustardrouter/Instance/network_thread.h
+++ b/mustardrouter/Instance/network_thread.h
@@ -10,7 +10,9 @@
 #include <asio/io_context.hpp>
 
 #include <atomic>
+#include <deque>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -35,7 +37,8 @@
     void stopAccepting();
     void stop();
 
-    /// Queues a command; only the decision thread may call this. failure::ringFull when the ring is full.
+    /// Queues a command; only the decision thread may call this. failure::ringFull when the ring is full, which only happens to
+    /// messages: a connection is opened and closed in any case.
     failure post(network_command command);
     /// Wakes the network thread to run the commands queued since the last call.
     void flush();
@@ -46,6 +49,9 @@
 private:
     void accept(connection_kind kind, const std::shared_ptr<frame_connection> &connection);
     void runCommands();
+    /// False if commands were added to the overflow since it was taken.
+    bool endOverflow();
+    void run(network_command &command);
     void run(const open_frame_connection &command);
     void run(send_message &command);
     void run(const close_frame_connection &command);
@@ -63,6 +69,10 @@
     ring<network_event> &m_events;
     ring_signal m_unusedSignal;
     ring<network_command> m_commands;
+    /// Commands that had no room in the ring; all in the ring are older. While there are any, nothing is added to the ring.
+    std::mutex m_overflowMutex;
+    std::deque<network_command> m_overflow;
+    std::atomic<bool> m_overflowing{false};
     std::atomic<bool> m_wakeupPosted{false};
     std::unordered_map<frame_connection_id, std::shared_ptr<frame_connection>> m_connections;
     std::uint64_t m_nextAccepted = 2;
