--- a/UnitTests/Platform/publication_test.cpp
+++ b/UnitTests/Platform/publication_test.cpp
@@ -345,3 +345,14 @@
     UNSIGNED_LONGS_EQUAL(1, platform.objects.erase(wholeRevisionKey(1, what.id) + "/part/1"));
     CHECK(loadConfiguration(platform.api(), {}).cause == failure::notFound);
 }
+
+TEST(publication, aRetentionWithoutWholeRevisionsIsRefusedNotDividedBy)
+{
+    fake_platform platform(1);
+    publication what = publicationBy("anna");
+    what.keep.wholeRevisionInterval = 0;
+    const publication_result result = publishChanges(platform.api(), placeNamed("place"), what);
+    CHECK(result.kind == outcome::notRun);
+    CHECK(result.cause == failure::invalidSettings);
+    CHECK(platform.objects.empty());
+}
--- a/mustardrouter/Platform/configuration_store.cpp
+++ b/mustardrouter/Platform/configuration_store.cpp
@@ -195,6 +195,9 @@
 publication_result publishChanges(const object_api &platform, const change_set &changes, const publication &what)
 {
     publication_progress progress{platform, changes, what};
+    if (what.keep.wholeRevisionInterval == 0) {
+        return failedResult(progress, failure::invalidSettings);
+    }
     for (int number = 0; number < maxAttempts; ++number) {
         if (number > 0) {
             what.waitBeforeRetry(number);
--- a/mustardrouter/Platform/configuration_store.h
+++ b/mustardrouter/Platform/configuration_store.h
@@ -16,7 +16,7 @@
 
 /// Retention of earlier revisions.
 struct retention {
-    /// Every revision whose number is a multiple of this is also stored whole.
+    /// Every revision whose number is a multiple of this is also stored whole. At least 1.
     std::uint64_t wholeRevisionInterval = 32;
     /// Minimum number of revisions to keep.
     std::uint64_t minRevisionsKept = 256;
@@ -63,7 +63,7 @@
 /// Validates the changes against the newest snapshot and publishes them atomically as one revision,
 /// at most once. When another operator publishes concurrently, the changes are validated again on
 /// top of that revision; they are rejected with failure::versionConflict when both change the same
-/// object.
+/// object, and with failure::invalidSettings without an interval of whole revisions.
 publication_result publishChanges(const object_api &platform, const change_set &changes, const publication &what);
 
 /// Publishes a new revision that restores the objects of an earlier one.
