A damaged part count of a split value is an error

getSplitValue ignored the result of from_chars, so that a count that can't be read gave an empty value without a cause. It is invalid_configuration now, also with text after the count, or a count below 2, which is never written.

--- a/UnitTests/Platform/publication_test.cpp
+++ b/UnitTests/Platform/publication_test.cpp
@@ -356,3 +356,17 @@
     CHECK(result.cause == failure::invalidSettings);
     CHECK(platform.objects.empty());
 }
+
+TEST(publication, aDamagedPartCountIsNotReadAsAnotherValue)
+{
+    fake_platform platform(1);
+    const std::string value(maxValueBytes + 1, 'x');
+    CHECK(putSplitValue(platform.api(), "key", value) == failure::none);
+    CHECK(getSplitValue(platform.api(), "key").value == value);
+    for (const char *damaged : {"parts ", "parts x", "parts -2", "parts 2x", "parts 0", "parts 1", "parts 99999999999999999999"}) {
+        platform.objects.at("key").value = damaged;
+        const auto read = getSplitValue(platform.api(), "key");
+        CHECK(read.cause == failure::invalidConfiguration);
+        CHECK(read.value.empty());
+    }
+}
--- a/mustardrouter/Platform/split_value.cpp
+++ b/mustardrouter/Platform/split_value.cpp
@@ -1,7 +1,9 @@
 #include "mustardrouter/Platform/split_value.h"
 
 #include <charconv>
+#include <optional>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace mustardrouter
@@ -41,6 +43,15 @@
     return parts;
 }
 
+/// A value that is not split has no part count.
+std::optional<std::size_t> parsePartCount(std::string_view text)
+{
+    std::size_t parts = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), parts);
+    const bool valid = problem == std::errc() && end == text.data() + text.size() && parts > 1;
+    return valid ? std::optional(parts) : std::nullopt;
+}
+
 failure putObject(const object_api &platform, const std::string &key, std::string_view value)
 {
     const failure cause = platform.put({key, std::string(value), 0}).cause;
@@ -78,10 +89,12 @@
     if (!text.starts_with(splitPrefix)) {
         return {failure::none, text};
     }
-    std::size_t parts = 0;
-    std::from_chars(text.data() + splitPrefix.size(), text.data() + text.size(), parts);
+    const std::optional<std::size_t> parts = parsePartCount(std::string_view(text).substr(splitPrefix.size()));
+    if (!parts) {
+        return {failure::invalidConfiguration, {}};
+    }
     std::string whole;
-    for (std::size_t part = 0; part < parts; ++part) {
+    for (std::size_t part = 0; part < *parts; ++part) {
         const auto read = platform.get(partKey(key, part));
         if (read.cause != failure::none || read.value.version == 0) {
             return {read.cause == failure::none ? failure::notFound : read.cause, {}};
--- a/mustardrouter/Platform/split_value.h
+++ b/mustardrouter/Platform/split_value.h
@@ -16,7 +16,8 @@
 /// effect.
 failure putSplitValue(const object_api &platform, const std::string &key, const std::string &value);
 
-/// Reads a value that putSplitValue() stored; failure::notFound when it is missing or incomplete.
+/// Reads a value that putSplitValue() stored; failure::notFound when it is missing or incomplete,
+/// failure::invalidConfiguration when the number of its parts can't be read.
 platform_answer<std::string> getSplitValue(const object_api &platform, const std::string &key);
 
 } // namespace mustardrouter
