--- a/mustardrouter/StandIn/database_standin.cpp
+++ b/mustardrouter/StandIn/database_standin.cpp
@@ -1,7 +1,7 @@
 #include "mustardrouter/StandIn/database_standin.h"
 
 #include "mustardrouter/Core/failure.h"
-#include "mustardrouter/Network/endpoint.h"
+#include "mustardrouter/Instance/wire_codec.h"
 #include "mustardrouter/Runtime/log.h"
 
 #include <asio/post.hpp>
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr auto reconnectDelay = std::chrono::milliseconds(20);
-
 void refuse(wire::database_answer &answer, failure cause, const std::string &detail)
 {
     answer.mutable_result()->set_outcome(wire::OUTCOME_NOT_RUN);
@@ -25,12 +23,6 @@
     answer.mutable_result()->set_detail(detail);
 }
 
-void setEntry(wire::log_entry &to, const log_entry &from)
-{
-    to.set_term(from.term.value());
-    to.set_position(from.position.value());
-}
-
 } // namespace
 
 database_standin::database_standin(const objects::database_settings &settings)
@@ -450,9 +442,9 @@
     wire::database_report report;
     report.set_term(m_term);
     report.set_role(m_role);
-    setEntry(*report.mutable_received(), lastEntry(m_log));
+    *report.mutable_received() = toWire(lastEntry(m_log));
     if (m_appliedPosition > 0) {
-        setEntry(*report.mutable_applied(), m_log.records[m_appliedPosition - 1].entry);
+        *report.mutable_applied() = toWire(m_log.records[m_appliedPosition - 1].entry);
     }
     report.set_round(round);
     report.set_in_sync(m_inSync);
@@ -543,7 +535,7 @@
         refuse(answer, failure::statementRejected, answer.result().detail());
     }
     if (m_appliedPosition > 0) {
-        setEntry(*answer.mutable_entry(), m_log.records[m_appliedPosition - 1].entry);
+        *answer.mutable_entry() = toWire(m_log.records[m_appliedPosition - 1].entry);
     }
     finishStatement(from, answer);
 }
@@ -553,7 +545,7 @@
     m_store->commit();
     from->inTransaction = false;
     if (!from->transactionStatements.empty()) {
-        setEntry(*answer.mutable_entry(), append(std::move(from->transactionStatements), from->transactionKey));
+        *answer.mutable_entry() = toWire(append(std::move(from->transactionStatements), from->transactionKey));
     }
     from->transactionStatements.clear();
     releaseWriter();
@@ -568,7 +560,7 @@
     const bool appendsRecord = statement.kind() == wire::STATEMENT_WRITE || statement.kind() == wire::STATEMENT_COMMIT;
     if (keyAlreadyUsed && appendsRecord) {
         refuse(answer, failure::duplicateKey, "a request with this key has run already");
-        setEntry(*answer.mutable_entry(), m_log.records[m_log.keys.at(key).value() - 1].entry);
+        *answer.mutable_entry() = toWire(m_log.records[m_log.keys.at(key).value() - 1].entry);
         return;
     }
     switch (statement.kind()) {
@@ -578,7 +570,7 @@
         from->transactionStatements.clear();
         m_store->begin();
         // There is a single writer, so no entry is appended while the transaction is open and its reads see this position.
-        setEntry(*answer.mutable_entry(), lastEntry(m_log));
+        *answer.mutable_entry() = toWire(lastEntry(m_log));
         return;
     case wire::STATEMENT_COMMIT:
         from->transactionKey = key;
@@ -602,7 +594,7 @@
         from->transactionStatements.push_back(statement.sql());
         return;
     }
-    setEntry(*answer.mutable_entry(), append({statement.sql()}, key));
+    *answer.mutable_entry() = toWire(append({statement.sql()}, key));
 }
 
 void database_standin::finishStatement(const session_ptr &from, wire::database_answer answer)
@@ -647,144 +639,4 @@
     return entry;
 }
 
-void database_standin::connectToPrimary()
-{
-    if (m_role != wire::ROLE_REPLICA || m_down) {
-        return;
-    }
-    const bool valid = handleErrors(
-        [&]() -> result_of<bool> {
-            BOOST_LEAF_AUTO(endpoint, parseEndpoint(m_primaryAddress));
-            m_primaryConnection = std::make_shared<frame_connection>(asio::ip::tcp::socket(m_context));
-            m_primaryConnection->connect(
-                endpoint,
-                [this](frame_connection &connection, std::string_view payload) {
-                    wire::database_message message;
-                    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) || !message.has_batch()) {
-                        connection.close(failure::malformedFrame);
-                        return;
-                    }
-                    runAfter(std::chrono::microseconds(m_settings.replication_delay_us() + m_settings.network_delay_us()),
-                             [this, term = m_term, batch = message.batch()] {
-                                 if (term == m_term && m_role == wire::ROLE_REPLICA) {
-                                     onBatch(batch);
-                                 }
-                             });
-                },
-                [this](frame_connection &connection, failure) {
-                    if (m_primaryConnection.get() != &connection) {
-                        return;
-                    }
-                    m_inSync = false;
-                    runAfter(reconnectDelay, [this, term = m_term] {
-                        if (term == m_term) {
-                            connectToPrimary();
-                        }
-                    });
-                });
-            wire::database_message message;
-            message.mutable_replicate()->set_term(m_term);
-            for (const log_entry &end : termEnds(m_log)) {
-                setEntry(*message.mutable_replicate()->add_term_ends(), end);
-            }
-            m_primaryConnection->send(message);
-            return true;
-        },
-        [](const error &) {
-            return false;
-        });
-    if (!valid) {
-        writeLog(log_level::warning, "standin", "invalid primary address", {{"address", m_primaryAddress}});
-    }
-}
-
-void database_standin::onReplicate(const session_ptr &from, const wire::replicate_request &request)
-{
-    wire::database_message message;
-    if (m_role != wire::ROLE_PRIMARY || request.term() != m_term) {
-        from->connection->close(failure::staleTerm);
-        return;
-    }
-    std::vector<log_entry> ends;
-    for (const wire::log_entry &end : request.term_ends()) {
-        ends.push_back({term_number(end.term()), log_position(end.position())});
-    }
-    const log_position common = commonPrefix(m_log, ends);
-    message.mutable_batch()->set_truncate(true);
-    message.mutable_batch()->set_keep_up_to(common.value());
-    message.mutable_batch()->set_primary_position(lastEntry(m_log).position.value());
-    reply(from, message);
-    from->nextReplicaPosition = common.value() + 1;
-    sendToReplica(from);
-}
-
-void database_standin::sendToReplica(const session_ptr &replica)
-{
-    constexpr std::size_t maxRecords = 512;
-    while (*replica->nextReplicaPosition <= m_log.records.size()) {
-        wire::database_message message;
-        wire::replicate_batch &batch = *message.mutable_batch();
-        batch.set_primary_position(lastEntry(m_log).position.value());
-        while (*replica->nextReplicaPosition <= m_log.records.size() && static_cast<std::size_t>(batch.records_size()) < maxRecords) {
-            const database_log_record &record = m_log.records[*replica->nextReplicaPosition - 1];
-            wire::log_record &copy = *batch.add_records();
-            setEntry(*copy.mutable_entry(), record.entry);
-            copy.set_key(record.key.value());
-            for (const std::string &sql : record.statements) {
-                copy.add_statements(sql);
-            }
-            ++*replica->nextReplicaPosition;
-        }
-        reply(replica, message);
-    }
-}
-
-void database_standin::onBatch(const wire::replicate_batch &batch)
-{
-    if (batch.truncate()) {
-        const bool discardsApplied = batch.keep_up_to() < m_appliedPosition;
-        truncateAbove(m_log, log_position(batch.keep_up_to()));
-        if (discardsApplied) {
-            rebuild();
-        }
-        m_inSync = true;
-    }
-    for (const wire::log_record &record : batch.records()) {
-        const log_entry entry{term_number(record.entry().term()), log_position(record.entry().position())};
-        if (entry.position.value() != m_log.records.size() + 1) {
-            continue;
-        }
-        appendRecord(m_log, {entry, {record.statements().begin(), record.statements().end()}, request_key(record.key())});
-    }
-    const std::uint64_t received = lastEntry(m_log).position.value();
-    runAfter(std::chrono::microseconds(m_settings.apply_lag_us()), [this, term = m_term, received] {
-        if (term == m_term) {
-            applyUpTo(received);
-            pushReports();
-        }
-    });
-    pushReports();
-}
-
-void database_standin::applyUpTo(std::uint64_t position)
-{
-    while (m_appliedPosition < position && m_appliedPosition < m_log.records.size()) {
-        const database_log_record &record = m_log.records[m_appliedPosition];
-        m_store->begin();
-        for (const std::string &sql : record.statements) {
-            wire::result ignored;
-            m_store->write(sql, ignored);
-        }
-        m_store->commit();
-        ++m_appliedPosition;
-    }
-}
-
-void database_standin::rebuild()
-{
-    m_store->reset();
-    m_appliedPosition = 0;
-    applyUpTo(lastEntry(m_log).position.value());
-}
-
 } // namespace mustardrouter
