--- a/UnitTests/Membership/feed_world.h
+++ b/UnitTests/Membership/feed_world.h
@@ -15,6 +15,8 @@
 namespace mustardrouter
 {
 
+constexpr std::size_t instancesKind = static_cast<std::size_t>(feed_kind::instances);
+
 /// A value of the fake store: the position of its last change, and what is told with it.
 struct fed_value {
     store_position position;
