The stand-in's store keeps its watches by number: an expired timer still runs its handler

Cause: the handler of a watch's timer held an iterator into the list of watches and took an error for the only sign that the watch is gone. A timer that has expired completes without an error even if it is destroyed before its handler runs. When a change answers a watch in the same turn of the loop in which its time is up, as on a busy machine, the handler uses the destroyed watch and removes it a second time.

Ruled out by reading: line_stream, the relay of faults, the stand-in database and the route probe hold shared or weak references or look connections up by number.

Change: the handler looks its watch up by number.

Shown: the test ended with a segmentation fault before (-O2), and with heap-use-after-free in standin_store::watch under AddressSanitizer; both pass now.

--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -233,16 +233,20 @@
     }
     const std::uint64_t wait = std::min(maxWatchWaitMillis, toNumber(parameterOf(request, "wait_ms")));
     pending.timer = std::make_unique<asio::steady_timer>(m_context, std::chrono::milliseconds(wait));
-    const auto inserted = m_watches.insert(m_watches.end(), std::move(pending));
-    inserted->timer->async_wait([this, inserted](const asio::error_code &problem) {
-        if (!problem) {
-            if (isUnavailable(inserted->instance)) {
-                inserted->respond(failureAnswer(store_failure::silent));
-            } else {
-                answerWatch(*inserted, true);
-            }
-            m_watches.erase(inserted);
+    const std::uint64_t number = m_nextWatch++;
+    const auto inserted = m_watches.emplace(number, std::move(pending)).first;
+    inserted->second.timer->async_wait([this, number](const asio::error_code &) {
+        // A timer that has expired completes without an error even if it is destroyed before its handler runs.
+        const auto found = m_watches.find(number);
+        if (found == m_watches.end()) {
+            return;
+        }
+        if (isUnavailable(found->second.instance)) {
+            found->second.respond(failureAnswer(store_failure::silent));
+        } else {
+            answerWatch(found->second, true);
         }
+        m_watches.erase(found);
     });
 }
 
@@ -277,13 +281,13 @@
 void standin_store::notifyWatches()
 {
     for (auto at = m_watches.begin(); at != m_watches.end();) {
-        at = !isUnavailable(at->instance) && answerWatch(*at, false) ? m_watches.erase(at) : std::next(at);
+        at = !isUnavailable(at->second.instance) && answerWatch(at->second, false) ? m_watches.erase(at) : std::next(at);
     }
 }
 
 void standin_store::disconnectWatches()
 {
-    for (pending_watch &pending : std::exchange(m_watches, {})) {
+    for (auto &[number, pending] : std::exchange(m_watches, {})) {
         pending.respond(failureAnswer(store_failure::reset));
     }
 }
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -9,7 +9,7 @@
 
 #include <deque>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -109,7 +109,8 @@
     std::uint64_t m_requestCount = 0;
     store_faults m_faults;
     std::vector<std::unique_ptr<standin_http>> m_listeners;
-    std::list<pending_watch> m_watches;
+    std::map<std::uint64_t, pending_watch> m_watches;
+    std::uint64_t m_nextWatch = 1;
     /// Highest fence accepted, by group.
     std::map<std::string, std::uint64_t> m_fences;
 };
