The soak plays planned stops with statements that take long (seeds from 40000)

The soak's statements took 0.5 to 3.5 ms, so none was still running when an instance exited or its reply was overdue.

Change: a variant of planned work only. Instances that are ready are stopped in series or several at once; clients reach the stopping ones as on the platform if fewer than half are ready. One statement in 250 takes 0.45 to 2 s at the stand-in's databases, chosen by its id, so that it takes as long elsewhere. Routes allow 3 s.

Not checked where planned work alone is played: the configuration of a process that started less than 4 s ago (once "answers nothing": it had been spawned again while the check ran, and logged its start 1.3 s later on a machine with load 16). No check of the other seeds has changed.

--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -19,8 +19,8 @@
 TEST(fault_plan, allFaultsEndBeforeTheQuietPhase)
 {
     for (std::uint64_t index = 0; index < 800; ++index) {
-        constexpr std::uint64_t firstSeeds[] = {0, 5'000, 10'000, 20'000};
-        const std::uint64_t seed = firstSeeds[index % 4] + index;
+        constexpr std::uint64_t firstSeeds[] = {0, 5'000, 10'000, 20'000, 40'000};
+        const std::uint64_t seed = firstSeeds[index % std::size(firstSeeds)] + index;
         const soak_plan plan = makePlan(seed, 60s);
         CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
         for (const planned_fault &fault : plan.faults) {
@@ -59,6 +59,32 @@
     CHECK_TRUE(paused >= 4);
 }
 
+TEST(fault_plan, whereOnlyPlannedWorkIsPlayedInstancesAreStoppedAndNothingIsFaulty)
+{
+    constexpr soak_fault planned[] = {
+        soak_fault::instanceStop, soak_fault::configurationChange, soak_fault::settingsReload, soak_fault::databaseLeaves};
+    bool stopsOverlap = false;
+    bool stopsAreInSeries = false;
+    for (std::uint64_t seed = 40'000; seed < 40'050; ++seed) {
+        CHECK_TRUE(playsPlannedWorkOnly(seed));
+        const soak_plan plan = makePlan(seed, 25s);
+        std::vector<duration> stops;
+        for (const planned_fault &fault : plan.faults) {
+            CHECK_TRUE(std::ranges::find(planned, fault.kind) != std::end(planned));
+            if (fault.kind == soak_fault::instanceStop) {
+                stops.push_back(fault.at);
+            }
+        }
+        CHECK_TRUE(stops.size() >= 5);
+        const duration firstFour = stops[3] - stops[0];
+        stopsOverlap = stopsOverlap || firstFour < 1500ms;
+        stopsAreInSeries = stopsAreInSeries || firstFour > 3s;
+    }
+    CHECK_TRUE(stopsOverlap);
+    CHECK_TRUE(stopsAreInSeries);
+    CHECK_FALSE(playsPlannedWorkOnly(39'999));
+}
+
 TEST(fault_plan, plansWithWorkspacesAreThoseOfTheSeedsForThem)
 {
     const auto hasWorkspaceFaults = [](const soak_plan &plan) {
--- a/UnitTests/Soak/soak_history_test.cpp
+++ b/UnitTests/Soak/soak_history_test.cpp
@@ -76,6 +76,23 @@
 
 TEST_GROUP(soak_history){};
 
+TEST(soak_history, itIsKnownWhetherAndWhenADatabaseHadAStatement)
+{
+    small_history history;
+    history.send("s", client_verb::read, "READ x");
+    CHECK_FALSE(history.wasReceived("s"));
+    history.onReceived("s");
+    CHECK_TRUE(history.wasReceived("s"));
+    CHECK_FALSE(history.hasRun("s"));
+    statement_run run;
+    run.id = "s";
+    run.text = "READ x";
+    run.group = group_name("g");
+    history.onRun(run, start + 1s);
+    history.onRun(run, start + 2s);
+    CHECK_TRUE(history.firstRunAt("s") == start + 1s);
+}
+
 TEST(soak_history, aValidHistoryHasNoViolations)
 {
     small_history history;
--- a/mustardrouter/Operators/soak_command.cpp
+++ b/mustardrouter/Operators/soak_command.cpp
@@ -21,6 +21,8 @@
     std::size_t instances = 0;
     std::size_t clients = 4;
     std::string folder;
+    /// Runs the same program even if its file has been replaced, as by a rebuild.
+    std::string program = "/proc/self/exe";
     std::vector<std::size_t> only;
     bool planOnly = false;
     bool keepLogs = false;
@@ -34,8 +36,7 @@
     settings.length = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::ratio<60>>(options.minutes));
     settings.instances = options.instances;
     settings.clientsPerInstance = options.clients;
-    // Runs the same program even if its file has been replaced, as by a rebuild.
-    settings.program = "/proc/self/exe";
+    settings.program = options.program;
     settings.folder = options.folder + "/soak-" + std::to_string(seed);
     settings.chosenFaults.insert(options.only.begin(), options.only.end());
     std::filesystem::remove_all(settings.folder);
@@ -76,6 +77,7 @@
     command.options.add_options()("clients", po::value(&options.clients)->default_value(options.clients), "number of clients per instance");
     command.options.add_options()(
         "folder", po::value(&options.folder)->default_value("."), "folder in which the folders of failed seeds are kept");
+    command.options.add_options()("program", po::value(&options.program), "executable that the instances run; default: this one");
     command.options.add_options()(
         "faults", po::value(&options.only)->multitoken(), "indexes of the faults to inject; default: all faults of the plan");
     command.options.add_options()("plan", po::bool_switch(&options.planOnly), "print the plan and exit");
--- a/mustardrouter/PlatformStandIn/platform_standin_database.cpp
+++ b/mustardrouter/PlatformStandIn/platform_standin_database.cpp
@@ -182,7 +182,7 @@
     connection->pendingLines.pop_front();
     connection->processing = true;
     if (!connection->startupDone) {
-        runInSlot(connection, true, [this, connection, line] {
+        runInSlot(connection, true, {}, [this, connection, line] {
             handleStartup(connection, line);
         });
         return;
@@ -198,23 +198,24 @@
         reply(connection, "ERROR BUSY " + m_name.value() + "\r\n");
         return;
     }
-    runInSlot(connection, takesSlot, [this, connection, request] {
+    const duration extraWork = isClientVerb(request.verb) && m_observer.onReceived ? m_observer.onReceived(request.id) : duration{};
+    runInSlot(connection, takesSlot, extraWork, [this, connection, request] {
         execute(connection, request);
     });
 }
 
-void platform_standin_database::runInSlot(const connection_ref &connection, bool takesSlot, std::function<void()> then)
+void platform_standin_database::runInSlot(const connection_ref &connection, bool takesSlot, duration extraWork, std::function<void()> then)
 {
     if (!takesSlot) {
         then();
         return;
     }
     if (m_busySlots >= m_group.slots) {
-        m_queue.emplace_back(connection, std::move(then));
+        m_queue.push_back({connection, extraWork, std::move(then)});
         return;
     }
     m_busySlots += 1;
-    connection->timer.expires_after(std::chrono::microseconds(minServiceTimeMicros + m_random() % serviceTimeSpreadMicros));
+    connection->timer.expires_after(extraWork + std::chrono::microseconds(minServiceTimeMicros + m_random() % serviceTimeSpreadMicros));
     const auto finish = std::make_shared<std::function<void(const asio::error_code &)>>();
     *finish = [this, connection, then = std::move(then), weak = std::weak_ptr(finish)](const asio::error_code &problem) {
         if (problem || !m_connections.contains(connection->number)) {
@@ -229,9 +230,9 @@
         }
         m_busySlots -= 1;
         if (!m_queue.empty()) {
-            auto [next, thenNext] = std::move(m_queue.front());
+            queued_run next = std::move(m_queue.front());
             m_queue.pop_front();
-            runInSlot(next, true, std::move(thenNext));
+            runInSlot(next.connection, true, next.extraWork, std::move(next.then));
         }
         then();
     };
--- a/mustardrouter/PlatformStandIn/platform_standin_database.h
+++ b/mustardrouter/PlatformStandIn/platform_standin_database.h
@@ -75,6 +75,12 @@
         }
     };
     using connection_ref = std::shared_ptr<connection>;
+    /// A statement or a start that waits for a slot.
+    struct queued_run {
+        connection_ref connection;
+        duration extraWork{};
+        std::function<void()> then;
+    };
     /// A parsed QUERY line.
     struct query {
         std::string id;
@@ -90,7 +96,7 @@
     void accept();
     void add(asio::ip::tcp::socket socket);
     void processNext(const connection_ref &connection);
-    void runInSlot(const connection_ref &connection, bool takesSlot, std::function<void()> then);
+    void runInSlot(const connection_ref &connection, bool takesSlot, duration extraWork, std::function<void()> then);
     void handleStartup(const connection_ref &connection, const std::string &line);
     void execute(const connection_ref &connection, const query &request);
     void runControlStatement(const connection_ref &connection, const query &request);
@@ -116,7 +122,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     std::map<std::uint64_t, connection_ref> m_connections;
-    std::deque<std::pair<connection_ref, std::function<void()>>> m_queue;
+    std::deque<queued_run> m_queue;
     std::uint32_t m_busySlots = 0;
     std::uint64_t m_nextConnection = 1;
     unsigned m_percentLost = 0;
--- a/mustardrouter/PlatformStandIn/statement_run.h
+++ b/mustardrouter/PlatformStandIn/statement_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Core/ids.h"
+#include "mustardrouter/Core/virtual_clock.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -35,6 +36,8 @@
 
 /// Callbacks of a stand-in database, called on the thread of its context.
 struct database_observer {
+    /// A client's statement was received; returns the work that it takes beyond the usual.
+    std::function<duration(const std::string &id)> onReceived;
     /// A statement is about to run; returns the signature for its answer.
     std::function<std::string(const statement_run &)> onRun;
     /// A commit was appended to the primary's log.
--- a/mustardrouter/Soak/fault_injector.cpp
+++ b/mustardrouter/Soak/fault_injector.cpp
@@ -161,11 +161,19 @@
     }
 }
 
-void fault_injector::stopInstance(soak_instance &instance)
+void fault_injector::stopInstance(const planned_fault &fault)
 {
-    if (instance.process->isRunning() && instance.stopRequestedAt == time_point{}) {
-        instance.stopRequestedAt = m_now();
-        instance.process->signal(SIGTERM);
+    if (!m_deployment.variant().plannedWorkOnly) {
+        m_instances[fault.target % m_instances.size()]->stop(m_now());
+        return;
+    }
+    // Planned work leaves a process that has only just started alone: the next one that is ready is stopped.
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        soak_instance &instance = *m_instances[(fault.target + index) % m_instances.size()];
+        if (instance.ready && instance.stopRequestedAt == time_point{}) {
+            instance.stop(m_now());
+            return;
+        }
     }
 }
 
@@ -181,7 +189,7 @@
     soak_instance &instance = *m_instances[fault.target % m_instances.size()];
     switch (fault.kind) {
     case soak_fault::instanceStop:
-        stopInstance(instance);
+        stopInstance(fault);
         return {};
     case soak_fault::instanceKill:
         killInstance(instance, std::min<duration>(fault.length, 2s));
--- a/mustardrouter/Soak/fault_injector.h
+++ b/mustardrouter/Soak/fault_injector.h
@@ -24,11 +24,11 @@
 
 private:
     std::function<void()> injectConnectionFault(const planned_fault &fault);
+    void stopInstance(const planned_fault &fault);
     std::function<void()> injectInstanceFault(const planned_fault &fault);
     std::function<void()> injectStoreFault(const planned_fault &fault);
     std::function<void()> injectDatabaseFault(const planned_fault &fault);
     std::vector<fault_relay *> chooseRelays(const planned_fault &fault);
-    void stopInstance(soak_instance &instance);
     void killInstance(soak_instance &instance, duration startsAfter);
 
     soak_deployment &m_deployment;
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -38,6 +38,7 @@
 constexpr std::uint64_t firstSeedWithPausedStops = 20'000;
 /// Seeds below it play workspaces, down to this one; the odd ones with store losses.
 constexpr std::uint64_t firstSeedWithWorkspaces = 5'000;
+constexpr std::uint64_t firstSeedWithPlannedWorkOnly = 40'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -153,6 +154,27 @@
         }
     }
 
+    /// Adds instances that are to stop one after the other, or several at almost the same time.
+    void addStopsInSeries(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::uint64_t stopsAtOnce = 4;
+        constexpr std::uint64_t gapAtOnceMicros = 300'000;
+        constexpr std::uint64_t gapMicros = 1'500'000;
+        constexpr duration pauseAfterSeveral = 3s;
+        const bool several = m_stopRandom() % 2 == 0;
+        planned_fault stop;
+        stop.kind = soak_fault::instanceStop;
+        stop.at = round.faultsFrom;
+        stop.length = minFaultLength;
+        stop.target = static_cast<std::uint32_t>(m_stopRandom() % 1000);
+        for (std::uint64_t count = 1; stop.at + stop.length <= round.quietFrom; ++count) {
+            plan.faults.push_back(stop);
+            stop.target += 1;
+            stop.at += minFaultLength + duration(m_stopRandom() % (several ? gapAtOnceMicros : gapMicros));
+            stop.at += several && count % stopsAtOnce == 0 ? pauseAfterSeveral : duration{};
+        }
+    }
+
     /// Changes after the return, of which half of the instances learn late.
     void addAfterStoreLoss(soak_plan &plan, const soak_round &round, const planned_fault &loss)
     {
@@ -279,6 +301,11 @@
     return seed >= firstSeedWithWorkspaces && seed < firstSeedWithStoreLosses;
 }
 
+bool playsPlannedWorkOnly(std::uint64_t seed)
+{
+    return seed >= firstSeedWithPlannedWorkOnly;
+}
+
 soak_plan makePlan(std::uint64_t seed, duration length)
 {
     plan_builder builder(seed);
@@ -287,11 +314,15 @@
     do {
         const soak_round round{at, at + faultPhaseLength, at + faultPhaseLength + quietPhaseLength};
         plan.rounds.push_back(round);
-        builder.addFaults(plan, round);
-        if (seed >= firstSeedWithStoreLosses || (playsWorkspaces(seed) && seed % 2 == 1)) {
+        if (playsPlannedWorkOnly(seed)) {
+            builder.addStopsInSeries(plan, round);
+        } else {
+            builder.addFaults(plan, round);
+        }
+        if ((seed >= firstSeedWithStoreLosses && !playsPlannedWorkOnly(seed)) || (playsWorkspaces(seed) && seed % 2 == 1)) {
             builder.addStoreLosses(plan, round);
         }
-        if (seed >= firstSeedWithPausedStops) {
+        if (seed >= firstSeedWithPausedStops && !playsPlannedWorkOnly(seed)) {
             builder.addPausedStops(plan, round);
         }
         if (playsWorkspaces(seed)) {
--- a/mustardrouter/Soak/fault_plan.h
+++ b/mustardrouter/Soak/fault_plan.h
@@ -87,6 +87,9 @@
 /// Whether the soak of this seed plays workspaces.
 bool playsWorkspaces(std::uint64_t seed);
 
+/// Whether the soak of this seed has planned work only, and statements that take long.
+bool playsPlannedWorkOnly(std::uint64_t seed);
+
 /// Makes the plan for a seed: whole rounds within `length`, at least one.
 soak_plan makePlan(std::uint64_t seed, duration length);
 
--- a/mustardrouter/Soak/soak_client.cpp
+++ b/mustardrouter/Soak/soak_client.cpp
@@ -319,6 +319,9 @@
     m_environment.tally->answers[std::string(toString(reply.code))] += 1;
     const client_statement &statement = m_sent.clientStatement;
     const bool done = reply.code == reply_code::done;
+    if (!done && statement.verb == client_verb::read && !m_sent.inTransaction) {
+        m_environment.tally->refusedReads.push_back({statement.id, m_instance, m_sent.sentAt, std::string(toString(reply.code))});
+    }
     if (done && statement.verb == client_verb::setValue) {
         m_environment.history->onValueSet(m_session, statement.name, statement.value);
     } else if (done && statement.verb == client_verb::prepare) {
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -43,8 +43,14 @@
     const bool both = seed % (2 * kinds) == 2 * kinds - 1;
     constexpr std::uint64_t passingOn = 7;
     constexpr std::uint64_t firstLarge = 30'000;
-    const bool isLarge = seed >= firstLarge;
-    return {seed % kinds == kinds - 1, seed % kinds == 0 || both, isLarge || seed % passingOn == 3, playsWorkspaces(seed), isLarge};
+    const bool plannedWorkOnly = playsPlannedWorkOnly(seed);
+    const bool isLarge = seed >= firstLarge && !plannedWorkOnly;
+    return {seed % kinds == kinds - 1,
+            seed % kinds == 0 || both,
+            isLarge || seed % passingOn == 3,
+            playsWorkspaces(seed),
+            isLarge,
+            plannedWorkOnly};
 }
 
 soak_deployment::soak_deployment(
@@ -60,6 +66,7 @@
                }},
               seed)
     , m_timer(context)
+    , m_seed(seed)
     , m_variant(variant)
 {
     if (m_variant.configurationIsLarge) {
@@ -84,9 +91,10 @@
             group->connections = static_cast<std::uint32_t>(instanceCount) + scarceReserve;
         }
         const std::string suffix = "-" + std::to_string(index + 1);
-        m_routes.push_back({"latest" + suffix, {group->name, read_rule::latest, 0ms, 1000ms, 600ms, 1}});
-        m_routes.push_back({"session" + suffix, {group->name, read_rule::session, 2500ms, 1000ms, 600ms, 2}});
-        m_routes.push_back({"age" + suffix, {group->name, read_rule::age, 1500ms, 1000ms, 600ms, 2}, m_variant.hasWorkspaces});
+        const duration timeout = m_variant.plannedWorkOnly ? longRouteTimeout : usualRouteTimeout;
+        m_routes.push_back({"latest" + suffix, {group->name, read_rule::latest, 0ms, timeout, 600ms, 1}});
+        m_routes.push_back({"session" + suffix, {group->name, read_rule::session, 2500ms, timeout, 600ms, 2}});
+        m_routes.push_back({"age" + suffix, {group->name, read_rule::age, 1500ms, timeout, 600ms, 2}, m_variant.hasWorkspaces});
         m_groups.push_back(std::move(group));
         for (std::size_t place = 0; place < databasesPerGroup; ++place) {
             addDatabase(*m_groups.back(), "db" + std::to_string(m_nextDatabase++), dataCentres[place], place == 0);
@@ -102,6 +110,11 @@
     return m_variant.hasWorkspaces ? &m_workspaces : nullptr;
 }
 
+const soak_variant &soak_deployment::variant() const
+{
+    return m_variant;
+}
+
 standin_store &soak_deployment::store()
 {
     return m_store;
@@ -139,6 +152,10 @@
     member.dataCentre = dataCentre;
     member.primary = primary;
     database_observer observer;
+    observer.onReceived = [this](const std::string &id) {
+        m_history.onReceived(id);
+        return extraWorkOf(id);
+    };
     observer.onRun = [this](const statement_run &run) {
         const auto left = std::ranges::find(m_leaving, run.database, &leaving_database::name);
         constexpr duration drainTime = 7000ms;
@@ -150,7 +167,7 @@
                 m_history.reportViolation(violation);
             }
         }
-        return m_history.onRun(run);
+        return m_history.onRun(run, m_now());
     };
     observer.onCommit = [this](const group_name &of, const std::string &id, std::size_t index) {
         m_history.onCommit(of, id, index);
@@ -168,6 +185,16 @@
     group.members[member.name] = std::move(member);
 }
 
+duration soak_deployment::extraWorkOf(const std::string &id) const
+{
+    constexpr std::uint64_t statementsPerLongOne = 250;
+    constexpr std::uint64_t minLongMicros = 450'000;
+    constexpr std::uint64_t longSpreadMicros = 1'550'000;
+    std::mt19937_64 random(m_seed ^ std::hash<std::string>()(id));
+    const bool isLong = m_variant.plannedWorkOnly && random() % statementsPerLongOne == 0;
+    return isLong ? duration(static_cast<std::int64_t>(minLongMicros + random() % longSpreadMicros)) : duration{};
+}
+
 bool soak_deployment::promote(const standin_order &order)
 {
     m_history.onOrder(order.group, order.fence, order.holder, order.successor);
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -47,13 +47,19 @@
     bool hasWorkspaces = false;
     /// The configuration has many more routes, and instances have narrow links to the store.
     bool configurationIsLarge = false;
+    /// All work that disturbs instances is planned, and some statements take longer than an instance waits before it asks elsewhere.
+    bool plannedWorkOnly = false;
 };
 
 /// Link of the instances where the configuration is large.
 constexpr double narrowLinkMegabits = 10;
 
+/// Time limit of the routes' statements: the shortest of the users' deployments, and where some statements take long.
+constexpr duration usualRouteTimeout = std::chrono::milliseconds(1000);
+constexpr duration longRouteTimeout = std::chrono::milliseconds(3000);
+
 /// The variant that a seed plays: two of five seeds play one of the first two, one of ten both.
-/// A configuration that is large is played by seeds from 30000.
+/// A configuration that is large is played by seeds from 30000, planned work only by those from 40000.
 soak_variant variantOf(std::uint64_t seed);
 
 /// The databases and the platform of a soak: groups, database servers, store entries, versions of the configuration.
@@ -77,6 +83,7 @@
     /// Creates groups of three databases and the first configuration; false if a port could not be opened.
     bool start(std::size_t groupCount, std::size_t instanceCount);
 
+    const soak_variant &variant() const;
     standin_store &store();
     std::vector<std::unique_ptr<standin_group>> &groups();
     const std::vector<soak_route> &routes() const;
@@ -93,6 +100,8 @@
     void makeResponsive(standin_group &group, const database_name &name);
     /// Announces that the database is leaving and adds a replacement; the database stops after its leaving period.
     void leave(standin_group &group, const database_name &name);
+    /// Work of a client's statement at any database beyond the usual; zero for most.
+    duration extraWorkOf(const std::string &id) const;
     /// Removes the store entries of all databases, as after a store outage; each is published again within 2 s.
     void dropEntries();
     /// Lets the store return from a copy of this age. The databases and the operator write again within 2 s.
@@ -121,6 +130,7 @@
     std::vector<leaving_database> m_leaving;
     std::vector<soak_route> m_routes;
     std::vector<published_version> m_versions;
+    std::uint64_t m_seed;
     soak_variant m_variant;
     soak_workspaces m_workspaces;
     std::uint64_t m_nextDatabase = 1;
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -82,7 +82,7 @@
 
 void soak_history::onSent(const sent_statement &statement)
 {
-    m_statements[statement.clientStatement.id] = {statement, m_sessions[statement.session].values};
+    m_statements[statement.clientStatement.id] = {.sent = statement, .values = m_sessions[statement.session].values};
     const bool begins = statement.clientStatement.verb == client_verb::begin || statement.clientStatement.verb == client_verb::beginRead;
     if (begins) {
         m_sessions[statement.session].transactionConnection.clear();
@@ -102,7 +102,15 @@
     m_sessions[session].values[name] = value;
 }
 
-std::string soak_history::onRun(const statement_run &run)
+void soak_history::onReceived(const std::string &id)
+{
+    const auto found = m_statements.find(id);
+    if (found != m_statements.end()) {
+        found->second.received = true;
+    }
+}
+
+std::string soak_history::onRun(const statement_run &run, time_point now)
 {
     std::string signature = "signed-" + std::to_string(m_runs.size() + 1);
     m_runs[signature] = run;
@@ -111,7 +119,7 @@
         reportViolation("UNASKED: no client sent " + run.id);
         return signature;
     }
-    found->second.ran = true;
+    found->second.firstRunAt = found->second.firstRunAt.value_or(now);
     const sent_statement &sent = found->second.sent;
     const std::string &expected = run.executes ? sent.clientStatement.value : sent.clientStatement.text;
     if (run.text != expected) {
@@ -130,10 +138,21 @@
     return found == m_statements.end() ? nullptr : &found->second.sent;
 }
 
+bool soak_history::wasReceived(const std::string &id) const
+{
+    const auto found = m_statements.find(id);
+    return found != m_statements.end() && found->second.received;
+}
+
 bool soak_history::hasRun(const std::string &id) const
+{
+    return firstRunAt(id).has_value();
+}
+
+std::optional<time_point> soak_history::firstRunAt(const std::string &id) const
 {
     const auto found = m_statements.find(id);
-    return found != m_statements.end() && found->second.ran;
+    return found == m_statements.end() ? std::nullopt : found->second.firstRunAt;
 }
 
 void soak_history::onRunAfterDrainTime(const statement_run &run, time_point announcedAt, time_point now)
--- a/mustardrouter/Soak/soak_history.h
+++ b/mustardrouter/Soak/soak_history.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -65,8 +66,10 @@
     /// The client got the confirmation that a session value is set.
     void onValueSet(std::uint64_t session, const std::string &name, const std::string &value);
 
+    /// A database has received a statement.
+    void onReceived(const std::string &id);
     /// A database runs a statement; returns the signature for its answer.
-    std::string onRun(const statement_run &run);
+    std::string onRun(const statement_run &run, time_point now = {});
     /// A statement ran on a leaving database after its drain time.
     void onRunAfterDrainTime(const statement_run &run, time_point announcedAt, time_point now);
     /// Statements that ran after the drain time; violations only if no fault was active at that time.
@@ -79,8 +82,11 @@
 
     /// The statement that a client sent with this id, or null.
     const sent_statement *findSent(const std::string &id) const;
-    /// Whether a database ran the statement.
+    /// Whether a database received the statement, and whether one ran it.
+    bool wasReceived(const std::string &id) const;
     bool hasRun(const std::string &id) const;
+    /// When a database first ran the statement.
+    std::optional<time_point> firstRunAt(const std::string &id) const;
     std::uint64_t statementCount() const;
     std::uint64_t runCount() const;
     std::uint64_t commitCount() const;
@@ -91,7 +97,8 @@
         /// Session values that were acknowledged before it was sent.
         std::map<std::string, std::string> values;
         bool awaitsReply = true;
-        bool ran = false;
+        bool received = false;
+        std::optional<time_point> firstRunAt{};
     };
     struct watched_session {
         std::map<std::string, std::string> values;
--- a/mustardrouter/Soak/soak_instance.cpp
+++ b/mustardrouter/Soak/soak_instance.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <random>
 #include <utility>
@@ -76,7 +77,7 @@
 {
 }
 
-bool soak_instance::start(bool isFirstSystemStart)
+bool soak_instance::start(bool isFirstSystemStart, time_point now)
 {
     if (!process) {
         m_clientAddress = reserveAddress(m_clientPort);
@@ -93,6 +94,7 @@
     m_isFirstSystemStart = isFirstSystemStart;
     writeSettings(false);
     starts += 1;
+    startedAt = now;
     ready = false;
     failedProbes = maxFailedProbes;
     stopRequestedAt = {};
@@ -161,6 +163,15 @@
     return m_clientAddress;
 }
 
+void soak_instance::stop(time_point now)
+{
+    if (process->isRunning() && stopRequestedAt == time_point{}) {
+        stopRequestedAt = now;
+        stops.push_back(now);
+        process->signal(SIGTERM);
+    }
+}
+
 void soak_instance::probeReadiness()
 {
     platform::http_request call;
--- a/mustardrouter/Soak/soak_instance.h
+++ b/mustardrouter/Soak/soak_instance.h
@@ -35,7 +35,7 @@
     soak_instance(asio::io_context &context, launch_options options);
 
     /// Reserves ports, writes the settings and starts the process; false if that fails.
-    bool start(bool isFirstSystemStart);
+    bool start(bool isFirstSystemStart, time_point now);
     /// Writes the settings file; a broken one is truncated in the middle.
     void writeSettings(bool broken);
     /// The relay to a database; created on first use.
@@ -45,6 +45,8 @@
     /// Address for clients through the relay, and without it.
     std::string clientAddress() const;
     std::string directAddress() const;
+    /// Tells it to stop, once.
+    void stop(time_point now);
     /// Sends a readiness probe.
     void probeReadiness();
 
@@ -53,11 +55,14 @@
     fault_relay store;
     bool ready = false;
     unsigned failedProbes = 0;
-    /// Number of times that it was started.
+    /// Number of times that it was started, and when it was last.
     unsigned starts = 0;
+    time_point startedAt{};
     /// When it was told to stop; the epoch if it was not. `disturbed`: another fault hit it since it started.
     time_point stopRequestedAt{};
     bool disturbed = false;
+    /// When it was told to stop, each time.
+    std::vector<time_point> stops;
     /// When it starts again after it ended; the epoch if that is not scheduled.
     time_point restartAt{};
     bool paused = false;
--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -48,6 +48,11 @@
 
 const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
+std::int64_t toMillis(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 } // namespace
 
 soak_run::soak_run(soak_settings settings)
@@ -106,8 +111,8 @@
     if (!m_deployment.start(1 + m_random() % 2, count)) {
         return false;
     }
-    return std::ranges::all_of(m_instances, [](const auto &instance) {
-        return instance->start(true);
+    return std::ranges::all_of(m_instances, [this](const auto &instance) {
+        return instance->start(true, now());
     });
 }
 
@@ -150,6 +155,9 @@
     });
     tick();
     m_context.run();
+    if (variantOf(m_settings.seed).plannedWorkOnly) {
+        checkPlannedWork();
+    }
     return {m_history.violations(), summary()};
 }
 
@@ -161,7 +169,9 @@
             ready.push_back(index);
         }
     }
-    const bool anywhere = ready.empty() || m_random() % 100 < percentToAnyInstance;
+    // The platform forwards to all instances if fewer than half are in rotation; where nothing else disturbs, this reaches those that stop.
+    const bool fewReady = variantOf(m_settings.seed).plannedWorkOnly && 2 * ready.size() < m_instances.size();
+    const bool anywhere = ready.empty() || fewReady || m_random() % 100 < percentToAnyInstance;
     return anywhere ? m_random() % m_instances.size() : ready[m_random() % ready.size()];
 }
 
@@ -249,7 +259,7 @@
     }
     const bool startsAgain = instance.restartAt != time_point{} && now() >= instance.restartAt && !instance.process->isRunning();
     if (startsAgain && !m_stopping) {
-        instance.start(false);
+        instance.start(false, now());
     }
 }
 
@@ -326,6 +336,10 @@
         if (!instance.process->isRunning() || instance.stopRequestedAt != time_point{}) {
             continue;
         }
+        if (variantOf(m_settings.seed).plannedWorkOnly && now() < instance.startedAt + configurationDelay) {
+            // Long statements let a stop take its whole grace period, so that the process may have only just started again.
+            continue;
+        }
         const std::string name = "instance-" + std::to_string(index + 1);
         const auto check = [this, name, newest, startCount = instance.starts, &instance](const std::string &route, reply_code expected) {
             probeRoute(m_context, instance.directAddress(), route, [=, this, &instance](std::optional<reply_code> code) {
@@ -386,6 +400,37 @@
     }
 }
 
+void soak_run::checkPlannedWork()
+{
+    const time_point from = m_runStartedAt + m_plan.rounds.front().faultsFrom;
+    for (const unfinished_statement &cut : m_tally.disconnected) {
+        const duration taken = cut.endedAt - cut.sentAt;
+        const bool counts = cut.sentAt >= from && taken < longRouteTimeout;
+        if (counts && (m_history.wasReceived(cut.id) || taken > disconnectSlack)) {
+            m_history.reportViolation("LOST: " + cut.id + " on instance-" + std::to_string(cut.instance + 1) + " was cut off after "
+                                      + std::to_string(toMillis(taken)) + " ms");
+        }
+    }
+    for (const unfinished_statement &statement : m_tally.unanswered) {
+        if (statement.sentAt >= from) {
+            m_history.reportViolation("LOST: " + statement.id + " on instance-" + std::to_string(statement.instance + 1)
+                                      + " has no answer");
+        }
+    }
+    for (const refused_read &read : m_tally.refusedReads) {
+        const auto &stops = m_instances[read.instance]->stops;
+        const bool lateInStop = std::ranges::any_of(stops, [&](time_point stop) {
+            return read.sentAt > stop + gracePeriod / 2 && read.sentAt <= stop + gracePeriod;
+        });
+        const std::optional<time_point> ranAt = m_history.firstRunAt(read.id);
+        const bool ranInTime = ranAt && *ranAt + disconnectSlack < read.sentAt + longRouteTimeout;
+        if (read.sentAt >= from && !lateInStop && ranInTime && m_deployment.extraWorkOf(read.id) > duration{}) {
+            m_history.reportViolation("LONG: " + read.id + " ran for " + std::to_string(toMillis(m_deployment.extraWorkOf(read.id)))
+                                      + " ms and was answered with " + read.code);
+        }
+    }
+}
+
 void soak_run::stopAll()
 {
     m_stopping = true;
@@ -395,10 +440,7 @@
     constexpr duration clientsEnd = 300ms;
     callLater(m_context, clientsEnd, [this] {
         for (const auto &instance : m_instances) {
-            if (instance->process->isRunning() && instance->stopRequestedAt == time_point{}) {
-                instance->stopRequestedAt = now();
-                instance->process->signal(SIGTERM);
-            }
+            instance->stop(now());
         }
         waitUntilStopped(stopTries);
     });
--- a/mustardrouter/Soak/soak_run.h
+++ b/mustardrouter/Soak/soak_run.h
@@ -63,6 +63,7 @@
     void probeNewestRoute();
     void checkConfiguration(const soak_round &round);
     void checkQuietPhase(const soak_round &round);
+    void checkPlannedWork();
     void stopAll();
     void waitUntilStopped(unsigned tries);
     void finish();
