Of two overdue runs at one suspected database the first goes on

Cause: only the primary may run such a read, so both its runs are there. Where an instance has little other traffic, the long statement itself makes the database a suspected one (log: suspected 0.8 s after the read was sent, last answer 0.5 s ago), and runElsewhere then let go of the first run in favour of the later one at the same database. The read was begun four times.

Change: the earlier run goes only if the later one is at another database.

Shown: the test failed before (no reply within 950 ms for a run of 900 ms).

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -63,3 +63,19 @@
     CHECK_TRUE(most <= 2);
     checkNoViolations(world);
 }
+
+TEST(long_statements, ofTwoOverdueRunsAtOneSuspectedDatabaseTheFirstGoesOn)
+{
+    slow_world world;
+    world.primary().serviceTime = 900ms;
+    fake_client &client = world.connect("latest");
+    world.send(client, client_verb::read, "x");
+    world.runFor(790ms);
+    for (auto &[name, database] : world.engine.groups.at(group_name("g")).databases) {
+        database.suspectedSince = world.now;
+    }
+    world.runFor(160ms);
+    CHECK_EQUAL(1, client.replies.size());
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    checkNoViolations(world);
+}
--- a/mustardrouter/Proxy/engine_runs.cpp
+++ b/mustardrouter/Proxy/engine_runs.cpp
@@ -27,6 +27,14 @@
     return database == nullptr || database->suspectedSince != time_point{};
 }
 
+/// Whether both runs are at one database, so that neither is more likely to be answered for its database's sake.
+bool areAtOneDatabase(const proxy_engine &engine, const statement_run &first, const statement_run &second)
+{
+    const auto one = engine.connections.find(first.connection);
+    const auto other = engine.connections.find(second.connection);
+    return one != engine.connections.end() && other != engine.connections.end() && one->second.database == other->second.database;
+}
+
 } // namespace
 
 statement_run *runOn(client_session &session, database_connection_id connection)
@@ -67,7 +75,10 @@
     running_statement &running = *session.current;
     running.overdueRuns += 1;
     engine.counters.retries += 1;
-    if (running.earlierRun && !isAtSuspectedDatabase(engine, *running.earlierRun)) {
+    const bool firstGoesOn =
+        running.earlierRun
+        && (!isAtSuspectedDatabase(engine, *running.earlierRun) || areAtOneDatabase(engine, *running.earlierRun, running));
+    if (firstGoesOn) {
         releaseConnection(engine, running.connection, now);
     } else {
         releaseEarlierRun(engine, session, now);
