Random plays with long statements, slow openings and slow statuses beside the faults

Statements of up to 3 s, openings and statuses of up to 1.5 s, at random databases, together with dark databases, lost replies, resets, cut relay links, replaced primaries and moved keys. After each step of all random plays two more checks: each statement is answered within its route's time-out, and each connection that belongs to a session is one of its runs or its transaction's, and the other way round.

--- a/UnitTests/Proxy/proxy_random_test.cpp
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -1,7 +1,11 @@
 #include "UnitTests/Proxy/proxy_world.h"
 
+#include "mustardrouter/Proxy/engine_parts.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace mustardrouter;
 using namespace std::chrono_literals;
 
@@ -123,10 +127,51 @@
     bool relays = false;
     /// Clients have keys, which are withdrawn, added and moved.
     bool workspaces = false;
+    /// Statements take up to 3 s while there are faults, and openings and statuses up to 1.5 s.
+    bool longStatements = false;
 };
 
 const std::vector<std::string> allKeys{"red key-0", "blue key-1", "green key-2"};
 
+/// Changes how long a random database takes for its statements, its new connections and its statuses.
+void changeDurations(proxy_world &world)
+{
+    fake_database &any = world.databases.at(database_name("db-" + std::to_string(world.random() % 3)));
+    any.serviceTime = world.random() % 3 == 0 ? 5ms : 1ms * static_cast<int>(300 + world.random() % 2700);
+    any.openingTime = world.random() % 2 == 0 ? 0ms : 1ms * static_cast<int>(world.random() % 1500);
+    any.statusTime = world.random() % 2 == 0 ? 0ms : 1ms * static_cast<int>(world.random() % 1500);
+}
+
+/// Whether a statement has waited for longer than its route allows.
+bool anyUnanswered(const proxy_world &world)
+{
+    return std::ranges::any_of(world.clients, [&](const auto &entry) {
+        const fake_client &client = entry.second;
+        return client.accepted && !client.closed && client.awaitsReply && world.now - client.sentAt > 1050ms;
+    });
+}
+
+/// Whether each connection that belongs to a session is one that the session uses, and the other way round.
+bool connectionsMatchSessions(proxy_engine &engine)
+{
+    const bool anyLeaked = std::ranges::any_of(engine.connections, [&](const auto &entry) {
+        const auto session = engine.sessions.find(entry.second.session);
+        const bool inTransaction =
+            session != engine.sessions.end() && session->second.transaction && session->second.transaction->connection == entry.first;
+        return session != engine.sessions.end() && !inTransaction && proxying::runOn(session->second, entry.first) == nullptr;
+    });
+    const auto isForeign = [&](const client_session &session, database_connection_id id) {
+        const auto connection = engine.connections.find(id);
+        return id != database_connection_id{} && (connection == engine.connections.end() || connection->second.session != session.id);
+    };
+    return !anyLeaked && std::ranges::none_of(engine.sessions, [&](const auto &entry) {
+        const client_session &session = entry.second;
+        return session.current
+               && (isForeign(session, session.current->connection)
+                   || (session.current->earlierRun && isForeign(session, session.current->earlierRun->connection)));
+    });
+}
+
 /// Runs clients with all read rules under random faults and then without. Returns the first violation, or an empty string.
 std::string runScenario(std::uint64_t seed, scenario_kind kind)
 {
@@ -167,6 +212,9 @@
         if (step > 40 && step < 300 && world.random() % 25 == 0) {
             changeFaults(world);
         }
+        if (kind.longStatements && step > 40 && step < 300 && world.random() % 8 == 0) {
+            changeDurations(world);
+        }
         if (step == 300) {
             world.storeUnavailable = false;
             world.promotionRepliesLost = false;
@@ -181,8 +229,17 @@
                 database.full = false;
                 database.replyLossPercent = 0;
                 database.lag = 10ms;
+                database.serviceTime = 5ms;
+                database.openingTime = 0ms;
+                database.statusTime = 0ms;
             }
         }
+        if (anyUnanswered(world)) {
+            return "seed " + std::to_string(seed) + ", step " + std::to_string(step) + ": a statement is not answered in time";
+        }
+        if (!connectionsMatchSessions(world.engine) || (world.entry && !connectionsMatchSessions(*world.entry))) {
+            return "seed " + std::to_string(seed) + ", step " + std::to_string(step) + ": a connection and a session don't match";
+        }
         if (!world.violations.empty()) {
             return "seed " + std::to_string(seed) + ", step " + std::to_string(step) + ": " + world.violations.front();
         }
@@ -262,6 +319,23 @@
     }
 }
 
+TEST(proxy_random, guaranteesHoldForLongStatementsUnderOverlappingFaults)
+{
+    constexpr std::uint64_t scenarios = 40;
+    for (std::uint64_t seed = 1; seed <= scenarios; ++seed) {
+        for (const bool relays : {false, true}) {
+            const bool continues = seed % 2 == 0;
+            const std::string problem = runScenario(seed,
+                                                    {.continues = continues,
+                                                     .engineExpectsThat = continues,
+                                                     .relays = relays,
+                                                     .workspaces = seed % 3 == 0,
+                                                     .longStatements = true});
+            CHECK_TRUE_TEXT(problem.empty(), problem.c_str());
+        }
+    }
+}
+
 TEST(proxy_random, withoutVerificationReplacedPrimariesViolateTheGuarantees)
 {
     constexpr std::uint64_t scenarios = 80;
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -279,7 +279,7 @@
         if (found == databases.end() || found->second.unresponsive) {
             return;
         }
-        events.emplace(now + found->second.networkDelay * 2, [this, connection] {
+        events.emplace(now + found->second.networkDelay * 2 + found->second.openingTime, [this, connection] {
             fake_database &database = databases.at(databaseByConnection.at(connection));
             if (!database.unresponsive) {
                 database.connections[connection] = {};
@@ -356,6 +356,7 @@
     for (const database_command &command : commands) {
         const bool isStatement = command.kind == command_kind::forward || command.kind == command_kind::execute;
         runAt += isStatement ? database.serviceTime : duration{};
+        runAt += command.kind == command_kind::status ? database.statusTime : duration{};
         const bool lost = isStatement && random() % 100 < database.replyLossPercent;
         events.emplace(runAt, [this, connection, command, lost] {
             fake_database &home = databases.at(databaseByConnection.at(connection));
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -44,6 +44,9 @@
     duration lag = std::chrono::milliseconds(10);
     duration networkDelay = std::chrono::milliseconds(1);
     duration serviceTime = std::chrono::milliseconds(5);
+    /// How long a new connection and a status wait for a slot.
+    duration openingTime{};
+    duration statusTime{};
     /// Receives and replies nothing.
     bool unresponsive = false;
     /// While it is paused, the lowest term whose primary it accepts; zero when it is not paused.
