A relayed read with a run under way is not sent to the next holder for want of the primary

Cause: after 400 ms the holder queues the read for a second database, and a read that waits at a holder whose primary is suspected or has no open connection is sent back as not run after 80 or 200 ms from its arrival, which had passed: at once. So its first run was given up, and begun again.

Ruled out: keeping the first run in any case. If its own database is suspected and does not reply within these 80 ms, another holder may reach the primary sooner; a dark primary is left 80 ms later than before.

Change: the time counts from when the read became overdue, and the read waits for its first run if that one's database is alive. The other refusals of a run (route removed, no holder in time) don't end the statement either while the first run goes on: refuseRun, which three places spelled out.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -1,4 +1,6 @@
-#include "UnitTests/Proxy/proxy_world.h"
+#include "UnitTests/Proxy/relaying_world.h"
+
+#include "mustardrouter/Proxy/engine_parts.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,3 +65,16 @@
     CHECK_TRUE(most <= 2);
     checkNoViolations(world);
 }
+
+TEST(long_statements, aLongReadAtAHolderIsNotSentAwayForAPrimaryThatIsSuspectedMeanwhile)
+{
+    for (const char *route : {"age", "session", "latest"}) {
+        relaying_world world;
+        for (auto &[name, database] : world.databases) {
+            database.serviceTime = 700ms;
+        }
+        fake_client &client = world.connectToEntry(route);
+        CHECK_TRUE_TEXT(world.sendAndWait(client, client_verb::read, "x").code == reply_code::done, route);
+        checkNoViolations(world);
+    }
+}
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -308,9 +308,7 @@
 {
     running_statement &running = *session.current;
     if (now - running.arrivedAt >= sessionRoute.latencyTarget * admissionWaitTenths / 10) {
-        if (!awaitEarlierRun(engine, session, now)) {
-            refuseStatement(engine, session, reply_code::busy, reason, now);
-        }
+        refuseRun(engine, session, reply_code::busy, reason, now);
         return true;
     }
     running.notBefore = now + admissionBackoff + duration(static_cast<std::int64_t>(engine.random() % admissionBackoff.count()));
@@ -348,9 +346,7 @@
         return false;
     }
     if (now - session.current->arrivedAt >= sessionRoute.latencyTarget * admissionWaitTenths / 10) {
-        if (!awaitEarlierRun(engine, session, now)) {
-            refuseStatement(engine, session, reply_code::busy, "the primary can't be verified", now);
-        }
+        refuseRun(engine, session, reply_code::busy, "the primary can't be verified", now);
         return true;
     }
     if (group.primary) {
@@ -502,7 +498,7 @@
     }
     const auto sessionRoute = engine.routes.routes.find(session.database);
     if (sessionRoute == engine.routes.routes.end()) {
-        refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
+        refuseRun(engine, session, reply_code::busy, "the route was removed", now);
         return true;
     }
     if (!identify(engine, session)) {
@@ -575,7 +571,7 @@
     group_state *group = groupOf(engine, session);
     if (group == nullptr) {
         if (session.current) {
-            refuseStatement(engine, session, reply_code::busy, "the route was removed", now);
+            refuseRun(engine, session, reply_code::busy, "the route was removed", now);
         }
         return;
     }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -38,12 +38,16 @@
 statement_run *runOn(client_session &session, database_connection_id connection);
 /// Makes the run on this connection, which may be the earlier one, the latest of the session's current statement.
 void makeLatestRun(client_session &session, database_connection_id connection);
+/// Whether the database of the run is not known to be alive.
+bool isAtSuspectedDatabase(proxy_engine &engine, const statement_run &run);
 /// How long the latest run of the statement may take until it counts as overdue.
 duration replyTimeoutOf(const proxy_engine &engine, const running_statement &running);
 /// Queues a read whose reply is overdue for a run at another database, while the first run goes on.
 void runElsewhere(proxy_engine &engine, client_session &session, time_point now);
 /// Has the statement wait for its earlier run instead of another one. Returns false if there is no earlier run.
 bool awaitEarlierRun(proxy_engine &engine, client_session &session, time_point now);
+/// Refuses another run of the statement: the statement too, unless its earlier run goes on.
+void refuseRun(proxy_engine &engine, client_session &session, reply_code code, const char *reason, time_point now);
 /// Gives up the earlier run of the session's current statement, if there is one.
 void releaseEarlierRun(proxy_engine &engine, client_session &session, time_point now);
 
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -311,7 +311,7 @@
         return false;
     }
     if (!begins && session.current->deadline - now < minTimeToRelay) {
-        refuseStatement(engine, session, reply_code::busy, "no holder in time", now);
+        refuseRun(engine, session, reply_code::busy, "no holder in time", now);
         return true;
     }
     const std::vector<database_name> &excluded = begins ? session.transaction->excludedDatabases : session.current->excludedDatabases;
@@ -397,12 +397,18 @@
         return false;
     }
     // Before that, it did not need the primary: no other holder would serve it sooner.
-    const time_point needsPrimarySince = std::max(session.current->arrivedAt, session.heldByLimitAt);
+    const std::optional<statement_run> &earlierRun = session.current->earlierRun;
+    const time_point needsPrimarySince =
+        std::max({session.current->arrivedAt, session.heldByLimitAt, earlierRun ? earlierRun->replyDueAt : time_point{}});
     const time_point refuseAt = needsPrimarySince + (outOfReach ? primaryWait : firstConnectionWait);
     if (now < refuseAt) {
         scheduleTimer(engine, refuseAt, timer_kind::dispatch, 0, group.name);
         return false;
     }
+    if (earlierRun && !isAtSuspectedDatabase(engine, *earlierRun)) {
+        awaitEarlierRun(engine, session, now);
+        return true;
+    }
     refuseStatement(engine, session, reply_code::misrouted, "the primary is out of reach from here", now);
     return true;
 }
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -208,9 +208,7 @@
                  {"attempts", std::to_string(running.attempts)},
                  {"after_ms", toMillisText(now - running.arrivedAt)}});
     if (running.attempts >= maxAttempts) {
-        if (!awaitEarlierRun(engine, session, now)) {
-            refuseStatement(engine, session, reply_code::busy, reason, now);
-        }
+        refuseRun(engine, session, reply_code::busy, reason, now);
         return;
     }
     running.notBefore = now + pause;
--- a/mustardrouter/Proxy/engine_runs.cpp
+++ b/mustardrouter/Proxy/engine_runs.cpp
@@ -16,7 +16,8 @@
     return running;
 }
 
-/// Whether the database of the run is not known to be alive.
+} // namespace
+
 bool isAtSuspectedDatabase(proxy_engine &engine, const statement_run &run)
 {
     const auto connection = engine.connections.find(run.connection);
@@ -27,8 +28,6 @@
     return database == nullptr || database->suspectedSince != time_point{};
 }
 
-} // namespace
-
 statement_run *runOn(client_session &session, database_connection_id connection)
 {
     if (!session.current) {
@@ -90,6 +89,13 @@
     return true;
 }
 
+void refuseRun(proxy_engine &engine, client_session &session, reply_code code, const char *reason, time_point now)
+{
+    if (!awaitEarlierRun(engine, session, now)) {
+        refuseStatement(engine, session, code, reason, now);
+    }
+}
+
 void releaseEarlierRun(proxy_engine &engine, client_session &session, time_point now)
 {
     if (!session.current || !session.current->earlierRun) {
