A reply does not wait for an instance's own question that was sent behind its statement

Cause: findForRoleCheck may send a status or role check on a connection that runs a client's statement, and a statement counted as answered only when nothing at all was outstanding on its connection.

Ruled out: not sending them there. Where all connections are at work it is the only way to ask at once.

Change: expected replies of probes are marked, and a statement is answered when only these are left. Then the connection is idle with a probe outstanding, as after a probe on an idle one.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -78,3 +78,24 @@
         checkNoViolations(world);
     }
 }
+
+TEST(long_statements, aReplyDoesNotWaitForAQuestionThatWasSentBehindItsStatement)
+{
+    slow_world world;
+    fake_client &client = world.connect("latest");
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(100ms);
+    group_state &group = world.engine.groups.at(group_name("g"));
+    database_state &primary = group.databases.at(*group.primary);
+    for (database_connection_id id : primary.connections) {
+        if (world.engine.connections.at(id).session == client.id) {
+            proxying::sendProbe(world.engine, world.engine.connections.at(id), proxying::probe_request{.status = true}, world.now);
+        }
+    }
+    world.databases.at(*group.primary).statusTime = 2s;
+    world.performActions();
+    world.runFor(400ms);
+    CHECK_EQUAL(1, client.replies.size());
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    checkNoViolations(world);
+}
--- a/mustardrouter/Proxy/database_connection.h
+++ b/mustardrouter/Proxy/database_connection.h
@@ -41,6 +41,8 @@
 struct expected_reply {
     reply_purpose purpose;
     time_point sentAt{};
+    /// It belongs to a probe of the instance, which may have been sent behind a client's statement.
+    bool ofProbe = false;
 };
 
 /// One connection to a database.
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -325,6 +325,13 @@
     }
 }
 
+/// Whether no reply is outstanding but those to probes that were sent behind a client's statement.
+bool workIsAnswered(const database_connection &connection)
+{
+    const bool runsStatement = connection.state == database_connection_state::busy && connection.session != session_id{};
+    return connection.expected.empty() || (runsStatement && std::ranges::all_of(connection.expected, &expected_reply::ofProbe));
+}
+
 } // namespace
 
 void onDatabaseReply(proxy_engine &engine, database_connection_id id, database_reply reply, time_point now)
@@ -387,7 +394,7 @@
         break;
     }
     const auto remaining = engine.connections.find(id);
-    if (remaining != engine.connections.end() && remaining->second.expected.empty() && expected.purpose != reply_purpose::begin) {
+    if (remaining != engine.connections.end() && workIsAnswered(remaining->second) && expected.purpose != reply_purpose::begin) {
         allRepliesReceived(engine, remaining->second, now);
     }
     dispatchReadyGroups(engine, now);
@@ -447,7 +454,11 @@
                            : command_kind::status,
             reply_purpose::status);
     }
+    const std::size_t before = connection.expected.size();
     sendOn(engine, connection, std::move(commands), purposes, now);
+    for (std::size_t index = before; index < connection.expected.size(); ++index) {
+        connection.expected[index].ofProbe = true;
+    }
     scheduleTimer(engine, now + engine.settings.abandonedReplyTimeout, timer_kind::connection, connection.id.value());
 }
 
@@ -488,7 +499,7 @@
 {
     assert(commands.size() == purposes.size());
     for (const reply_purpose purpose : purposes) {
-        connection.expected.push_back({purpose, now});
+        connection.expected.push_back({purpose, now, false});
     }
     send_commands action{connection.id, std::move(commands), {}, {}, {}};
     if (const client_session *session = connection.toHolder ? sessionOf(engine, connection) : nullptr) {
