A holder that carries nothing but long statements of an instance can be pinged

Cause: an overdue reply is judged by a ping, for which all 32 channels were taken, so that none was sent. It counted as sent, and 300 ms later as unanswered.

Ruled out: a ping on a channel at work. The holder handles a channel's statements one after the other. Counting only pings that were sent: the statements of a dead holder would then wait until their deadline.

Change: the limit is one of statements and transactions, and one connection beyond it is left for pings.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -79,6 +79,28 @@
     }
 }
 
+TEST(long_statements, aHolderWhoseChannelsAllCarryLongWritesIsNotSuspected)
+{
+    relaying_world world;
+    std::vector<fake_client *> clients;
+    for (int index = 0; index < 40; ++index) {
+        clients.push_back(&world.connectToEntry("latest"));
+    }
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 850ms;
+    }
+    for (fake_client *client : clients) {
+        world.send(*client, client_verb::write, "x", "1");
+    }
+    world.runFor(900ms);
+    CHECK_EQUAL(0, world.reports["database_suspected"]);
+    CHECK_EQUAL(0, world.reports["statement_in_doubt"]);
+    CHECK_TRUE(std::ranges::any_of(clients, [](const fake_client *client) {
+        return !client->replies.empty() && client->replies.back().reply.code == reply_code::done;
+    }));
+    checkNoViolations(world);
+}
+
 TEST(long_statements, aReplyDoesNotWaitForAQuestionThatWasSentBehindItsStatement)
 {
     slow_world world;
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -18,8 +18,10 @@
 
 using namespace proxying;
 
-/// Most connections of this instance to one holder; they cost a holder little, but each may wait there.
-constexpr std::size_t maxConnectionsPerHolder = 32;
+/// Most statements and transactions of this instance at one holder; their connections cost a holder little, but each may wait there.
+constexpr std::size_t maxWorkPerHolder = 32;
+/// Connections for pings beyond these.
+constexpr std::size_t pingConnections = 1;
 /// A holder with another configuration or without the group gets the statement again after this pause at the earliest.
 constexpr duration otherConfigurationBackoff = std::chrono::milliseconds(50);
 /// Time within which a holder must reply to a ping.
@@ -59,12 +61,18 @@
     return !holder.listed.leaving && holder.suspectedSince == time_point{} && now >= holder.openNotBefore;
 }
 
-double expectedMicros(const proxy_engine &engine, const database_state &holder, time_point now)
+/// Number of statements and transactions of this instance at the holder.
+std::size_t workAt(const proxy_engine &engine, const database_state &holder)
 {
-    const auto inFlight = std::ranges::count_if(holder.connections, [&](database_connection_id id) {
+    const auto count = std::ranges::count_if(holder.connections, [&](database_connection_id id) {
         const database_connection_state state = engine.connections.at(id).state;
         return state == database_connection_state::busy || state == database_connection_state::held;
     });
+    return static_cast<std::size_t>(count);
+}
+
+double expectedMicros(const proxy_engine &engine, const database_state &holder, time_point now)
+{
     double distance = 0;
     if (holder.listed.dataCentre != engine.settings.dataCentre) {
         distance = isInOwnRegion(engine.settings, holder.listed.dataCentre) ? sameRegionMicros : otherRegionMicros;
@@ -73,7 +81,7 @@
         const database_connection &connection = engine.connections.at(id);
         return connection.state == database_connection_state::opening && now - connection.since >= slowOpenThreshold;
     });
-    return distance + inFlightMicros * static_cast<double>(inFlight) + (slowToOpen ? slowOpenPenaltyMicros : 0);
+    return distance + inFlightMicros * static_cast<double>(workAt(engine, holder)) + (slowToOpen ? slowOpenPenaltyMicros : 0);
 }
 
 duration pauseBeforeNextHolder(std::size_t holdersWithoutPrimary)
@@ -127,7 +135,7 @@
     const bool opening = std::ranges::any_of(holder.connections, [&](database_connection_id id) {
         return engine.connections.at(id).state == database_connection_state::opening;
     });
-    if (!opening && now >= holder.openNotBefore && holder.connections.size() < maxConnectionsPerHolder) {
+    if (!opening && now >= holder.openNotBefore && holder.connections.size() < maxWorkPerHolder + pingConnections) {
         openConnection(engine, group, holder, now, true);
         scheduleTimer(engine, now + slowOpenThreshold, timer_kind::dispatch, 0, group.name);
     }
@@ -316,7 +324,10 @@
     }
     const std::vector<database_name> &excluded = begins ? session.transaction->excludedDatabases : session.current->excludedDatabases;
     database_state *holder = nearestHolder(engine, group, session, excluded, needsPrimary(session, sessionRoute), now);
-    database_connection *connection = holder == nullptr ? nullptr : findOrOpenToHolder(engine, group, *holder, session.values, now);
+    if (holder == nullptr || workAt(engine, *holder) >= maxWorkPerHolder) {
+        return false;
+    }
+    database_connection *connection = findOrOpenToHolder(engine, group, *holder, session.values, now);
     if (connection == nullptr) {
         return false;
     }
