A run beside a read's first one counts for the limit of its workspace

The limit is judged by what databases run.

Cause: an operation is counted once, so a run elsewhere of a read that is under way was free.

Ruled out: refusing the read when there is no token for another run. Its first run goes on.

Change: the run elsewhere is counted anew; without a token the read waits for its first run.

--- a/UnitTests/Proxy/workspace_limits_test.cpp
+++ b/UnitTests/Proxy/workspace_limits_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace mustardrouter;
 using namespace std::chrono_literals;
 
@@ -123,3 +125,25 @@
     world.runFor(600ms);
     CHECK_EQUAL(0U, world.engine.counters.refusalsByCause["the primary is out of reach from here"]);
 }
+
+TEST(workspace_limits, allRunsOfLongReadsAtDatabasesAreWithinTheLimit)
+{
+    limited_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 900ms;
+    }
+    std::vector<fake_client *> clients;
+    for (int number = 0; number < 20; ++number) {
+        clients.push_back(&world.connect("age", "key-r"));
+        world.send(*clients.back(), client_verb::read, "x");
+    }
+    world.runFor(1100ms);
+    // The same bound as for statements that run once.
+    const auto runs = world.engine.counters.workspaces.byName.find(workspace_name("red"))->second.operations;
+    CHECK_TRUE(runs <= 14);
+    const auto done = std::ranges::count_if(clients, [](const fake_client *client) {
+        return client->replies.back().reply.code == reply_code::done;
+    });
+    CHECK_TRUE(done >= 4);
+    CHECK_TRUE(world.violations.empty());
+}
--- a/mustardrouter/Proxy/engine_limits.cpp
+++ b/mustardrouter/Proxy/engine_limits.cpp
@@ -123,6 +123,9 @@
         scheduleTimer(engine, now + verdict.retryAfter, timer_kind::dispatch, 0, group->name);
         return false;
     }
+    if (!session.transaction && awaitEarlierRun(engine, session, now)) {
+        return true;
+    }
     refuseBeyondLimit(engine, session, verdict.retryAfter, now);
     return true;
 }
--- a/mustardrouter/Proxy/engine_limits.h
+++ b/mustardrouter/Proxy/engine_limits.h
@@ -16,7 +16,8 @@
 };
 
 /// Whether the limit of the session's workspace keeps its statement or BEGIN from being sent: nothing if not, otherwise whether the
-/// session no longer waits because its statement was refused. An operation is counted once, however often it is sent.
+/// session no longer waits because its statement was refused. An operation is counted once, however often it
+/// is refused, and again for a run beside its first one.
 std::optional<bool> heldByLimit(proxy_engine &engine, client_session &session, limit_check check, time_point now);
 /// The limits of the present configuration are in force.
 void updateWorkspaceLimits(proxy_engine &engine, time_point now);
--- a/mustardrouter/Proxy/engine_runs.cpp
+++ b/mustardrouter/Proxy/engine_runs.cpp
@@ -65,6 +65,8 @@
 {
     running_statement &running = *session.current;
     running.overdueRuns += 1;
+    // The limit of a workspace applies to what databases run.
+    running.counted = false;
     engine.counters.retries += 1;
     if (running.earlierRun && !isAtSuspectedDatabase(engine, *running.earlierRun)) {
         releaseConnection(engine, running.connection, now);
