A connection that waits for a slot of a database that replies to others is not given up

Reads avoid a suspected database, and a suspected primary is a step towards its replacement.

Cause: the time-out for opening runs from the request, whatever work is before it at the database.

Ruled out: a longer time-out, which would slow the change away from a dark database. One that has replied since the request is not dark.

Change: while the database is trusted and has replied since the request, the connection may take as long as an abandoned reply (3 s); looked at every 200 ms, so that it is given up as before when the database is suspected.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -121,3 +121,30 @@
     CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
     checkNoViolations(world);
 }
+
+TEST(long_statements, aConnectionThatWaitsForASlotOfALiveDatabaseIsNotGivenUpAndDoesNotMakeItSuspected)
+{
+    slow_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 300ms;
+        database.openingTime = 1500ms;
+    }
+    std::vector<fake_client *> readers;
+    for (int index = 0; index < 30; ++index) {
+        readers.push_back(&world.connect("age"));
+    }
+    for (int round = 0; round < 300; ++round) {
+        for (fake_client *reader : readers) {
+            if (!reader->awaitsReply) {
+                world.send(*reader, client_verb::read, "x");
+            }
+        }
+        world.runFor(10ms);
+    }
+    CHECK_EQUAL(0, world.reports["database_suspected"]);
+    const auto open = std::ranges::count_if(world.engine.connections, [](const auto &connection) {
+        return connection.second.state != database_connection_state::opening;
+    });
+    CHECK_TRUE(open > 3);
+    checkNoViolations(world);
+}
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -567,10 +567,22 @@
     return database != nullptr && now - requestedAt >= timeout && database->lastReplyAt >= requestedAt + timeout / 2;
 }
 
+/// Whether the database is at work and not silent: it has replied to others since the connection was requested.
+bool waitsForSlot(proxy_engine &engine, const database_connection &connection, time_point now)
+{
+    const database_state *database = connection.toHolder ? nullptr : databaseOf(engine, connection);
+    const bool replies = database != nullptr && database->suspectedSince == time_point{} && database->lastReplyAt > connection.since;
+    return replies && now - connection.since < engine.settings.abandonedReplyTimeout;
+}
+
 } // namespace
 
 void checkConnection(proxy_engine &engine, database_connection &connection, time_point now)
 {
+    if (connection.state == database_connection_state::opening && waitsForSlot(engine, connection, now)) {
+        scheduleTimer(engine, now + engine.settings.probeInterval, timer_kind::connection, connection.id.value());
+        return;
+    }
     const bool opening =
         connection.state == database_connection_state::opening && now - connection.since >= openTimeoutOf(engine, connection);
     const bool ownWork = connection.state == database_connection_state::idle
