The primary's position is asked for behind a statement where all its connections are at work

Cause: the question needed an idle connection, and the statements that wait take each that becomes idle.

Ruled out: a connection more. It waits for a slot as well. Asking earlier: the question is due 400 ms ahead, and longer work needs a connection at once.

Change: as role checks, it goes behind a statement that was sent up to 200 ms ago; the statement's reply no longer waits for it.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -148,3 +148,32 @@
     CHECK_TRUE(open > 3);
     checkNoViolations(world);
 }
+
+TEST(long_statements, boundedReadsAreServedByReplicasWhileThePrimaryIsAtWork)
+{
+    slow_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = database.primary ? 900ms : 20ms;
+        database.openingTime = database.serviceTime;
+    }
+    std::vector<fake_client *> writers;
+    for (int index = 0; index < 12; ++index) {
+        writers.push_back(&world.connect("latest"));
+    }
+    fake_client &reader = world.connect("age");
+    for (int round = 0; round < 400; ++round) {
+        for (fake_client *writer : writers) {
+            if (!writer->awaitsReply) {
+                world.send(*writer, client_verb::write, "x", "1");
+            }
+        }
+        if (!reader.awaitsReply) {
+            world.send(reader, client_verb::read, "x");
+        }
+        world.runFor(10ms);
+    }
+    CHECK_TRUE(std::ranges::all_of(reader.replies, [](const statement_reply &reply) {
+        return reply.reply.code == reply_code::done;
+    }));
+    checkNoViolations(world);
+}
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -579,7 +579,8 @@
     if (primary.probedAt != time_point{} && now - primary.probedAt < positionRetryInterval) {
         return;
     }
-    database_connection *connection = findOrOpenForProbe(engine, group, primary, now);
+    // Where all connections are at work, the question is sent behind a statement: statements that wait would take the next free one.
+    database_connection *connection = findForRoleCheck(engine, group, primary, now);
     if (connection == nullptr) {
         return;
     }
