--- a/mustardrouter/Proxy/engine_runs.cpp
+++ b/mustardrouter/Proxy/engine_runs.cpp
@@ -16,17 +16,6 @@
     return running;
 }
 
-/// Whether the database of the run is not known to be alive.
-bool isAtSuspectedDatabase(proxy_engine &engine, const statement_run &run)
-{
-    const auto connection = engine.connections.find(run.connection);
-    if (connection == engine.connections.end()) {
-        return true;
-    }
-    const database_state *database = databaseOf(engine, connection->second);
-    return database == nullptr || database->suspectedSince != time_point{};
-}
-
 /// Whether both runs are at one database, so that neither is more likely to be answered for its database's sake.
 bool areAtOneDatabase(const proxy_engine &engine, const statement_run &first, const statement_run &second)
 {
@@ -37,6 +26,16 @@
 
 } // namespace
 
+bool isAtSuspectedDatabase(proxy_engine &engine, const statement_run &run)
+{
+    const auto connection = engine.connections.find(run.connection);
+    if (connection == engine.connections.end()) {
+        return true;
+    }
+    const database_state *database = databaseOf(engine, connection->second);
+    return database == nullptr || database->suspectedSince != time_point{};
+}
+
 statement_run *runOn(client_session &session, database_connection_id connection)
 {
     if (!session.current) {
@@ -74,6 +73,8 @@
 {
     running_statement &running = *session.current;
     running.overdueRuns += 1;
+    // The limit of a workspace applies to what databases run.
+    running.counted = false;
     engine.counters.retries += 1;
     const bool firstGoesOn =
         running.earlierRun
@@ -101,6 +102,13 @@
     return true;
 }
 
+void refuseRun(proxy_engine &engine, client_session &session, reply_code code, const char *reason, time_point now)
+{
+    if (!awaitEarlierRun(engine, session, now)) {
+        refuseStatement(engine, session, code, reason, now);
+    }
+}
+
 void releaseEarlierRun(proxy_engine &engine, client_session &session, time_point now)
 {
     if (!session.current || !session.current->earlierRun) {
