--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -28,7 +28,8 @@
     duration holderOpenTimeout = std::chrono::milliseconds(300);
     /// Pause after a connection was refused or could not be opened.
     duration openBackoff = std::chrono::milliseconds(300);
-    /// After this time without a reply to a statement its database is suspected, and a read is retried elsewhere.
+    /// After this time without a reply to a statement its database is suspected unless it has replied to others, and a
+    /// read is sent to another database, too.
     duration replyTimeout = std::chrono::milliseconds(400);
     /// A connection that serves no session is closed after this time without a reply, as to an abandoned statement.
     duration abandonedReplyTimeout = std::chrono::seconds(3);
