--- a/UnitTests/Workspaces/limit_history.cpp
+++ b/UnitTests/Workspaces/limit_history.cpp
@@ -38,6 +38,8 @@
     void scheduleFault(time_point from, time_point until);
     void fault();
     void partition(int parts, duration length);
+    /// Cuts this share of the links between two instances each, so that others still reach both.
+    void cutLinks(double share, duration length);
     void scheduleSteady(const workspace_name &workspace, const workspace_limit &limit, time_point from, time_point until);
     limit_history_result result();
 
@@ -133,6 +135,21 @@
     });
 }
 
+void history::cutLinks(double share, duration length)
+{
+    for (std::size_t one = 0; one < m_world.nodes.size(); ++one) {
+        for (std::size_t other = 0; other < one; ++other) {
+            if (!chance(share)) {
+                continue;
+            }
+            m_world.cutLink(one, other, true);
+            m_world.at(m_world.now + length, [this, one, other] {
+                m_world.cutLink(one, other, false);
+            });
+        }
+    }
+}
+
 void history::fault()
 {
     const std::size_t node = anyNode();
@@ -158,7 +175,11 @@
             });
         }
     } else if (kind < 0.5) {
-        partition(static_cast<int>(uniform(2, chance(0.3) ? 30 : 4)), seconds(uniform(0.2, 10)));
+        if (chance(0.3)) {
+            cutLinks(uniform(0.05, 0.6), seconds(uniform(0.2, 10)));
+        } else {
+            partition(static_cast<int>(uniform(2, chance(0.3) ? 30 : 4)), seconds(uniform(0.2, 10)));
+        }
     } else if (kind < 0.6) {
         const std::size_t count = chance(0.3) ? m_world.nodes.size() : 1;
         for (std::size_t number = 0; number < count; ++number) {
--- a/UnitTests/Workspaces/limit_history_test.cpp
+++ b/UnitTests/Workspaces/limit_history_test.cpp
@@ -184,7 +184,7 @@
         const std::size_t pool = run.pool();
         CHECK_TRUE(pool < run.world.nodes.size());
         const std::size_t spender = pool == 0 ? 1 : 0;
-        run.world.cutLink(pool, spender);
+        run.world.cutLink(pool, spender, true);
         run.servedWithin(std::chrono::seconds(3), spender, std::chrono::milliseconds(20));
         const std::uint64_t served = run.servedWithin(std::chrono::seconds(5), spender, std::chrono::milliseconds(20));
         std::printf("%zu instances: served %llu of 250\n", count, static_cast<unsigned long long>(served));
--- a/UnitTests/Workspaces/limit_world.cpp
+++ b/UnitTests/Workspaces/limit_world.cpp
@@ -224,9 +224,13 @@
     }
 }
 
-void limit_world::cutLink(std::size_t one, std::size_t other)
+void limit_world::cutLink(std::size_t one, std::size_t other, bool cut)
 {
-    m_cutLinks.insert(std::minmax(one, other));
+    if (cut) {
+        m_cutLinks.insert(std::minmax(one, other));
+    } else {
+        m_cutLinks.erase(std::minmax(one, other));
+    }
 }
 
 void limit_world::listChanged()
--- a/UnitTests/Workspaces/limit_world.h
+++ b/UnitTests/Workspaces/limit_world.h
@@ -62,8 +62,8 @@
     void freeze(std::size_t node);
     void thaw(std::size_t node);
     void cutStore(std::size_t node, bool cut);
-    /// Messages between the two are lost from now on.
-    void cutLink(std::size_t one, std::size_t other);
+    /// Messages between the two are lost while their link is cut.
+    void cutLink(std::size_t one, std::size_t other, bool cut);
     void setLimits(const std::map<workspace_name, workspace_limit> &limits);
     /// An operation arrives; `owed`: its refusal is counted as wrong.
     void operate(std::size_t node, const workspace_name &workspace, bool owed);
