A promotion under way is given its time also when its cause vanishes and returns

Cause: the pause of 3 s after another instance's claim, or after an order of one's own, was a part of the failover that cancelFailover resets, while the claim's position was kept. A leaving primary that has stepped down is no cause until replicas are silent for 0.6 s, so the failover was cancelled, began again before the promotion (1 s there) took effect, and took the known claim for one that had had its time.

Ruled out: a lost or late claim: the log shows that the instance had read claim 38 at 8.627 s, left it to its owner, and ordered under 40 at 9.512 s.

Change: how long a claim is respected is kept beside its position, over cancelled failovers; a claim that is seen to be closed (its successor leads) still delays nothing.

Shown: two of the three promotion_claims tests failed before (1 order instead of 0, 2 instead of 1).

--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -371,13 +371,15 @@
         return;
     }
     failover_state &watch = group->failover;
-    const bool isNew = claim.position != watch.claimPosition;
-    watch.claimPosition = claim.position;
+    if (claim.position != watch.claimPosition) {
+        watch.claimPosition = claim.position;
+        watch.claimRespectedUntil = now + engine.settings.promotionTimeout;
+    }
     const term_number present = std::max(highestTerm(viewOf(*group)), group->reportedTerm);
-    if (isNew && isClaimOpen(viewOf(*group), claim)) {
+    if (now < watch.claimRespectedUntil && isClaimOpen(viewOf(*group), claim)) {
         reportEvent(
             engine, "promotion_left_to_other", {{"group", name.value()}, {"claim", std::to_string(fenceOf(claim.position).value())}});
-        resumeWatching(engine, *group, engine.settings.promotionTimeout, now);
+        resumeWatching(engine, *group, watch.claimRespectedUntil - now, now);
         return;
     }
     watch.phase = failover_phase::writingClaim;
@@ -405,6 +407,7 @@
         return;
     }
     group->failover.claimPosition = position;
+    group->failover.claimRespectedUntil = time_point{};
     const failover_cause cause = causeOfFailover(viewOf(*group), engine.settings, now);
     const bool outdated = now - group->failover.claimRequestedAt > claimValidFor;
     if (group->failover.phase != failover_phase::writingClaim || cause == failover_cause::none || outdated) {
@@ -447,6 +450,9 @@
 {
     if (group_state *group = findGroup(engine, name)) {
         reportEvent(engine, "promotion_answered", {{"group", name.value()}, {"accepted", accepted ? "yes" : "no"}});
+        if (accepted) {
+            group->failover.claimRespectedUntil = now + engine.settings.promotionTimeout;
+        }
         resumeWatching(engine, *group, accepted ? engine.settings.promotionTimeout : engine.settings.promotionBackoff, now);
     }
 }
@@ -476,9 +482,12 @@
     if (group.outage && group.primary == group.outage->primary) {
         group.outage.reset();
     }
+    // The promotion of the last claim may still take effect, whatever its cause was.
     const store_position lastClaim = watch.claimPosition;
+    const time_point respectedUntil = watch.claimRespectedUntil;
     watch = failover_state{};
     watch.claimPosition = lastClaim;
+    watch.claimRespectedUntil = respectedUntil;
 }
 
 void assumePrimary(proxy_engine &engine, group_state &group, const database_name &name, const char *source, time_point now)
--- a/mustardrouter/Proxy/failover_state.h
+++ b/mustardrouter/Proxy/failover_state.h
@@ -38,6 +38,8 @@
     /// Position of the last claim that was read or written, and when the writing of this instance's claim was requested.
     store_position claimPosition;
     time_point claimRequestedAt{};
+    /// Until then the promotion of the last claim is given time to take effect, unless the claim is seen to be closed.
+    time_point claimRespectedUntil{};
     /// The primary that was told to step down, and when.
     database_name steppingDown;
     time_point stepDownAt{};
