--- a/UnitTests/Platform/publication_test.cpp
+++ b/UnitTests/Platform/publication_test.cpp
@@ -345,3 +345,28 @@
     UNSIGNED_LONGS_EQUAL(1, platform.objects.erase(wholeRevisionKey(1, what.id) + "/part/1"));
     CHECK(loadConfiguration(platform.api(), {}).cause == failure::notFound);
 }
+
+TEST(publication, aRetentionWithoutWholeRevisionsIsRefusedNotDividedBy)
+{
+    fake_platform platform(1);
+    publication what = publicationBy("anna");
+    what.keep.wholeRevisionInterval = 0;
+    const publication_result result = publishChanges(platform.api(), placeNamed("place"), what);
+    CHECK(result.kind == outcome::notRun);
+    CHECK(result.cause == failure::invalidSettings);
+    CHECK(platform.objects.empty());
+}
+
+TEST(publication, aDamagedPartCountIsNotReadAsAnotherValue)
+{
+    fake_platform platform(1);
+    const std::string value(maxValueBytes + 1, 'x');
+    CHECK(putSplitValue(platform.api(), "key", value) == failure::none);
+    CHECK(getSplitValue(platform.api(), "key").value == value);
+    for (const char *damaged : {"parts ", "parts x", "parts -2", "parts 2x", "parts 0", "parts 1", "parts 99999999999999999999"}) {
+        platform.objects.at("key").value = damaged;
+        const auto read = getSplitValue(platform.api(), "key");
+        CHECK(read.cause == failure::invalidConfiguration);
+        CHECK(read.value.empty());
+    }
+}
--- a/mustardrouter/Proxy/engine_runs.cpp
+++ b/mustardrouter/Proxy/engine_runs.cpp
@@ -16,7 +16,16 @@
     return running;
 }
 
-/// Whether the database of the run is not known to be alive.
+/// Whether both runs are at one database, so that neither is more likely to be answered for its database's sake.
+bool areAtOneDatabase(const proxy_engine &engine, const statement_run &first, const statement_run &second)
+{
+    const auto one = engine.connections.find(first.connection);
+    const auto other = engine.connections.find(second.connection);
+    return one != engine.connections.end() && other != engine.connections.end() && one->second.database == other->second.database;
+}
+
+} // namespace
+
 bool isAtSuspectedDatabase(proxy_engine &engine, const statement_run &run)
 {
     const auto connection = engine.connections.find(run.connection);
@@ -27,8 +36,6 @@
     return database == nullptr || database->suspectedSince != time_point{};
 }
 
-} // namespace
-
 statement_run *runOn(client_session &session, database_connection_id connection)
 {
     if (!session.current) {
@@ -66,8 +73,13 @@
 {
     running_statement &running = *session.current;
     running.overdueRuns += 1;
+    // The limit of a workspace applies to what databases run.
+    running.counted = false;
     engine.counters.retries += 1;
-    if (running.earlierRun && !isAtSuspectedDatabase(engine, *running.earlierRun)) {
+    const bool firstGoesOn =
+        running.earlierRun
+        && (!isAtSuspectedDatabase(engine, *running.earlierRun) || areAtOneDatabase(engine, *running.earlierRun, running));
+    if (firstGoesOn) {
         releaseConnection(engine, running.connection, now);
     } else {
         releaseEarlierRun(engine, session, now);
@@ -90,6 +102,13 @@
     return true;
 }
 
+void refuseRun(proxy_engine &engine, client_session &session, reply_code code, const char *reason, time_point now)
+{
+    if (!awaitEarlierRun(engine, session, now)) {
+        refuseStatement(engine, session, code, reason, now);
+    }
+}
+
 void releaseEarlierRun(proxy_engine &engine, client_session &session, time_point now)
 {
     if (!session.current || !session.current->earlierRun) {
