A holder that exits sends its last answers to the instances that relayed

The last answer to a relayed statement was lost with the process, so its entry had to treat it as a broken link: a write that had not run counted as in doubt, and what the entry sent meanwhile was not known to be unhandled.

Cause: output to other instances is written by a handler that is posted, and the event loop was stopped by the handler that made the answers. Only streams of clients were waited for; and once the last answers were given, no time was left to refuse what others still relay.

Ruled out: to write at once in frame_connection: that costs a system call for each frame, and a part that the socket does not take would still be lost.

Shown: edge_loopback.theLastAnswersToRelayedStatementsAreSentBeforeAHolderExits failed before (no answer and no notice on the link).

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -1,6 +1,8 @@
 #include "mustardrouter/Edge/edge_instance.h"
+#include "mustardrouter/Network/frame_reader.h"
 
 #include <asio/connect.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
@@ -121,13 +123,13 @@
             send(socket, "COMPLETE -\r\n" + ready());
         } else if (text == "STATUS") {
             send(socket, "DATAROW primary 1 1." + std::to_string(position.load()) + " 0 0 0 1\r\nCOMPLETE -\r\n" + ready());
+        } else if (text == "READ never" || text == "WRITE x never") {
+            // A database that is at work until the connection is closed.
+            while (!readUntil(socket, buffer, "\r\n").empty()) { }
         } else if (text.starts_with("WRITE") || text == "COMMIT") {
             ++position;
             state = text == "COMMIT" ? 'I' : state;
             send(socket, signature + ready());
-        } else if (text == "READ never") {
-            // A database that is at work until the connection is closed.
-            while (!readUntil(socket, buffer, "\r\n").empty()) { }
         } else if (text.find("READ ") != std::string::npos) {
             send(socket, "DATAROW value\r\n" + signature + ready());
         } else {
@@ -228,7 +230,7 @@
     std::thread thread;
     std::atomic<bool> ranToEnd{false};
 
-    explicit running_edge(std::uint32_t stopGraceMs = platform::instance_environment().stopGraceMs)
+    explicit running_edge(std::uint32_t stopGraceMs = platform::instance_environment().stopGraceMs, const std::string &relayAddress = {})
     {
         // As the edge command does, so that a write to a closed connection returns an error.
         std::signal(SIGPIPE, SIG_IGN);
@@ -242,6 +244,7 @@
         environment.promotionAddress = store.address();
         environment.promotionsAreFenced = true;
         environment.stopGraceMs = stopGraceMs;
+        environment.relayAddress = relayAddress;
         log = std::make_unique<event_log>("edge-1", logPipe[1]);
         instance = std::make_unique<edge_instance>("/nonexistent", environment, *log);
         thread = std::thread([this] {
@@ -282,6 +285,38 @@
     }
 };
 
+/// Another instance, which relays statements to the one under test.
+struct relaying_peer : wire_client {
+    using wire_client::wire_client;
+
+    void relay(std::uint64_t channel, const std::string &line)
+    {
+        relay::relay_message message;
+        message.mutable_statements()->set_channel(channel);
+        message.mutable_statements()->set_route("shop");
+        message.mutable_statements()->set_time_left_ms(5000);
+        message.mutable_statements()->set_number(1);
+        message.mutable_statements()->set_lines(line + "\r\n");
+        // The length of a short message takes one byte.
+        const std::string payload = message.SerializeAsString();
+        send(socket, std::string(1, static_cast<char>(payload.size())) + payload);
+    }
+    /// All that arrives until the link ends.
+    std::vector<relay::relay_message> readToEnd()
+    {
+        std::string bytes;
+        asio::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(bytes), ended);
+        std::vector<relay::relay_message> messages;
+        std::string_view rest = bytes;
+        for (frame_read frame = readFrame(rest); frame.state == frame_state::complete; frame = readFrame(rest)) {
+            CHECK_TRUE(messages.emplace_back().ParseFromArray(frame.payload.data(), static_cast<int>(frame.payload.size())));
+            rest.remove_prefix(frame.consumedBytes);
+        }
+        return messages;
+    }
+};
+
 } // namespace
 
 TEST_GROUP(edge_loopback){};
@@ -372,3 +407,22 @@
     CHECK_TRUE(behind.readLine().starts_with("READY I"));
     CHECK_EQUAL(std::string(), behind.readLine());
 }
+
+TEST(edge_loopback, theLastAnswersToRelayedStatementsAreSentBeforeAHolderExits)
+{
+    running_edge holder(800, freeAddress());
+    relaying_peer entry(holder.environment.relayAddress);
+    entry.relay(1, "QUERY e1 WRITE x never");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    holder.instance->requestStop();
+    holder.thread.join();
+    holder.instance.reset();
+    bool answered = false;
+    bool opensNoMore = false;
+    for (const relay::relay_message &message : entry.readToEnd()) {
+        answered = answered || message.replies().lines().starts_with("ERROR INDOUBT");
+        opensNoMore = opensNoMore || (message.has_closed() && message.closed().channel() == 0);
+    }
+    CHECK_TRUE(answered);
+    CHECK_TRUE(opensNoMore);
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -582,7 +582,8 @@
     std::erase_if(m_closingStreams, [](const std::weak_ptr<line_stream> &stream) {
         return stream.expired();
     });
-    const bool drained = m_clients.empty() && m_sessionByChannel.empty() && elapsed >= minAcceptTimeAfterStop;
+    const bool finished = m_clients.empty() && m_sessionByChannel.empty() && elapsed >= minAcceptTimeAfterStop;
+    const bool drained = finished || m_engine.exiting;
     if (drained && m_refusingSince == time_point{}) {
         // What other instances relay from now on is not run, and they know.
         m_refusingSince = now();
@@ -590,8 +591,8 @@
     }
     const time_point lastRelayed = std::max(m_refusingSince, m_relayLinks.lastRefusedAt());
     const bool quiet = drained && now() - lastRelayed >= relayQuietTime;
-    const bool answered = m_closingStreams.empty() && (quiet || m_engine.exiting);
-    if (answered || elapsed >= gracePeriod * forcedStopHundredths / 100) {
+    const bool answered = m_closingStreams.empty() && !m_relayLinks.hasUnsentReplies();
+    if ((quiet && answered) || elapsed >= gracePeriod * forcedStopHundredths / 100) {
         m_context.stop();
         return;
     }
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -348,6 +348,13 @@
     found->second.frames->send(message);
 }
 
+bool relay_links::hasUnsentReplies() const
+{
+    return std::ranges::any_of(m_incoming, [](const auto &entry) {
+        return entry.second.frames->unsentBytes() > 0;
+    });
+}
+
 void relay_links::closeChannel(const relay_channel &channel)
 {
     const auto found = m_incoming.find(channel.link);
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -92,6 +92,8 @@
     void sendOnIncoming(std::uint64_t link, const relay::relay_message &message);
 
     void reply(const relay_channel &channel, const std::string &lines);
+    /// Whether output to an instance that has opened a link to this one is unsent.
+    bool hasUnsentReplies() const;
     /// Closes a channel of another instance without a callback.
     void closeChannel(const relay_channel &channel);
     /// From now on opens no channel for other instances that number their messages, and tells them so.
