What a stopping holder does not run is run elsewhere by the instance that relayed it

Cause: a holder that stops answered relayed statements as those of its own clients; the entry passes such answers on.

Ruled out: to have the entry repeat a read that was aborted or refused as busy: both also stand for refusals that another holder would give, too.

Change: a relayed statement that was not sent to a database is refused as misrouted while the instance stops, upon which the entry asks another holder, also with a write. A relayed read that is under way at the end is left unanswered: the closed channel makes the entry ask elsewhere. Writes and statements of transactions are answered as before.

Shown: engine_stop.aRelayedReadOfAHolderThatStopsIsAskedElsewhereByItsEntry and engine_stop.aRelayedStatementThatAHolderTakesTooLateIsRefusedSoThatItsEntryRunsItElsewhere failed before.

--- a/UnitTests/Proxy/engine_stop_test.cpp
+++ b/UnitTests/Proxy/engine_stop_test.cpp
@@ -1,4 +1,4 @@
-#include "UnitTests/Proxy/proxy_world.h"
+#include "UnitTests/Proxy/relaying_world.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -122,3 +122,38 @@
     CHECK_TRUE(early.closed);
     CHECK_TRUE(early.closedWith == reply_code::busy);
 }
+
+TEST(engine_stop, aRelayedReadOfAHolderThatStopsIsAskedElsewhereByItsEntry)
+{
+    relaying_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 300ms;
+    }
+    fake_client &reader = world.connectToEntry("age");
+    world.send(reader, client_verb::read, "x");
+    world.runFor(100ms);
+    CHECK_EQUAL(1, world.entry->counters.statementsRelayed);
+    onStop(world.engine, world.now);
+    finishStop(world.engine, world.now);
+    world.refusesNewChannels = true;
+    world.performActions();
+    world.runFor(900ms);
+    CHECK_EQUAL(1, reader.replies.size());
+    CHECK_TRUE(lastCode(reader) == reply_code::done);
+    CHECK_TRUE(world.violations.empty());
+}
+
+TEST(engine_stop, aRelayedStatementThatAHolderTakesTooLateIsRefusedSoThatItsEntryRunsItElsewhere)
+{
+    stopping_world world;
+    const session_id channel(500);
+    world.runFor(world.engine.settings.statementDrainTimeout);
+    onRelayedSessionStarted(world.engine, channel, world.now);
+    client_statement write;
+    write.id = "q";
+    write.verb = client_verb::write;
+    write.text = "WRITE x 1";
+    onRelayedStatement(world.engine, channel, "latest", 500ms, std::nullopt, write, world.now);
+    const auto *answer = world.engine.actions.empty() ? nullptr : std::get_if<reply_to_client>(&world.engine.actions.back());
+    CHECK_TRUE(answer != nullptr && answer->reply.code == reply_code::misrouted);
+}
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -202,7 +202,7 @@
     scheduleTimer(engine, session.current->deadline, timer_kind::session, session.id.value());
     const bool tooLateToStart = engine.stoppingSince != time_point{} && now - engine.stoppingSince >= engine.settings.statementDrainTimeout;
     if (engine.exiting || (tooLateToStart && !session.transaction)) {
-        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, "the instance stops", now);
+        giveUpStatement(engine, session, "the instance stops", now);
         return;
     }
     if (session.transaction && session.transaction->readOnly && session.current->writes) {
@@ -489,7 +489,10 @@
 {
     const running_statement &running = *session.current;
     if (!wasSent(running)) {
-        refuseStatement(engine, session, session.transaction ? reply_code::aborted : reply_code::busy, reason, now);
+        // The instance that relayed it runs it elsewhere.
+        const bool movesOn = session.relayed && engine.stoppingSince != time_point{};
+        const reply_code refusal = movesOn ? reply_code::misrouted : reply_code::busy;
+        refuseStatement(engine, session, session.transaction ? reply_code::aborted : refusal, reason, now);
         return;
     }
     const bool mayBeCommitted =
--- a/mustardrouter/Proxy/engine_stop.cpp
+++ b/mustardrouter/Proxy/engine_stop.cpp
@@ -47,6 +47,19 @@
     }
 }
 
+/// Whether the instance that relayed the session's statement runs it elsewhere if it gets no answer.
+bool isRunElsewhere(const client_session &session)
+{
+    return session.relayed && !session.transaction && session.current && !session.current->writes;
+}
+
+void leaveUnanswered(proxy_engine &engine, client_session &session, time_point now)
+{
+    engine.counters.unfinishedAtStop += 1;
+    releaseEarlierRun(engine, session, now);
+    releaseConnection(engine, session.current->connection, now);
+}
+
 } // namespace
 
 void finishStop(proxy_engine &engine, time_point now)
@@ -62,7 +75,11 @@
         if (!session.accepted || session.current || session.transaction) {
             reportUnfinished(engine, session, now);
         }
-        answerLast(engine, session, now);
+        if (isRunElsewhere(session)) {
+            leaveUnanswered(engine, session, now);
+        } else {
+            answerLast(engine, session, now);
+        }
         if (session.transaction) {
             endTransaction(engine, session, transaction_state::none, now);
         }
