A connection that is being closed waits for a peer that still takes its output

A reply that the socket had not taken within a second of the close was cut off.

A session that is closed at a stop has just got its last reply.

Ruled out: to watch the figure of bytes alone at short intervals: a socket takes more only when the peer has freed a good part of its buffer.

Change: while output is unsent, the stream waits for as long as some of it was taken within the last 5 s; the second begins when all is sent.

--- a/UnitTests/Edge/line_stream_test.cpp
+++ b/UnitTests/Edge/line_stream_test.cpp
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 
 #include <memory>
@@ -133,3 +134,22 @@
     CHECK_EQUAL(0, wrong);
     CHECK_EQUAL(lineCount, received);
 }
+
+TEST(line_stream, aReplyIsNotCutOffAtTheCloseWhileThePeerStillReadsIt)
+{
+    connected_stream pair;
+    constexpr std::size_t size = 8U << 20;
+    pair.stream->out() += std::string(size, 'x');
+    pair.stream->flush();
+    pair.stream->closeAfterFlush();
+    std::size_t received = 0;
+    std::string part(1U << 20, '\0');
+    asio::error_code problem;
+    for (int round = 0; !problem; ++round) {
+        // Slowly for longer than a peer that has everything may take to close.
+        pair.context.run_for(round < 20 ? 80ms : 1ms);
+        pair.context.restart();
+        received += asio::read(pair.peer, asio::buffer(part), asio::transfer_at_least(1), problem);
+    }
+    CHECK_EQUAL(size, received);
+}
--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -2,7 +2,7 @@
 
 #include "mustardrouter/Network/tcp_options.h"
 
-#include <asio/write.hpp>
+#include <asio/post.hpp>
 
 #include <utility>
 
@@ -15,8 +15,10 @@
 constexpr std::size_t maxPendingOutputBytes = 256U << 10;
 /// Empty buffers with a larger capacity are shrunk.
 constexpr std::size_t retainedCapacityBytes = 8U << 10;
-/// Time that closeAfterFlush waits for the output to be sent and the peer to close.
+/// Time that closeAfterFlush waits for the peer to close once the output is sent, and before that for it to take some of the output. The
+/// second one is longer as a peer frees a good part of the socket buffer before more is taken.
 constexpr auto closeTimeout = std::chrono::milliseconds(1000);
+constexpr auto outputTimeout = std::chrono::milliseconds(5000);
 } // namespace
 
 line_stream::line_stream(asio::ip::tcp::socket socket, std::size_t maxLineBytes, handlers callbacks)
@@ -82,15 +84,24 @@
         return;
     }
     m_writeBuffer.erase(0, problem ? 0 : size);
-    asio::async_write(
-        m_socket, asio::buffer(m_writeBuffer), [self = shared_from_this()](const asio::error_code &writeProblem, std::size_t sent) {
-            if (writeProblem) {
-                self->end(close_reason::closed);
-                return;
-            }
-            self->onWritten(sent);
-            self->flush();
-        });
+    writeRest();
+}
+
+void line_stream::writeRest()
+{
+    m_socket.async_write_some(asio::buffer(m_writeBuffer), [self = shared_from_this()](const asio::error_code &problem, std::size_t sent) {
+        if (problem) {
+            self->end(close_reason::closed);
+            return;
+        }
+        if (sent < self->m_writeBuffer.size()) {
+            self->m_writeBuffer.erase(0, sent);
+            self->writeRest();
+            return;
+        }
+        self->onWritten(sent);
+        self->flush();
+    });
 }
 
 void line_stream::onWritten(std::size_t)
@@ -102,6 +113,7 @@
     if (m_closing && m_pendingOutput.empty()) {
         asio::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        awaitClose();
         return;
     }
     if (!m_reading && !m_ended) {
@@ -178,11 +190,8 @@
     }
     m_closing = true;
     m_handlers = {};
-    m_closeTimer.expires_after(closeTimeout);
-    m_closeTimer.async_wait([self = shared_from_this()](const asio::error_code &) {
-        self->close();
-    });
     flush();
+    awaitClose();
     if (m_writeBuffer.empty() && m_pendingOutput.empty()) {
         asio::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -192,6 +201,21 @@
     }
 }
 
+void line_stream::awaitClose()
+{
+    m_closeTimer.expires_after(unsentBytes() > 0 ? outputTimeout : closeTimeout);
+    m_closeTimer.async_wait([self = shared_from_this(), unsentBefore = unsentBytes()](const asio::error_code &problem) {
+        if (problem) {
+            return;
+        }
+        if (self->unsentBytes() < unsentBefore) {
+            self->awaitClose();
+            return;
+        }
+        self->close();
+    });
+}
+
 void line_stream::end(close_reason reason)
 {
     if (m_ended) {
--- a/mustardrouter/Edge/line_stream.h
+++ b/mustardrouter/Edge/line_stream.h
@@ -41,14 +41,16 @@
     std::size_t unsentBytes() const;
     /// Closes the connection at once, without a callback.
     void close();
-    /// Sends the buffered output, shuts down sending, and closes once the peer has closed or after a timeout. No callback
-    /// is made.
+    /// Sends the buffered output, shuts down sending, and closes once the peer has closed, or after a timeout in which it has taken
+    /// none of the output. No callback is made.
     void closeAfterFlush();
 
 private:
     void read();
     bool deliverLines();
+    void writeRest();
     void onWritten(std::size_t size);
+    void awaitClose();
     void end(close_reason reason);
 
     asio::ip::tcp::socket m_socket;
