--- a/UnitTests/Edge/told_objects_test.cpp
+++ b/UnitTests/Edge/told_objects_test.cpp
@@ -114,3 +114,26 @@
         CHECK_FALSE(takeObject(sent, {{"main", versionOf(4)}}, told));
     }
 }
+
+TEST(told_objects, aChangeThatIsNestedDeeperThanTheReaderAcceptsIsRefused)
+{
+    // The reader accepts the content itself; its difference has two levels for each of its own.
+    Json::Value before = 1;
+    Json::Value after = 2;
+    for (int level = 0; level < 600; ++level) {
+        Json::Value outerBefore;
+        Json::Value outerAfter;
+        outerBefore["a"] = std::move(before);
+        outerAfter["a"] = std::move(after);
+        before = std::move(outerBefore);
+        after = std::move(outerAfter);
+    }
+    lacking_changes lacking;
+    lacking.differences["main"].push_back({at(10), at(20), platform::encodeContent(differenceOf(before, after))});
+    relay::told_object sent;
+    tellObject({"main", at(20), after}, at(10), lacking, 1'000'000, sent);
+    CHECK_FALSE(sent.differences().empty());
+    object_watch::told_changes told;
+    told.to = at(25);
+    CHECK_FALSE(takeObject(sent, {{"main", {"main", at(10), before}}}, told));
+}
