Long reads at databases that are not full are not counted as overload

Cause: a read that took over 220 ms since it was sent counted as one that had waited in a queue, whatever its work.

Ruled out: leaving refusals as the only sign; they come when the queue is full. The route's average: it contains the waits of an overload.

Change: a read is slow if it took over 220 ms and twice the shortest recent read of its route; the shortest counts twice as much after 30 s without a shorter one. Where most reads of a route are shorter than 110 ms nothing changes.

--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -149,6 +149,34 @@
     checkNoViolations(world);
 }
 
+TEST(long_statements, longReadsAtFreeDatabasesAreNotRefusedAsOverload)
+{
+    slow_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 300ms;
+    }
+    std::vector<fake_client *> readers;
+    for (int index = 0; index < 12; ++index) {
+        readers.push_back(&world.connect("age"));
+    }
+    std::size_t refused = 0;
+    for (int round = 0; round < 800; ++round) {
+        for (fake_client *reader : readers) {
+            if (!reader->awaitsReply) {
+                world.send(*reader, client_verb::read, "x");
+            }
+        }
+        world.runFor(10ms);
+    }
+    for (fake_client *reader : readers) {
+        refused += static_cast<std::size_t>(std::ranges::count_if(reader->replies, [](const statement_reply &reply) {
+            return reply.reply.code != reply_code::done;
+        }));
+    }
+    CHECK_EQUAL(0, refused);
+    checkNoViolations(world);
+}
+
 TEST(long_statements, boundedReadsAreServedByReplicasWhileThePrimaryIsAtWork)
 {
     slow_world world;
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -68,7 +68,8 @@
         // After admission the read may have waited here for a connection to the primary: that wait counts as load of the
         // primary, too.
         const bool waited = group.primary == connection.database && running.admittedAt != time_point{};
-        recordReadTime(*database, now - (waited ? running.admittedAt : running.sentAt), now);
+        const duration work = recordShortestRead(engine.shortestReads[session.database], now - running.sentAt, now);
+        recordReadTime(*database, now - (waited ? running.admittedAt : running.sentAt), now, work);
         recordReadDuration(engine, group, session, now - running.sentAt);
     }
     const bool ownCommitsRolledBack =
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -11,6 +11,7 @@
 #include "mustardrouter/Proxy/proxy_action.h"
 #include "mustardrouter/Proxy/proxy_counters.h"
 #include "mustardrouter/Proxy/proxy_settings.h"
+#include "mustardrouter/Proxy/read_ranking.h"
 #include "mustardrouter/Proxy/route_table.h"
 #include "mustardrouter/Proxy/sent_work.h"
 #include "mustardrouter/Workspaces/limit_engine.h"
@@ -119,6 +120,8 @@
     std::set<group_name> groupsToDispatch;
     /// Moving average of the duration of a read, by the database name that clients use.
     std::unordered_map<std::string, double> smoothedReadMicros;
+    /// The shortest recent read, by the same.
+    std::unordered_map<std::string, shortest_read> shortestReads;
     /// Moving average of the number of statements in a transaction, by the same name.
     std::unordered_map<std::string, double> statementsPerTransaction;
     bool warmedUp = false;
--- a/mustardrouter/Proxy/read_ranking.cpp
+++ b/mustardrouter/Proxy/read_ranking.cpp
@@ -28,8 +28,11 @@
 /// each refusal: refusals stop about where the database is just full.
 constexpr double shareFactorOnOverload = 0.6;
 constexpr double shareStepPerReply = 0.04;
-/// A read that takes longer indicates a half-full queue, before anything is refused.
+/// A read that takes longer, and longer than its work by this factor, indicates a half-full queue, before anything is refused.
 constexpr duration slowReadThreshold = std::chrono::milliseconds(220);
+constexpr int slowReadFactor = 2;
+/// Time in which the shortest duration counts twice as much, unless a shorter one is seen: the work may have become longer.
+constexpr double shortestDoublesIn = 30e6;
 constexpr double shareFactorOnSlowRead = 0.9;
 constexpr double shareStepPerSecond = 0.25;
 constexpr double minAdmissibleShare = 0.03;
@@ -134,12 +137,24 @@
     return ranked;
 }
 
-void recordReadTime(database_state &database, duration took, time_point now)
+duration recordShortestRead(shortest_read &shortest, duration took, time_point now)
+{
+    const auto ageMicros = static_cast<double>((now - shortest.at).count());
+    const double aged = static_cast<double>(shortest.took.count()) * std::exp2(std::min(ageMicros / shortestDoublesIn, 10.0));
+    if (shortest.at == time_point{} || static_cast<double>(took.count()) <= aged) {
+        shortest = {took, now};
+        return took;
+    }
+    return duration(static_cast<std::int64_t>(aged));
+}
+
+void recordReadTime(database_state &database, duration took, time_point now, duration work)
 {
     recordReadMicros(database, static_cast<double>(took.count()), now);
     database.consecutiveLagRefusals = 0;
     const double share = admissibleReadShare(database, now);
-    setAdmissibleShare(database, took > slowReadThreshold ? share * shareFactorOnSlowRead : share + shareStepPerReply, now);
+    const bool slow = took > std::max(slowReadThreshold, work * slowReadFactor);
+    setAdmissibleShare(database, slow ? share * shareFactorOnSlowRead : share + shareStepPerReply, now);
 }
 
 void recordOverload(database_state &database, time_point now)
--- a/mustardrouter/Proxy/read_ranking.h
+++ b/mustardrouter/Proxy/read_ranking.h
@@ -40,8 +40,17 @@
 /// Whether the data centre is in the region of this instance's own; false when either region is not known.
 bool isInOwnRegion(const proxy_settings &settings, const std::string &dataCentre);
 
-/// Records the duration of a read at a database, or a refusal for lack of capacity, which counts as a long read.
-void recordReadTime(database_state &database, duration took, time_point now);
+/// Shortest recent duration of a route's reads, which is about what their work takes without a wait.
+struct shortest_read {
+    duration took{};
+    time_point at{};
+};
+
+/// Adds a read's duration. Returns the shortest recent one.
+duration recordShortestRead(shortest_read &shortest, duration took, time_point now);
+/// Records the duration of a read at a database, or a refusal for lack of capacity, which counts as a long read. `work` is what such a
+/// read takes without a wait, if that is known.
+void recordReadTime(database_state &database, duration took, time_point now, duration work = {});
 void recordOverload(database_state &database, time_point now);
 
 /// Share of the reads that the database has capacity for, learned from its refusals and replies.
