--- a/UnitTests/Proxy/long_statements_test.cpp
+++ b/UnitTests/Proxy/long_statements_test.cpp
@@ -177,6 +177,47 @@
     checkNoViolations(world);
 }
 
+TEST(long_statements, aPrimaryWithNothingButLongStatementsIsNotReplaced)
+{
+    slow_world world;
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 2s;
+        database.openingTime = 2s;
+    }
+    std::vector<fake_client *> writers;
+    for (int index = 0; index < 12; ++index) {
+        writers.push_back(&world.connect("latest"));
+    }
+    for (int round = 0; round < 600; ++round) {
+        for (fake_client *writer : writers) {
+            if (!writer->awaitsReply) {
+                world.send(*writer, client_verb::write, "x", "1");
+            }
+        }
+        world.runFor(10ms);
+    }
+    CHECK_EQUAL(0, world.engine.counters.promotionOrders);
+    checkNoViolations(world);
+}
+
+TEST(long_statements, aWriteAtAHolderThatStandsStillForAWhileIsNotGivenUp)
+{
+    relaying_world world;
+    fake_client &client = world.connectToEntry("latest");
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "0").code == reply_code::done);
+    for (auto &[name, database] : world.databases) {
+        database.serviceTime = 50ms;
+    }
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(20ms);
+    world.standStill();
+    world.runFor(800ms);
+    world.thaw();
+    world.runFor(150ms);
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    checkNoViolations(world);
+}
+
 TEST(long_statements, boundedReadsAreServedByReplicasWhileThePrimaryIsAtWork)
 {
     slow_world world;
