--- a/mustardrouter/Soak/soak_run.cpp
+++ b/mustardrouter/Soak/soak_run.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t ticksPerProbe = 20;
 /// Share of connections made regardless of readiness, as happens when most instances of a data centre are not ready.
 constexpr unsigned percentToAnyInstance = 15;
+/// The same where only planned work is played: enough that instances still get statements when they have to exit.
+constexpr unsigned percentToAnyInPlannedWork = 50;
 constexpr std::uint64_t ticksPerRouteProbe = 6;
 /// Bounds of the users' deployments (SYSTEM.md): time until instances count as stable, until a configuration is in effect
 /// and until a process has stopped; memory and descriptors of an instance.
@@ -171,7 +173,8 @@
     }
     // The platform forwards to all instances if fewer than half are in rotation; where nothing else disturbs, this reaches those that stop.
     const bool fewReady = variantOf(m_settings.seed).plannedWorkOnly && 2 * ready.size() < m_instances.size();
-    const bool anywhere = ready.empty() || fewReady || m_random() % 100 < percentToAnyInstance;
+    const unsigned percentAnywhere = variantOf(m_settings.seed).plannedWorkOnly ? percentToAnyInPlannedWork : percentToAnyInstance;
+    const bool anywhere = ready.empty() || fewReady || m_random() % 100 < percentAnywhere;
     return anywhere ? m_random() % m_instances.size() : ready[m_random() % ready.size()];
 }
 
