A session that waits in the queue of another group than its route's moves to the right queue

A statement that came after a route had changed to another service was run by the service before, or waited for it until it was refused.

Cause: whether a session waits is one mark, and the queue is the group's. A session whose statement was refused at its time-out stays in the queue until the group is dispatched; its next statement finds the mark set and is not queued for the new group. The queue before then offers it its own databases.

Ruled out: to search all queues when a statement ends: that costs each statement, and a configuration may also arrive while one waits.

Change: dispatch moves a session whose statement another group serves to the queue of that group.

Shown: proxy_engine.aStatementThatFollowsOneLeftInTheQueueOfAnotherGroupDoesNotGoToThatGroup failed before (the write was committed by the old service).

--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -85,6 +85,27 @@
     CHECK_TRUE(world.connect("age").accepted);
 }
 
+TEST(proxy_engine, aStatementThatFollowsOneLeftInTheQueueOfAnotherGroupDoesNotGoToThatGroup)
+{
+    proxy_world world(7);
+    world.configure(1);
+    fake_client &client = world.connect("latest");
+    world.send(client, client_verb::write, "x", "1");
+    world.runFor(100ms);
+    route_table table = world.engine.routes;
+    table.version = revision_number(2);
+    table.routes["latest"].group = group_name("h");
+    onConfiguration(world.engine, table, world.now);
+    for (int steps = 0; steps < 300 && client.replies.empty(); ++steps) {
+        world.runFor(5ms);
+    }
+    CHECK_EQUAL(1, client.replies.size());
+    world.send(client, client_verb::write, "x", "2");
+    world.addGroup();
+    world.runFor(2s);
+    CHECK_TRUE(world.committed().empty());
+}
+
 TEST(proxy_engine, latestReadsAreNotServedByAReplacedPrimary)
 {
     ready_world world;
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -640,6 +640,11 @@
         // Dispatching may refuse the statement and start the session's next one, which queues the session again.
         client_session &session = found->second;
         session.waiting = false;
+        if (const group_state *served = groupOf(engine, session); served != nullptr && served != &group) {
+            // Its route has changed to another service since it was queued.
+            queueForConnection(engine, session, now);
+            continue;
+        }
         const bool done = dispatchSession(engine, group, session, now) || refuseWithoutPrimary(engine, group, session, now);
         if (!done && !session.waiting) {
             session.waiting = true;
