--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -270,7 +270,8 @@
         return;
     }
     // To a client whose next statement is under way the error is its answer: the statement does not run.
-    engine.actions.emplace_back(close_session{session.id, reply_code::busy, "the instance stops"});
+    const bool stops = engine.stoppingSince != time_point{};
+    engine.actions.emplace_back(close_session{session.id, stops ? reply_code::busy : reply_code::done, stops ? "the instance stops" : ""});
     engine.sessions.erase(session.id);
 }
 
