--- a/review/StandIn/bed.h
+++ b/review/StandIn/bed.h
@@ -87,6 +87,10 @@
     std::unique_ptr<tcp::acceptor> acceptor;
     std::set<std::shared_ptr<tcp::socket>> sockets;
     instant silentSince{};
+    /// Share of its requests that it refuses with BUSY, unrun, and of which verbs; its health is good.
+    double refusedShare = 0;
+    std::set<std::string> refusedVerbs;
+    std::uint64_t refused = 0;
 };
 
 /// What a database order or a promotion did, for the checks of a scenario.
@@ -140,6 +144,27 @@
     std::string text;
 };
 
+/// A client's statement that a database ran to its end, with what the connection held then.
+struct statement_run {
+    std::string id;
+    std::string database;
+    std::map<std::string, std::string> values;
+    /// Number of the transaction on the connection; 0 outside of one.
+    std::uint64_t transaction = 0;
+    instant at{};
+};
+
+/// A statement of a client whose session has values, as the client sent it.
+struct sent_statement {
+    std::size_t client = 0;
+    std::string text;
+    /// Values that the system has acknowledged to the client.
+    std::map<std::string, std::string> values;
+    /// Number of the client's transaction; 0 outside of one.
+    std::uint64_t transaction = 0;
+    std::string answer = "none";
+};
+
 /// One request of a client and what became of it.
 struct client_request {
     std::string id;
@@ -181,9 +206,12 @@
     /// Sends one message on a new session, without its CR LF, and returns the first line of the answer.
     asio::awaitable<std::string> sendOne(std::string message);
     void publish(database &which);
+    /// Another writer writes an entry among the databases' ones. `text` stands in it as JSON text, unchecked.
+    void writeForeignEntry(const std::string &name, const std::string &text);
 
     database &byName(const std::string &name);
     database *primary();
+    std::vector<const database *> databases() const;
     asio::io_context &context();
     recorder &record();
     std::vector<instance> &instances();
@@ -195,6 +223,18 @@
     /// Reads, writes and commits that databases ran.
     const std::vector<database_run> &runs() const;
 
+    /// Runs clients each of which gives its session a value of its own, then reads, writes, and begins transactions of which it rolls
+    /// back half.
+    void startSessions(std::size_t count, double writes, double transactions, millis pause);
+    /// A client sends so many statements of this length one after the other, without awaiting answers, on a session to the instance, and
+    /// begins again when that ends.
+    void startFlood(std::size_t instanceIndex, std::size_t messages, std::size_t bytes);
+    /// Kills processes that use more than this, as the platform does; superviseInstances() starts them again.
+    asio::awaitable<void> limitMemory(std::size_t bytes);
+    std::size_t largestMemory() const;
+    const std::map<std::string, sent_statement> &sentStatements() const;
+    const std::vector<statement_run> &statementRuns() const;
+
     /// Called when a database has handled a command of an instance: PAUSE, RESUME or STEPDOWN.
     std::function<void(database &, const std::string &verb, const std::string &caller)> onControl;
 
@@ -257,6 +297,20 @@
     asio::awaitable<std::string> ask(tcp::socket &socket, std::string &buffer, std::string id, std::string text);
     asio::awaitable<bool> runOperation(tcp::socket &socket, std::string &buffer, double draw, double writes, double transactions);
 
+    // Sessions with values (sessions.cpp)
+    asio::awaitable<void> runSession(std::size_t number, double writes, double transactions, millis pause);
+    asio::awaitable<std::string> askAs(tcp::socket &socket, std::string &buffer, sent_statement sent);
+    asio::awaitable<void> flood(std::size_t instanceIndex, std::size_t messages, std::size_t bytes);
+    std::size_t m_largestMemory = 0;
+    asio::awaitable<void> useSession(
+        tcp::socket &socket, std::string &buffer, sent_statement base, std::mt19937_64 &random, double writes, double transactions);
+
+    /// JSON text that stands for a mark in the store's answers.
+    std::string m_foreignText;
+    std::map<std::string, sent_statement> m_sentStatements;
+    std::vector<statement_run> m_statementRuns;
+    std::uint64_t m_nextTransaction = 1;
+    std::uint64_t m_nextClientTransaction = 1;
     bed_options m_options;
     asio::io_context m_context{1};
     recorder m_record;
--- a/review/StandIn/databases.cpp
+++ b/review/StandIn/databases.cpp
@@ -47,6 +47,10 @@
     unsigned term = 0;
     std::vector<std::string> writes;
     std::map<std::string, std::string> prepared;
+    std::map<std::string, std::string> values;
+    /// Number of the open transaction, and the values before it.
+    std::uint64_t transaction = 0;
+    std::map<std::string, std::string> valuesBefore;
     std::string currentId;
 
     char state() const
@@ -172,6 +176,10 @@
     if (from.currentId != "-") {
         m_runs.push_back({from.currentId, text});
     }
+    if (which.refusedVerbs.contains(verb) && std::uniform_real_distribution<double>(0, 1)(m_random) < which.refusedShare) {
+        which.refused += 1;
+        co_return "ERROR BUSY " + which.name + "\r\n";
+    }
     if (from.failed && verb != "ROLLBACK" && verb != "STATUS") {
         co_return "ERROR MALFORMED -\r\n";
     }
@@ -241,6 +249,7 @@
         from.failed = from.inTransaction;
         co_return "ERROR READONLY " + which.name + "\r\n";
     }
+    m_statementRuns.push_back({from.currentId, which.name, from.values, from.inTransaction ? from.transaction : 0, steady::now()});
     if (writes && from.inTransaction) {
         from.writes.push_back(from.currentId);
         co_return "COMPLETE 7.w.c2b90e1c4\r\n";
@@ -267,6 +276,9 @@
 {
     if (verb == "BEGIN") {
         const bool reads = rest == "READ";
+        if (from.inTransaction) {
+            return "ERROR MALFORMED -\r\n";
+        }
         if (!reads && !which.primary) {
             return "ERROR READONLY " + which.name + "\r\n";
         }
@@ -274,9 +286,14 @@
         from.readOnly = reads;
         from.term = which.term;
         from.writes.clear();
+        from.transaction = m_nextTransaction++;
+        from.valuesBefore = from.values;
         return "COMPLETE -\r\n";
     }
     if (verb == "ROLLBACK") {
+        if (from.inTransaction) {
+            from.values = from.valuesBefore;
+        }
         from.inTransaction = false;
         from.failed = false;
         from.writes.clear();
@@ -288,10 +305,18 @@
         from.prepared[name] = shape;
         return "COMPLETE -\r\n";
     }
-    if (verb == "SET" || verb == "DEALLOCATE") {
+    if (verb == "SET") {
+        std::string value = rest;
+        const std::string name = takeWord(value);
+        from.values[name] = value;
+        return "COMPLETE -\r\n";
+    }
+    if (verb == "DEALLOCATE") {
+        from.prepared.erase(rest);
         return "COMPLETE -\r\n";
     }
     if (verb == "DISCARD") {
+        from.values.clear();
         from.prepared.clear();
         return "COMPLETE -\r\n";
     }
@@ -490,6 +515,15 @@
     return *m_databases.at(name);
 }
 
+std::vector<const database *> bed::databases() const
+{
+    std::vector<const database *> all;
+    for (const auto &[name, one] : m_databases) {
+        all.push_back(one.get());
+    }
+    return all;
+}
+
 database *bed::primary()
 {
     for (auto &[name, one] : m_databases) {
--- a/review/StandIn/platform.cpp
+++ b/review/StandIn/platform.cpp
@@ -13,6 +13,7 @@
 constexpr auto pollInterval = 4ms;
 constexpr auto heartbeatInterval = 1200ms;
 constexpr int heartbeatsOfSilence = 3;
+const std::string foreignMark = "\"@foreign@\"";
 
 std::string toText(const Json::Value &value)
 {
@@ -131,6 +132,9 @@
             while (!orders && m_instances[index].cutFromStore) {
                 co_await sleepFor(pollInterval);
             }
+            for (std::size_t at = answer.body.find(foreignMark); at != std::string::npos; at = answer.body.find(foreignMark)) {
+                answer.body.replace(at, foreignMark.size(), m_foreignText);
+            }
             const std::string text = "HTTP/1.1 " + std::to_string(answer.status)
                                      + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer.body.size())
                                      + "\r\n\r\n" + answer.body;
@@ -319,6 +323,17 @@
     put("servers", which.name, spec);
 }
 
+void bed::writeForeignEntry(const std::string &name, const std::string &text)
+{
+    Json::Value spec;
+    spec["service"] = "scripts";
+    spec["state"] = "ready";
+    spec["note"] = "@foreign@";
+    m_foreignText = text;
+    put("servers", name, spec);
+    m_record.write("store: another writer writes servers/" + name + ", with the field note: " + text);
+}
+
 asio::awaitable<void> bed::heartbeat()
 {
     while (true) {
--- a/review/StandIn/scenarios.cpp
+++ b/review/StandIn/scenarios.cpp
@@ -52,6 +52,71 @@
     return lost > 0 ? ruleBroken : ruleHeld;
 }
 
+std::string textOf(const std::map<std::string, std::string> &values)
+{
+    std::string text;
+    for (const auto &[name, value] : values) {
+        text += (text.empty() ? "" : ", ") + name + " = " + value;
+    }
+    return text.empty() ? "no value" : text;
+}
+
+/// Whether statements ran with other values than those of their session, or in a transaction that is not their client's; and which
+/// writes were acknowledged that no database has.
+int judgePinned(bed &all)
+{
+    std::size_t otherValues = 0;
+    std::size_t otherTransaction = 0;
+    std::map<std::uint64_t, std::uint64_t> clientOf;
+    std::set<std::string> committed;
+    for (const database *one : all.databases()) {
+        for (const log_commit &commit : one->log) {
+            committed.insert(commit.ids.begin(), commit.ids.end());
+        }
+    }
+    for (const statement_run &run : all.statementRuns()) {
+        const auto sent = all.sentStatements().find(run.id);
+        if (sent == all.sentStatements().end()) {
+            continue;
+        }
+        const sent_statement &statement = sent->second;
+        const std::string who = "client " + std::to_string(statement.client) + " " + run.id + " " + statement.text;
+        if (run.values != statement.values) {
+            otherValues += 1;
+            all.record().write(who + " ran at " + run.database + " with " + textOf(run.values) + "; its session has "
+                               + textOf(statement.values) + "; answered " + statement.answer);
+        }
+        bool foreign = (run.transaction == 0) != (statement.transaction == 0);
+        if (run.transaction != 0 && statement.transaction != 0) {
+            foreign = clientOf.try_emplace(run.transaction, statement.transaction).first->second != statement.transaction;
+        }
+        if (foreign) {
+            otherTransaction += 1;
+            all.record().write(who + " ran at " + run.database + " in the transaction " + std::to_string(run.transaction)
+                               + " of the connection, which is not its client's; answered " + statement.answer);
+        }
+    }
+    std::size_t missing = 0;
+    std::size_t served = 0;
+    for (const auto &[id, statement] : all.sentStatements()) {
+        const bool done = statement.answer == "COMPLETE";
+        served += done ? 1 : 0;
+        if (done && statement.transaction == 0 && statement.text.starts_with("WRITE") && !committed.contains(id)) {
+            missing += 1;
+            all.record().write("acknowledged, but in no database's log: client " + std::to_string(statement.client) + " " + id + " "
+                               + statement.text);
+        }
+    }
+    all.record().write("statements answered with success " + std::to_string(served) + ", run by databases "
+                       + std::to_string(all.statementRuns().size()) + ", of these with other values than their session's "
+                       + std::to_string(otherValues) + ", in another transaction than their client's " + std::to_string(otherTransaction)
+                       + "; acknowledged writes that no database has " + std::to_string(missing));
+    if (served == 0) {
+        return couldNotRun;
+    }
+    return otherValues + otherTransaction + missing > 0 ? ruleBroken : ruleHeld;
+}
+
 /// A replica is replaced as planned; meanwhile the other replica receives nothing, and the primary ends.
 asio::awaitable<int> leavingReplicaHoldsCommits(bed &all, bool trouble)
 {
@@ -253,6 +318,205 @@
     co_return instances >= 2 ? ruleBroken : ruleHeld;
 }
 
+/// Clients whose sessions have values of their own use three databases. One of these refuses a part of its requests for some seconds.
+asio::awaitable<int> refuses(bed &all, bool trouble, std::set<std::string> verbs)
+{
+    database &primary = all.addDatabase("i-1a", "ba-dubravka", 0ms, true);
+    all.addDatabase("i-2b", "ke-sever", 20ms, false);
+    all.addDatabase("i-3c", "za-vlcince", 20ms, false);
+    const bool started = co_await all.start();
+    if (!started) {
+        co_return couldNotRun;
+    }
+    all.startSessions(16, 0.35, 0.4, 20ms);
+    co_await sleepFor(5s);
+    if (trouble) {
+        all.record().write("database i-1a refuses a part of its requests from now on");
+        primary.refusedVerbs = std::move(verbs);
+        primary.refusedShare = 0.4;
+    }
+    co_await sleepFor(6500ms);
+    primary.refusedShare = 0;
+    all.record().write("database i-1a refuses nothing; refused so far: " + std::to_string(primary.refused));
+    co_await sleepFor(3s);
+    all.stopClients();
+    co_await sleepFor(1500ms);
+    co_return judgePinned(all);
+}
+
+asio::awaitable<int> valuesAreRefused(bed &all, bool trouble)
+{
+    return refuses(all, trouble, {"READ", "WRITE", "EXECUTE", "COMMIT", "SET", "PREPARE", "DISCARD"});
+}
+
+asio::awaitable<int> rollbackIsRefused(bed &all, bool trouble)
+{
+    return refuses(all, trouble, {"READ", "WRITE", "EXECUTE", "COMMIT", "BEGIN", "ROLLBACK"});
+}
+
+/// Statements, single ones and the first of a transaction, that the database ran later than drain_ms after the store had accepted that
+/// it is draining.
+std::size_t countLateRuns(bed &all, const database &leaving, instant acknowledgedAt, instant until)
+{
+    constexpr auto drainTime = 7s;
+    std::size_t before = 0;
+    std::size_t late = 0;
+    std::set<std::uint64_t> transactions;
+    for (const statement_run &run : all.statementRuns()) {
+        const bool first = run.transaction == 0 || transactions.insert(run.transaction).second;
+        if (run.database != leaving.name || !first || run.at > until) {
+            continue;
+        }
+        (run.at > acknowledgedAt + drainTime ? late : before) += 1;
+    }
+    all.record().write("database " + leaving.name + " ran " + std::to_string(before)
+                       + " statements up to drain_ms after the store had accepted that it is draining, and " + std::to_string(late)
+                       + " later");
+    return late;
+}
+
+/// An entry from another writer stands among the databases' ones when a replica is replaced as planned, and when all processes are
+/// killed and start again.
+asio::awaitable<int> entryIsUnreadable(bed &all, bool trouble)
+{
+    constexpr auto recoverTime = 12s;
+    constexpr double quarter = 0.25;
+    all.addDatabase("i-1a", "ba-dubravka", 0ms, true);
+    database &leaving = all.addDatabase("i-2b", "ke-sever", 20ms, false);
+    all.addDatabase("i-3c", "za-vlcince", 20ms, false);
+    const bool started = co_await all.start();
+    if (!started) {
+        co_return couldNotRun;
+    }
+    const instant startedAt = steady::now();
+    all.startClients(8, 0.35, 0.4, 20ms);
+    all.startSessions(8, 0.35, 0.4, 20ms);
+    co_await sleepFor(3s);
+    all.writeForeignEntry("note-1", trouble ? "\"\\ud83d\"" : "\"a note\"");
+    co_await sleepFor(6s);
+    all.drain(leaving);
+    const instant acknowledgedAt = steady::now();
+    co_await sleepFor(10s);
+    const instant killedAt = steady::now();
+    all.killInstances();
+    co_await sleepFor(1s);
+    all.startInstances();
+    const instant backAt = steady::now();
+    co_await sleepFor(recoverTime + 6s);
+    const instant endedAt = steady::now();
+    all.stopClients();
+    co_await sleepFor(1500ms);
+    const std::size_t late = countLateRuns(all, leaving, acknowledgedAt, killedAt);
+    std::size_t sentBefore = 0;
+    const std::size_t servedBefore = servedBetween(all, startedAt, killedAt, sentBefore);
+    std::size_t sentAfter = 0;
+    const std::size_t servedAfter = servedBetween(all, backAt + recoverTime, endedAt, sentAfter);
+    all.record().write("before the processes were killed " + std::to_string(servedBefore) + " of " + std::to_string(sentBefore)
+                       + " requests were served; of those sent later than recover_s after they were back " + std::to_string(servedAfter)
+                       + " of " + std::to_string(sentAfter));
+    if (static_cast<double>(servedBefore) < quarter * static_cast<double>(sentBefore) || sentAfter == 0) {
+        co_return couldNotRun;
+    }
+    const bool recovered = static_cast<double>(servedAfter) >= quarter * static_cast<double>(sentAfter);
+    co_return late > 0 || !recovered ? ruleBroken : ruleHeld;
+}
+
+/// The primary is silent for two seconds, and all processes are killed while both replicas are paused for its replacement.
+asio::awaitable<int> processesEndWhileReplicasArePaused(bed &all, bool trouble)
+{
+    constexpr auto recoverTime = 12s;
+    constexpr double quarter = 0.25;
+    database &primary = all.addDatabase("i-1a", "ba-dubravka", 0ms, true);
+    all.addDatabase("i-2b", "ke-sever", 20ms, false);
+    all.addDatabase("i-3c", "za-vlcince", 20ms, false);
+    std::set<std::string> paused;
+    all.onControl = [&](database &which, const std::string &verb, const std::string &) {
+        if (verb == "PAUSE") {
+            paused.insert(which.name);
+        }
+    };
+    const bool started = co_await all.start();
+    if (!started) {
+        co_return couldNotRun;
+    }
+    const instant startedAt = steady::now();
+    all.startClients(12, 0.35, 0.4, 20ms);
+    co_await sleepFor(5s);
+    const instant darkAt = steady::now();
+    if (trouble) {
+        all.setDark(primary, true);
+    }
+    while (trouble && paused.size() < 2 && steady::now() < darkAt + 2s) {
+        co_await sleepFor(1ms);
+    }
+    const instant killedAt = steady::now();
+    all.killInstances();
+    co_await sleepUntil(std::max(darkAt + 2s, killedAt + 1s));
+    if (trouble) {
+        all.setDark(primary, false);
+    }
+    all.startInstances();
+    const instant backAt = steady::now();
+    co_await sleepFor(recoverTime + 8s);
+    const instant endedAt = steady::now();
+    all.stopClients();
+    co_await sleepFor(1500ms);
+    std::size_t sentBefore = 0;
+    const std::size_t servedBefore = servedBetween(all, startedAt, killedAt, sentBefore);
+    std::size_t sentAfter = 0;
+    const std::size_t servedAfter = servedBetween(all, backAt + recoverTime, endedAt, sentAfter);
+    std::size_t writesAfter = 0;
+    for (const client_request &request : all.requests()) {
+        writesAfter += request.writes && request.answer == "COMPLETE" && request.sentAt >= backAt + recoverTime ? 1 : 0;
+    }
+    all.record().write("before the processes were killed " + std::to_string(servedBefore) + " of " + std::to_string(sentBefore)
+                       + " requests were served; of those sent later than recover_s after they were back " + std::to_string(servedAfter)
+                       + " of " + std::to_string(sentAfter) + ", of these writes " + std::to_string(writesAfter));
+    if (static_cast<double>(servedBefore) < quarter * static_cast<double>(sentBefore) || sentAfter == 0) {
+        co_return couldNotRun;
+    }
+    co_return static_cast<double>(servedAfter) < quarter *static_cast<double>(sentAfter) ? ruleBroken : ruleHeld;
+}
+
+/// Some clients send long statements without awaiting answers.
+asio::awaitable<int> clientsFlood(bed &all, bool trouble)
+{
+    constexpr std::size_t megabyte = 1'000'000;
+    constexpr std::size_t memoryLimit = 182 * megabyte;
+    all.addDatabase("i-1a", "ba-dubravka", 0ms, true);
+    all.addDatabase("i-2b", "ke-sever", 20ms, false);
+    all.addDatabase("i-3c", "za-vlcince", 20ms, false);
+    const bool started = co_await all.start();
+    if (!started) {
+        co_return couldNotRun;
+    }
+    all.startClients(12, 0.35, 0.4, 20ms);
+    asio::co_spawn(all.context(), all.superviseInstances(), asio::detached);
+    asio::co_spawn(all.context(), all.limitMemory(memoryLimit), asio::detached);
+    co_await sleepFor(3s);
+    for (std::size_t peer = 0; trouble && peer < 36; ++peer) {
+        all.startFlood(peer % all.instances().size(), 60, megabyte);
+    }
+    co_await sleepFor(20s);
+    all.stopClients();
+    co_await sleepFor(1s);
+    unsigned instances = 0;
+    for (const auto &[name, ends] : all.ownEnds()) {
+        all.record().write("instance " + name + " ended " + std::to_string(ends) + " times");
+        constexpr unsigned endsOfFault = 3;
+        instances += ends >= endsOfFault ? 1 : 0;
+    }
+    std::size_t sent = 0;
+    const std::size_t served = servedBetween(all, {}, instant::max(), sent);
+    all.record().write("requests " + std::to_string(sent) + ", served " + std::to_string(served) + ", most memory of a process "
+                       + std::to_string(all.largestMemory() / megabyte)
+                       + " MB, instances that ended three times: " + std::to_string(instances));
+    if (served == 0) {
+        co_return couldNotRun;
+    }
+    co_return instances >= 2 ? ruleBroken : ruleHeld;
+}
+
 const std::map<std::string, scenario> &scenarios()
 {
     static const std::map<std::string, scenario> all{
@@ -260,6 +524,11 @@
          {{.instances = 5, .syncReplicas = 0, .fenced = false, .slots = 2, .maxConnections = 36}, successorIsNotListedYet}},
         {"leaving-replica", {{.instances = 3, .syncReplicas = 1}, leavingReplicaHoldsCommits}},
         {"primary-returns", {{.instances = 3, .syncReplicas = 1}, primaryReturnsBeforePromotion}},
+        {"paused-replicas", {{.instances = 3, .syncReplicas = 1}, processesEndWhileReplicasArePaused}},
+        {"flood", {{.instances = 3, .syncReplicas = 0}, clientsFlood}},
+        {"unreadable-entry", {{.instances = 3, .syncReplicas = 0}, entryIsUnreadable}},
+        {"values-refused", {{.instances = 3, .syncReplicas = 0}, valuesAreRefused}},
+        {"rollback-refused", {{.instances = 3, .syncReplicas = 0}, rollbackIsRefused}},
         {"line-feed", {{.instances = 1, .syncReplicas = 0}, textHoldsLineFeed}},
         {"large-revisions", {{.instances = 3, .syncReplicas = 0, .firstRevision = 1'796'428'800'000}, revisionsAreLarge}},
     };
