--- a/review/StandIn/bed.h
+++ b/review/StandIn/bed.h
@@ -196,6 +196,8 @@
     /// Disruptions and planned work.
     void crash(database &which);
     void setDark(database &which, bool dark);
+    /// A new database starts, with the primary's log, and is published.
+    void join(const std::string &name, const std::string &zone, millis delay);
     void drain(database &which);
     void finishDraining(database &which);
     void killInstances();
--- a/review/StandIn/databases.cpp
+++ b/review/StandIn/databases.cpp
@@ -485,6 +485,17 @@
     }
 }
 
+void bed::join(const std::string &name, const std::string &zone, millis delay)
+{
+    database &added = addDatabase(name, zone, delay, false);
+    if (const database *from = primary()) {
+        added.log = from->log;
+        added.term = from->term;
+    }
+    publish(added);
+    m_record.write("database " + name + " starts with the primary's log, at " + positionOf(added));
+}
+
 void bed::drain(database &which)
 {
     m_record.write("database " + which.name + " is draining");
--- a/review/StandIn/scenarios.cpp
+++ b/review/StandIn/scenarios.cpp
@@ -37,10 +37,11 @@
 
 int judgeLost(bed &all)
 {
-    std::size_t lost = 0;
+    std::set<std::string> missing;
     for (const promotion &one : all.promotions()) {
-        lost += one.lost.size();
+        missing.insert(one.lost.begin(), one.lost.end());
     }
+    const std::size_t lost = missing.size();
     std::size_t sent = 0;
     const std::size_t served = servedBetween(all, {}, instant::max(), sent);
     all.record().write("requests " + std::to_string(sent) + ", served " + std::to_string(served) + ", promotions "
@@ -375,6 +376,37 @@
     return late;
 }
 
+/// The databases of the service are replaced one after the other as planned, the primary first. A new one starts before the old one
+/// drains.
+asio::awaitable<int> databasesAreReplacedInTurn(bed &all, bool trouble)
+{
+    constexpr auto gap = 1s;
+    database &primary = all.addDatabase("i-1a", "ba-dubravka", 0ms, true);
+    database &second = all.addDatabase("i-2b", "ke-sever", 20ms, false);
+    all.addDatabase("i-3c", "za-vlcince", 20ms, false);
+    const bool started = co_await all.start();
+    if (!started) {
+        co_return couldNotRun;
+    }
+    all.startClients(12, 0.35, 0.4, 20ms);
+    co_await sleepFor(5s);
+    all.join("i-1n", "ba-dubravka", 20ms);
+    co_await sleepFor(gap);
+    all.drain(primary);
+    co_await sleepFor(gap);
+    if (trouble) {
+        all.join("i-2n", "ke-sever", 20ms);
+    }
+    co_await sleepFor(gap);
+    if (trouble) {
+        all.drain(second);
+    }
+    co_await sleepFor(8s);
+    all.stopClients();
+    co_await sleepFor(500ms);
+    co_return judgeLost(all);
+}
+
 /// An entry from another writer stands among the databases' ones when a replica is replaced as planned, and when all processes are
 /// killed and start again.
 asio::awaitable<int> entryIsUnreadable(bed &all, bool trouble)
@@ -525,6 +557,7 @@
         {"leaving-replica", {{.instances = 3, .syncReplicas = 1}, leavingReplicaHoldsCommits}},
         {"primary-returns", {{.instances = 3, .syncReplicas = 1}, primaryReturnsBeforePromotion}},
         {"paused-replicas", {{.instances = 3, .syncReplicas = 1}, processesEndWhileReplicasArePaused}},
+        {"replaced-in-turn", {{.instances = 3, .syncReplicas = 1}, databasesAreReplacedInTurn}},
         {"flood", {{.instances = 3, .syncReplicas = 0}, clientsFlood}},
         {"unreadable-entry", {{.instances = 3, .syncReplicas = 0}, entryIsUnreadable}},
         {"values-refused", {{.instances = 3, .syncReplicas = 0}, valuesAreRefused}},
