Review case 4: all kinds of requests refused, ROLLBACK and SET among them

Claim: a database that refuses a part of its requests with BUSY keeps a transaction open whose ROLLBACK it refused, and statements run although their session's SET was refused (PINNED); acknowledged writes are lost. Takes in what was case 3.

--- a/review/StandIn/scenarios.cpp
+++ b/review/StandIn/scenarios.cpp
@@ -350,9 +350,9 @@
     return refuses(all, trouble, {"READ", "WRITE", "EXECUTE", "COMMIT", "SET", "PREPARE", "DISCARD"});
 }
 
-asio::awaitable<int> rollbackIsRefused(bed &all, bool trouble)
+asio::awaitable<int> requestsAreRefused(bed &all, bool trouble)
 {
-    return refuses(all, trouble, {"READ", "WRITE", "EXECUTE", "COMMIT", "BEGIN", "ROLLBACK"});
+    return refuses(all, trouble, {"READ", "WRITE", "EXECUTE", "COMMIT", "SET", "PREPARE", "DISCARD", "BEGIN", "ROLLBACK"});
 }
 
 /// Statements, single ones and the first of a transaction, that the database ran later than drain_ms after the store had accepted that
@@ -561,7 +561,7 @@
         {"flood", {{.instances = 3, .syncReplicas = 0}, clientsFlood}},
         {"unreadable-entry", {{.instances = 3, .syncReplicas = 0}, entryIsUnreadable}},
         {"values-refused", {{.instances = 3, .syncReplicas = 0}, valuesAreRefused}},
-        {"rollback-refused", {{.instances = 3, .syncReplicas = 0}, rollbackIsRefused}},
+        {"requests-refused", {{.instances = 3, .syncReplicas = 0}, requestsAreRefused}},
         {"line-feed", {{.instances = 1, .syncReplicas = 0}, textHoldsLineFeed}},
         {"large-revisions", {{.instances = 3, .syncReplicas = 0, .firstRevision = 1'796'428'800'000}, revisionsAreLarge}},
     };
