--- a/review/StandIn/scenarios.cpp
+++ b/review/StandIn/scenarios.cpp
@@ -557,12 +557,12 @@
         {"leaving-replica", {{.instances = 3, .syncReplicas = 1}, leavingReplicaHoldsCommits}},
         {"primary-returns", {{.instances = 3, .syncReplicas = 1}, primaryReturnsBeforePromotion}},
         {"paused-replicas", {{.instances = 3, .syncReplicas = 1}, processesEndWhileReplicasArePaused}},
-        {"replaced-in-turn", {{.instances = 3, .syncReplicas = 1}, databasesAreReplacedInTurn}},
+        {"replaced-in-turn", {{.instances = 3, .syncReplicas = 1, .slots = 2, .maxConnections = 36}, databasesAreReplacedInTurn}},
         {"flood", {{.instances = 3, .syncReplicas = 0}, clientsFlood}},
-        {"unreadable-entry", {{.instances = 3, .syncReplicas = 0}, entryIsUnreadable}},
-        {"values-refused", {{.instances = 3, .syncReplicas = 0}, valuesAreRefused}},
-        {"requests-refused", {{.instances = 3, .syncReplicas = 0}, requestsAreRefused}},
-        {"line-feed", {{.instances = 1, .syncReplicas = 0}, textHoldsLineFeed}},
+        {"unreadable-entry", {{.instances = 3, .syncReplicas = 0, .fenced = false, .slots = 2, .maxConnections = 36}, entryIsUnreadable}},
+        {"values-refused", {{.instances = 3, .syncReplicas = 0, .fenced = false, .slots = 2, .maxConnections = 36}, valuesAreRefused}},
+        {"requests-refused", {{.instances = 3, .syncReplicas = 0, .fenced = false, .slots = 2, .maxConnections = 36}, requestsAreRefused}},
+        {"line-feed", {{.instances = 1, .syncReplicas = 0, .fenced = false, .slots = 2, .maxConnections = 36}, textHoldsLineFeed}},
         {"large-revisions", {{.instances = 3, .syncReplicas = 0, .firstRevision = 1'796'428'800'000}, revisionsAreLarge}},
     };
     return all;
