--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -218,11 +218,22 @@
 /// Returns a connection for commands that ask for a database's state and occupy no slot: an idle one if possible, else one that
 /// is in use outside of a transaction. Without any, starts to open one and returns nullptr.
 database_connection *findForRoleCheck(proxy_engine &engine, group_state &group, database_state &database, time_point now);
-/// Cancels this instance's attempt to order a promotion.
-void cancelFailover(proxy_engine &engine, group_state &group, const char *reason, time_point now);
+/// Returns an idle connection for a probe; without one, opens a connection if possible and returns nullptr.
+database_connection *findOrOpenForProbe(proxy_engine &engine, group_state &group, database_state &database, time_point now);
 /// Schedules checkGroup at `due` unless it is scheduled earlier.
 void scheduleGroupCheck(proxy_engine &engine, group_state &group, time_point due);
 
+// Promotions (engine_promotion.cpp)
+
+/// Inputs of the failover decisions about the group.
+failover_view failoverViewOf(const group_state &group);
+/// Begins to replace the primary for this cause, or goes on with it.
+void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now);
+/// Orders the promotion once the successor has received all of the log of the primary that steps down.
+void continueHandOver(proxy_engine &engine, group_state &group, time_point now);
+/// Cancels this instance's attempt to order a promotion.
+void cancelFailover(proxy_engine &engine, group_state &group, const char *reason, time_point now);
+
 // Verification of the primary (engine_verification.cpp)
 
 /// Requests evidence from `since` on that the group's databases other than `primary` are not primary.
