Proxy: held replies are judged again when a database leaves the list

Callers saw: where replaced primaries go on, writes of a group are refused ("the primary can't be verified") for ever once a database that was out of reach has left the platform's list. Cause: a held reply waits for evidence on each listed database. One that leaves the list needs none any more, but nothing judged the held replies again then, and a stalled verification asked for nothing more once nothing was held. Evidence: in virtual time, a primary crashes while a replica drains; from 10.9 s on, when the primary is dropped from the list, no write is served. Ruled out: the other databases (their refusals had arrived, at the instant that was asked for). Change: checkVerification judges what is held first, and a statement that is refused for a stalled verification asks again. verification_stall fails without the first; the second has no test of its own.

--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -345,6 +345,10 @@
     if (!isVerificationStalled(engine, group, now) || !session.current) {
         return false;
     }
+    if (group.primary) {
+        // Nothing may be held any more that keeps the questions going.
+        demandEvidence(engine, group, *group.primary, group.verification.missingSince, now);
+    }
     if (now - session.current->arrivedAt >= sessionRoute.latencyTarget * admissionWaitTenths / 10) {
         refuseRun(engine, session, reply_code::busy, "the primary can't be verified", now);
         return true;
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -333,6 +333,8 @@
         return sessionOf(engine, held) == nullptr;
     });
     const bool waited = !group.waiting.empty() && verification.missingSince != time_point{};
+    // A database whose evidence was missing may have left the list since.
+    releaseVerified(engine, group, now);
     if (!group.primary || (verification.held.empty() && verification.positions.empty() && !waited)) {
         return;
     }
