Proxy: an acknowledged commit is in the log of the database that is promoted

Cause: the successor was chosen from what was known at one moment, while commits went on being acknowledged until the promotion took effect. Any replica that received meanwhile confirmed them: one that joined, one that drained and was passed over, one that was resumed as the cause went away. A reply to a commit is held until listed replicas have it and so has each database that may be promoted: all listed, or all that the claim names, read after the reply. After the claim, a primary within reach steps down once the successor has received what it had, whatever require_fencing says; otherwise all logs are read again, and the furthest one is promoted, a leaving database's too. A pause is resumed until a status shows that it is; a primary that leaves when it is promoted is watched. Why it holds: a promotion needs a claim, and a claim is written before or after the reply. After it, the claimant reads the logs, which have the commit; before it, the reply waits for the named database. Nothing of it runs without synchronous replicas.

--- a/UnitTests/Proxy/failover_state_test.cpp
+++ b/UnitTests/Proxy/failover_state_test.cpp
@@ -107,3 +107,76 @@
     group.databases[database_name("c")].status->pausedUntilTerm = term_number(9);
     CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("c"));
 }
+
+TEST(failover_state, aLeavingReplicaThatIsAheadOfAllOthersIsChosenIfReplicasAreSynchronous)
+{
+    group_fixture group;
+    for (const char *name : {"b", "c"}) {
+        group.databases[database_name(name)].status->pausedUntilTerm = term_number(9);
+    }
+    group.databases[database_name("c")].listed.leaving = true;
+    CHECK_TRUE(chooseSuccessor(group.view(0), group.settings, now) == database_name("b"));
+    CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("c"));
+    group.databases[database_name("b")].status->received = group.databases[database_name("c")].status->received;
+    CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("b"));
+}
+
+TEST(failover_state, noSuccessorIsChosenWhileTheMostAdvancedReplicaIsNotListed)
+{
+    group_fixture group;
+    for (const char *name : {"b", "c"}) {
+        group.databases[database_name(name)].status->pausedUntilTerm = term_number(9);
+    }
+    group.databases[database_name("c")].unlistedSince = now - 500ms;
+    CHECK_FALSE(chooseSuccessor(group.view(1), group.settings, now).has_value());
+}
+
+TEST(failover_state, aStatusOfBeforeTheClaimDoesNotCount)
+{
+    group_fixture group;
+    group.databases[primaryName].suspectedSince = time_point{};
+    failover_view view = group.view(1);
+    CHECK_TRUE(chooseSuccessor(view, group.settings, now) == database_name("c"));
+    view.statusesSince = now - 50ms;
+    CHECK_FALSE(chooseSuccessor(view, group.settings, now).has_value());
+}
+
+TEST(failover_state, noSuccessorIsChosenWhileASilentPrimaryMayHaveTheOnlyCopyLeft)
+{
+    group_fixture group;
+    for (const char *name : {"b", "c"}) {
+        group.databases[database_name(name)].status->pausedUntilTerm = term_number(9);
+    }
+    group.databases[primaryName].lastReplyAt = now - 2s;
+    group.databases[database_name("b")].startedAgainAt = now - 1s;
+    CHECK_FALSE(chooseSuccessor(group.view(1), group.settings, now).has_value());
+    group.databases[database_name("b")].startedAgainAt = now - 20s;
+    CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("c"));
+    group.databases[database_name("b")].startedAgainAt = now - 1s;
+    group.databases.erase(primaryName);
+    CHECK_TRUE(chooseSuccessor(group.view(1), group.settings, now) == database_name("c"));
+}
+
+TEST(failover_state, aHandOverWithoutTheWholeLogNeedsAllReplicasOfBefore)
+{
+    group_fixture group;
+    failover_state watch;
+    watch.steppingDown = primaryName;
+    watch.successor = database_name("c");
+    watch.replicas = {{database_name("b"), 0}, {database_name("c"), 0}};
+    failover_view view = group.view(1);
+    view.statusesSince = now - 200ms;
+    CHECK_FALSE(isAheadOfReplicas(view, watch));
+    group.add("a", replica(1, 14));
+    CHECK_TRUE(isAheadOfReplicas(view, watch));
+    group.databases[primaryName].status->primary = true;
+    CHECK_FALSE(isAheadOfReplicas(view, watch));
+    group.databases[primaryName].status->primary = false;
+    group.databases[database_name("b")].listed.incarnation = 5;
+    CHECK_FALSE(isAheadOfReplicas(view, watch));
+    group.databases[database_name("b")].listed.incarnation = 0;
+    group.databases[database_name("b")].status->received = {term_number(1), log_position(13)};
+    CHECK_FALSE(isAheadOfReplicas(view, watch));
+    group.databases.erase(database_name("b"));
+    CHECK_FALSE(isAheadOfReplicas(view, watch));
+}
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -34,6 +34,15 @@
     time_point roleAskedAt{};
     /// For a holder: until when it is assumed not to reach the primary.
     time_point lacksPrimaryUntil{};
+    /// When this instance last paused its replication, until a status shows that it is not paused; the epoch otherwise. And when this
+    /// instance last asked it to resume.
+    time_point pausedAt{};
+    time_point resumedAt{};
+    /// When it was seen to have started again under its name, without the log of before.
+    time_point startedAgainAt{};
+    /// End of its log as last reported in any reply, and when that reply was requested.
+    std::optional<log_entry> logEnd;
+    time_point logEndAt{};
     /// Its last status, when that was requested, and when its log was last seen to grow.
     std::optional<database_status> status;
     time_point statusAt{};
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -103,6 +103,9 @@
     }
     database.status = reply.status;
     database.statusAt = requestedAt;
+    if (reply.status->pausedUntilTerm == term_number{} && requestedAt > database.pausedAt) {
+        database.pausedAt = time_point{};
+    }
     database.connectionsInUse = reply.status->connections;
     database.connectionsReportedAt = requestedAt;
 }
@@ -304,6 +307,10 @@
         return;
     }
     database->lastReplyAt = now;
+    if (!connection.toHolder && expected.sentAt >= database->logEndAt) {
+        database->logEnd = reply.status ? reply.status->received : reply.position ? reply.position : database->logEnd;
+        database->logEndAt = expected.sentAt;
+    }
     if (database->suspectedSince != time_point{}) {
         reportEvent(engine,
                     "database_trusted",
@@ -393,6 +400,7 @@
     case reply_purpose::status:
         break;
     }
+    releaseConfirmed(engine, group, now);
     const auto remaining = engine.connections.find(id);
     if (remaining != engine.connections.end() && workIsAnswered(remaining->second) && expected.purpose != reply_purpose::begin) {
         allRepliesReceived(engine, remaining->second, now);
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -72,6 +72,8 @@
         reportEvent(engine, "database_started_again", {{"database", listed.name.value()}});
         closeConnections(engine, database, now);
         database.status.reset();
+        database.logEnd.reset();
+        database.startedAgainAt = now;
     }
     if (startsLeaving) {
         database.leavingSince = changedSince;
@@ -144,9 +146,11 @@
     probe.primaryCheck = isPrimary || !group.primary;
     // A probe without any command would leave its connection waiting for ever.
     probe.status = !isPrimary && (requestsStatus || !probe.primaryCheck);
-    // With synchronous replicas, replication is paused before the successor is chosen: each acknowledged commit is then on one
-    // of the paused replicas.
-    if (group.limits.syncReplicas > 0 && group.failover.cause != failover_cause::none) {
+    // With synchronous replicas, replication is paused while the primary is out of reach, so that it acknowledges nothing that the
+    // successor lacks.
+    const bool pauses = group.limits.syncReplicas > 0 && group.failover.cause != failover_cause::none;
+    if (pauses && !isPrimaryInReach(failoverViewOf(group))) {
+        database.pausedAt = now;
         probe.pauseAt = term_number(std::max(group.primaryTerm, highestTerm(failoverViewOf(group))).value() + 1);
     }
     sendProbe(engine, *connection, probe, now);
@@ -236,6 +240,9 @@
                  {"source", source},
                  {"without_lead_ms", toMillisText(now - group.primaryConfirmedAt)}});
     group.primary = name;
+    abandonReplaced(engine, group, now);
+    // It may be leaving itself.
+    scheduleGroupCheck(engine, group, now);
     engine.groupsToDispatch.insert(group.name);
 }
 
@@ -271,6 +278,9 @@
         reportPrimaryChange(engine, group, name, position ? std::to_string(position->term.value()) : std::string("-"), now);
         group.primary = name;
         cancelFailover(engine, group, "another database leads", now);
+        abandonReplaced(engine, group, now);
+        // It may be leaving itself.
+        scheduleGroupCheck(engine, group, now);
     }
     group.primaryConfirmedAt = std::max(group.primaryConfirmedAt, requestedAt);
     if (group.failover.cause == failover_cause::unresponsive) {
@@ -372,6 +382,10 @@
         probeHolders(engine, group, now);
         return;
     }
+    if (group.failover.phase == failover_phase::readingLogs) {
+        readLogs(engine, group, now);
+        return;
+    }
     if (group.failover.phase == failover_phase::steppingDown) {
         continueHandOver(engine, group, now);
         return;
@@ -395,6 +409,7 @@
     } else if (group.failover.phase == failover_phase::watching) {
         cancelFailover(engine, group, "no cause any more", now);
     }
+    resumeReplicas(engine, group, now);
     if (anyDoubt && !group.databases.empty()) {
         scheduleGroupCheck(engine, group, now + engine.settings.probeInterval);
     } else if (anyMissing) {
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -229,8 +229,12 @@
 failover_view failoverViewOf(const group_state &group);
 /// Begins to replace the primary for this cause, or goes on with it.
 void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now);
+/// Reads the logs under a claim, until the promotion can be ordered or the primary can step down.
+void readLogs(proxy_engine &engine, group_state &group, time_point now);
 /// Orders the promotion once the successor has received all of the log of the primary that steps down.
 void continueHandOver(proxy_engine &engine, group_state &group, time_point now);
+/// Resumes the replication that this instance has paused for a promotion that is no longer needed, until it is known to be resumed.
+void resumeReplicas(proxy_engine &engine, group_state &group, time_point now);
 /// Cancels this instance's attempt to order a promotion.
 void cancelFailover(proxy_engine &engine, group_state &group, const char *reason, time_point now);
 
@@ -238,6 +242,14 @@
 
 /// Requests evidence from `since` on that the group's databases other than `primary` are not primary.
 void demandEvidence(proxy_engine &engine, group_state &group, const database_name &primary, time_point since, time_point now);
+/// Requests the claim when evidence from `since` on is to come from the store and is not under way.
+void readClaimForEvidence(proxy_engine &engine, group_state &group, time_point since, time_point now);
+/// Sends a plain BEGIN, whose reply tells whether the database is primary and where its log ends.
+void askForRole(proxy_engine &engine, group_state &group, database_state &database, time_point now);
+/// Schedules checkVerification at `due` unless it is scheduled earlier.
+void scheduleVerification(proxy_engine &engine, group_state &group, time_point due);
+/// Abandons the held replies of databases other than the primary.
+void abandonReplaced(proxy_engine &engine, group_state &group, time_point now);
 /// Holds the reply to the session's current statement until its database is verified. Delivers it at once where replaced
 /// primaries step down, or if the evidence is there already.
 void deliverVerified(proxy_engine &engine, group_state &group, client_session &session, held_reply reply, time_point now);
@@ -255,4 +267,15 @@
 /// Whether evidence has been missing for so long that no statement should be sent that needs some.
 bool isVerificationStalled(const proxy_engine &engine, const group_state &group, time_point now);
 
+// Confirmation of commits (engine_confirmation.cpp)
+
+/// Whether the reply acknowledges a commit that replicas have to confirm.
+bool needsConfirmation(const group_state &group, const held_reply &held);
+/// Whether the commit of the held reply survives each promotion that may be carried out.
+bool isConfirmed(const group_state &group, const held_reply &held);
+/// Asks for what is missing to confirm the commits of held replies.
+void demandConfirmation(proxy_engine &engine, group_state &group, time_point now);
+/// Delivers the held replies that the end of the database's log, as just reported, confirms.
+void releaseConfirmed(proxy_engine &engine, group_state &group, time_point now);
+
 } // namespace mustardrouter::proxying
--- a/mustardrouter/Proxy/engine_promotion.cpp
+++ b/mustardrouter/Proxy/engine_promotion.cpp
@@ -17,24 +17,15 @@
 constexpr duration stepDownTimeout = std::chrono::milliseconds(900);
 /// Interval between the status requests of that time.
 constexpr duration stepDownPollInterval = std::chrono::milliseconds(40);
+/// Time within which all logs are expected to be read after a claim, and the successor to receive what a reachable primary has.
+constexpr duration logReadTimeout = std::chrono::milliseconds(1000);
+/// A status request of that time without a reply is repeated after this.
+constexpr duration logReadRetryInterval = std::chrono::milliseconds(120);
+/// Until a replica is known to receive again, it is asked to at this interval.
+constexpr duration resumeRetryInterval = std::chrono::milliseconds(200);
 /// A claim written longer ago than this is not used: another instance may have claimed meanwhile.
 constexpr duration claimValidFor = std::chrono::milliseconds(1000);
 
-/// Resumes replication on replicas that were paused for a promotion that is no longer needed.
-void resumeReplicas(proxy_engine &engine, group_state &group, time_point now)
-{
-    for (auto &[name, database] : group.databases) {
-        if (!database.status || database.status->pausedUntilTerm == term_number{}) {
-            continue;
-        }
-        database.status->pausedUntilTerm = term_number{};
-        if (database_connection *connection = findOrOpenForProbe(engine, group, database, now)) {
-            connection->state = database_connection_state::busy;
-            sendProbe(engine, *connection, probe_request{.status = true, .resume = true}, now);
-        }
-    }
-}
-
 void resumeWatching(proxy_engine &engine, group_state &group, duration pause, time_point now)
 {
     group.failover.phase = failover_phase::watching;
@@ -66,7 +57,8 @@
 bool sendStepDown(proxy_engine &engine, group_state &group, time_point now)
 {
     const auto primary = group.primary ? group.databases.find(*group.primary) : group.databases.end();
-    if (engine.settings.replacedPrimariesStepDown || primary == group.databases.end() || primary->second.suspectedSince != time_point{}) {
+    const bool ordersAreEnough = engine.settings.replacedPrimariesStepDown && group.limits.syncReplicas == 0;
+    if (ordersAreEnough || primary == group.databases.end() || primary->second.suspectedSince != time_point{}) {
         return false;
     }
     database_connection *connection = findForRoleCheck(engine, group, primary->second, now);
@@ -89,6 +81,80 @@
     return true;
 }
 
+/// Requests the status of the database for the comparison of logs. Pauses its replication, or resumes it, as the way to the promotion
+/// needs.
+void readLog(proxy_engine &engine, group_state &group, database_state &database, bool pauses, time_point now)
+{
+    if (database.probedAt >= group.failover.logsReadSince && now - database.probedAt < logReadRetryInterval) {
+        return;
+    }
+    database_connection *connection = findForRoleCheck(engine, group, database, now);
+    if (connection == nullptr) {
+        return;
+    }
+    database.probedAt = now;
+    probe_request probe{.status = true};
+    if (pauses) {
+        probe.pauseAt = term_number(std::max(group.primaryTerm, highestTerm(failoverViewOf(group))).value() + 1);
+        database.pausedAt = now;
+    } else if (database.status) {
+        probe.resume = database.status->pausedUntilTerm != term_number{};
+    }
+    sendProbe(engine, *connection, probe, now);
+}
+
+std::map<database_name, std::uint64_t> incarnationsOf(const group_state &group)
+{
+    std::map<database_name, std::uint64_t> incarnations;
+    for (const auto &[name, database] : group.databases) {
+        if (group.primary != name) {
+            incarnations[name] = database.listed.incarnation;
+        }
+    }
+    return incarnations;
+}
+
+/// Begins to read the logs under the claim that was just written; see commit_confirmation.h for what has to be known before the order.
+void beginReadingLogs(proxy_engine &engine, group_state &group, time_point now)
+{
+    failover_state &watch = group.failover;
+    watch.phase = failover_phase::readingLogs;
+    watch.logsReadSince = now;
+    watch.logNeeded.reset();
+    if (watch.steppingDown == database_name()) {
+        watch.replicas = incarnationsOf(group);
+    }
+    readLogs(engine, group, now);
+}
+
+/// Gives this attempt up; the next one begins with a claim of its own.
+void giveUpAttempt(proxy_engine &engine, group_state &group, const char *reason, duration pause, time_point now)
+{
+    engine.counters.promotionsGivenUp += 1;
+    reportEvent(engine,
+                "promotion_given_up",
+                {{"group", group.name.value()},
+                 {"successor", group.failover.successor.value()},
+                 {"why", reason},
+                 {"after_ms", toMillisText(now - group.failover.causeSince)}});
+    resumeWatching(engine, group, pause, now);
+}
+
+/// Tells the primary to step down once the successor has received what the primary had when the reading began.
+void stepDownWhenReceived(proxy_engine &engine, group_state &group, time_point now)
+{
+    failover_state &watch = group.failover;
+    const database_state &primary = group.databases.at(*group.primary);
+    if (!watch.logNeeded && primary.status && primary.statusAt >= watch.logsReadSince) {
+        watch.logNeeded = primary.status->received;
+    }
+    const auto next = group.databases.find(watch.successor);
+    const bool isRead = next != group.databases.end() && next->second.status && next->second.statusAt >= watch.logsReadSince;
+    if (watch.logNeeded && isRead && next->second.status->received >= *watch.logNeeded) {
+        sendStepDown(engine, group, now);
+    }
+}
+
 } // namespace
 
 void onClaimRead(proxy_engine &engine, const group_name &name, const promotion_claim &claim, time_point now)
@@ -142,6 +208,10 @@
         resumeWatching(engine, *group, engine.settings.promotionBackoff, now);
         return;
     }
+    if (group->limits.syncReplicas > 0) {
+        beginReadingLogs(engine, *group, now);
+        return;
+    }
     if (cause == failover_cause::leaving && sendStepDown(engine, *group, now)) {
         return;
     }
@@ -189,7 +259,10 @@
 
 failover_view failoverViewOf(const group_state &group)
 {
-    return {&group.databases, group.primary, group.limits.syncReplicas};
+    // A primary that has stepped down may have a tail that no replica confirmed; it stays the one to be replaced until another leads.
+    const auto before = group.databases.find(group.failover.steppingDown);
+    const bool hasSteppedDown = before != group.databases.end() && before->second.status && !before->second.status->primary;
+    return {&group.databases, group.primary || !hasSteppedDown ? group.primary : before->first, group.limits.syncReplicas};
 }
 
 void startFailover(proxy_engine &engine, group_state &group, failover_cause cause, time_point now)
@@ -221,11 +294,50 @@
     engine.actions.emplace_back(read_claim{group.name});
 }
 
-/// Orders the promotion once the successor has received all of the log of the primary that steps down.
+void readLogs(proxy_engine &engine, group_state &group, time_point now)
+{
+    failover_state &watch = group.failover;
+    failover_view view = failoverViewOf(group);
+    view.statusesSince = watch.logsReadSince;
+    const bool stepsDown = isPrimaryInReach(view);
+    if (stepsDown && !group.primary) {
+        // It has done so under an earlier claim.
+        watch.phase = failover_phase::steppingDown;
+        watch.stepDownAt = now;
+        scheduleGroupCheck(engine, group, now + stepDownPollInterval);
+        return;
+    }
+    if (stepsDown) {
+        stepDownWhenReceived(engine, group, now);
+        if (watch.phase == failover_phase::steppingDown) {
+            return;
+        }
+    } else if (const std::optional<database_name> successor = chooseSuccessor(view, engine.settings, now)) {
+        if (*successor == watch.successor) {
+            orderPromotion(engine, group, now);
+        } else {
+            giveUpAttempt(engine, group, "another log is ahead", duration{}, now);
+        }
+        return;
+    }
+    if (now - watch.logsReadSince >= logReadTimeout) {
+        giveUpAttempt(engine, group, "logs not read in time", engine.settings.promotionBackoff, now);
+        return;
+    }
+    for (auto &[name, database] : group.databases) {
+        const bool isNeeded = stepsDown ? name == watch.successor || group.primary == name : group.primary != name;
+        if (isNeeded) {
+            readLog(engine, group, database, !stepsDown, now);
+        }
+    }
+    scheduleGroupCheck(engine, group, now + stepDownPollInterval);
+}
+
 void continueHandOver(proxy_engine &engine, group_state &group, time_point now)
 {
     failover_state &watch = group.failover;
-    const failover_view view{&group.databases, watch.steppingDown, group.limits.syncReplicas};
+    const bool isSynchronous = group.limits.syncReplicas > 0;
+    const failover_view view{&group.databases, watch.steppingDown, group.limits.syncReplicas, watch.stepDownAt};
     const bool ready = isReadyForHandOver(view, watch.successor, watch.stepDownAt);
     if (ready || now - watch.stepDownAt >= stepDownTimeout) {
         reportEvent(engine,
@@ -234,21 +346,48 @@
                      {"from", watch.steppingDown.value()},
                      {"log_received", ready ? "yes" : "not seen"},
                      {"waited_ms", toMillisText(now - watch.stepDownAt)}});
+        if (!ready && isSynchronous && !isAheadOfReplicas(view, watch)) {
+            // It may lead again: it has all of its log.
+            watch.steppingDown = database_name();
+            group.primary.reset();
+            giveUpAttempt(engine, group, "log not received", duration{}, now);
+            return;
+        }
         orderPromotion(engine, group, now);
         return;
     }
-    for (const database_name &name : {watch.steppingDown, watch.successor}) {
-        const auto found = group.databases.find(name);
-        if (found == group.databases.end()) {
+    for (auto &[name, database] : group.databases) {
+        if (!isSynchronous && name != watch.steppingDown && name != watch.successor) {
             continue;
         }
-        if (database_connection *connection = findForRoleCheck(engine, group, found->second, now)) {
+        if (database_connection *connection = findForRoleCheck(engine, group, database, now)) {
             sendProbe(engine, *connection, probe_request{.status = true}, now);
         }
     }
     scheduleGroupCheck(engine, group, now + stepDownPollInterval);
 }
 
+void resumeReplicas(proxy_engine &engine, group_state &group, time_point now)
+{
+    bool anyPaused = false;
+    for (auto &[name, database] : group.databases) {
+        if (database.pausedAt == time_point{} || group.failover.cause != failover_cause::none) {
+            continue;
+        }
+        anyPaused = true;
+        if (now - database.resumedAt < resumeRetryInterval) {
+            continue;
+        }
+        if (database_connection *connection = findForRoleCheck(engine, group, database, now)) {
+            database.resumedAt = now;
+            sendProbe(engine, *connection, probe_request{.status = true, .resume = true}, now);
+        }
+    }
+    if (anyPaused) {
+        scheduleGroupCheck(engine, group, now + resumeRetryInterval);
+    }
+}
+
 void cancelFailover(proxy_engine &engine, group_state &group, const char *reason, time_point now)
 {
     failover_state &watch = group.failover;
@@ -256,16 +395,25 @@
         return;
     }
     reportEvent(engine, "promotion_no_longer_wanted", {{"group", group.name.value()}, {"why", reason}});
-    resumeReplicas(engine, group, now);
+    for (auto &[name, database] : group.databases) {
+        const bool isPaused = database.status && database.status->pausedUntilTerm != term_number{};
+        database.pausedAt = isPaused && database.pausedAt == time_point{} ? now : database.pausedAt;
+    }
     if (group.outage && group.primary == group.outage->primary) {
         group.outage.reset();
     }
     // The promotion of the last claim may still take effect, whatever its cause was.
     const store_position lastClaim = watch.claimPosition;
     const time_point respectedUntil = watch.claimRespectedUntil;
-    watch = failover_state{};
+    const bool anotherLeads = group.primary && group.primary != watch.steppingDown;
+    failover_state before = std::exchange(watch, failover_state{});
     watch.claimPosition = lastClaim;
     watch.claimRespectedUntil = respectedUntil;
+    if (!anotherLeads) {
+        watch.steppingDown = before.steppingDown;
+        watch.replicas = std::move(before.replicas);
+    }
+    resumeReplicas(engine, group, now);
 }
 
 } // namespace proxying
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -30,28 +30,11 @@
     return {&group.databases, &group.verification};
 }
 
-/// Requests the claim when evidence from `since` on is to come from the store and is not under way.
-void readClaimForEvidence(proxy_engine &engine, group_state &group, time_point since, time_point now)
+/// Whether nothing stands against the delivery of the reply any more.
+bool isVerified(const proxy_engine &engine, const group_state &group, const held_reply &held)
 {
-    primary_verification &verification = group.verification;
-    const bool covered = verification.claimRequestedAt >= since || (verification.claimOutstanding && verification.claimAskedAt >= since);
-    const bool pending = verification.claimOutstanding && now - verification.claimAskedAt < claimReadTimeout;
-    if (covered || pending || now - verification.claimAskedAt < claimReadSpacing) {
-        return;
-    }
-    verification.claimOutstanding = true;
-    verification.claimAskedAt = now;
-    engine.actions.emplace_back(verify_claim{group.name});
-}
-
-void askForRole(proxy_engine &engine, group_state &group, database_state &database, time_point now)
-{
-    database_connection *connection = findForRoleCheck(engine, group, database, now);
-    if (connection == nullptr) {
-        return;
-    }
-    database.roleAskedAt = now;
-    sendProbe(engine, *connection, probe_request{.primaryCheck = true}, now);
+    const bool isFromPrimary = engine.settings.replacedPrimariesStepDown || onlyPrimaryUntil(viewOf(group), held.database) >= held.since;
+    return isFromPrimary && (!needsConfirmation(group, held) || isConfirmed(group, held));
 }
 
 void askForStatus(proxy_engine &engine, group_state &group, database_state &database, time_point now)
@@ -61,15 +44,6 @@
     }
 }
 
-void scheduleCheck(proxy_engine &engine, group_state &group, time_point due)
-{
-    if (group.verification.checkAt != time_point{} && group.verification.checkAt <= due) {
-        return;
-    }
-    group.verification.checkAt = due;
-    scheduleTimer(engine, due, timer_kind::verification, 0, group.name);
-}
-
 client_session *sessionOf(proxy_engine &engine, const held_reply &held)
 {
     const auto found = engine.sessions.find(held.session);
@@ -173,6 +147,8 @@
     group.primaryConfirmedAt = now;
     cancelFailover(engine, group, "another database leads", now);
     abandonHeld(engine, group, now);
+    // It may be leaving itself.
+    scheduleGroupCheck(engine, group, now);
     // Whoever still believes to be primary is told to step down as soon as its status shows that.
     for (auto &[otherName, other] : group.databases) {
         if (otherName != name) {
@@ -184,6 +160,39 @@
 
 } // namespace
 
+/// Requests the claim when evidence from `since` on is to come from the store and is not under way.
+void readClaimForEvidence(proxy_engine &engine, group_state &group, time_point since, time_point now)
+{
+    primary_verification &verification = group.verification;
+    const bool covered = verification.claimRequestedAt >= since || (verification.claimOutstanding && verification.claimAskedAt >= since);
+    const bool pending = verification.claimOutstanding && now - verification.claimAskedAt < claimReadTimeout;
+    if (covered || pending || now - verification.claimAskedAt < claimReadSpacing) {
+        return;
+    }
+    verification.claimOutstanding = true;
+    verification.claimAskedAt = now;
+    engine.actions.emplace_back(verify_claim{group.name});
+}
+
+void askForRole(proxy_engine &engine, group_state &group, database_state &database, time_point now)
+{
+    database_connection *connection = findForRoleCheck(engine, group, database, now);
+    if (connection == nullptr) {
+        return;
+    }
+    database.roleAskedAt = now;
+    sendProbe(engine, *connection, probe_request{.primaryCheck = true}, now);
+}
+
+void scheduleVerification(proxy_engine &engine, group_state &group, time_point due)
+{
+    if (group.verification.checkAt != time_point{} && group.verification.checkAt <= due) {
+        return;
+    }
+    group.verification.checkAt = due;
+    scheduleTimer(engine, due, timer_kind::verification, 0, group.name);
+}
+
 void demandEvidence(proxy_engine &engine, group_state &group, const database_name &primary, time_point since, time_point now)
 {
     bool anyOther = false;
@@ -204,7 +213,26 @@
     if (group.verification.missingSince == time_point{} && onlyPrimaryUntil(viewOf(group), primary) < since) {
         group.verification.missingSince = now;
     }
-    scheduleCheck(engine, group, now + evidenceRetryInterval);
+    scheduleVerification(engine, group, now + evidenceRetryInterval);
+}
+
+void abandonReplaced(proxy_engine &engine, group_state &group, time_point now)
+{
+    std::deque<held_reply> &held = group.verification.held;
+    std::deque<held_reply> abandoned;
+    for (auto it = held.begin(); it != held.end();) {
+        if (it->database == group.primary) {
+            ++it;
+            continue;
+        }
+        abandoned.push_back(std::move(*it));
+        it = held.erase(it);
+    }
+    for (const held_reply &entry : abandoned) {
+        if (client_session *session = sessionOf(engine, entry)) {
+            abandon(engine, *session, entry, now);
+        }
+    }
 }
 
 void deliverVerified(proxy_engine &engine, group_state &group, client_session &session, held_reply reply, time_point now)
@@ -214,12 +242,13 @@
     reply.statementId = session.current->statement.id;
     reply.heldAt = now;
     const bool replaced = group.primary && group.primary != reply.database;
-    if (!engine.settings.replacedPrimariesStepDown && replaced) {
+    const bool confirms = needsConfirmation(group, reply);
+    if (replaced && (confirms || !engine.settings.replacedPrimariesStepDown)) {
         session.current->replyHeld = true;
         abandon(engine, session, reply, now);
         return;
     }
-    if (engine.settings.replacedPrimariesStepDown || onlyPrimaryUntil(viewOf(group), reply.database) >= reply.since) {
+    if (isVerified(engine, group, reply)) {
         deliver(engine, group, session, reply, now);
         return;
     }
@@ -228,7 +257,12 @@
     const database_name database = reply.database;
     const time_point since = reply.since;
     group.verification.held.push_back(std::move(reply));
-    demandEvidence(engine, group, database, since, now);
+    if (!engine.settings.replacedPrimariesStepDown) {
+        demandEvidence(engine, group, database, since, now);
+    }
+    if (confirms) {
+        demandConfirmation(engine, group, now);
+    }
 }
 
 void addVerifiedSample(proxy_engine &engine, group_state &group, const unverified_position &position, time_point now)
@@ -265,7 +299,7 @@
     // Delivering a reply may start the session's next statement, which may hold a reply itself.
     std::vector<held_reply> ready;
     for (auto it = verification.held.begin(); it != verification.held.end();) {
-        if (onlyPrimaryUntil(view, it->database) >= it->since) {
+        if (isVerified(engine, group, *it)) {
             ready.push_back(std::move(*it));
             it = verification.held.erase(it);
         } else {
@@ -335,6 +369,10 @@
     const bool waited = !group.waiting.empty() && verification.missingSince != time_point{};
     // A database whose evidence was missing may have left the list since.
     releaseVerified(engine, group, now);
+    demandConfirmation(engine, group, now);
+    if (engine.settings.replacedPrimariesStepDown) {
+        return;
+    }
     if (!group.primary || (verification.held.empty() && verification.positions.empty() && !waited)) {
         return;
     }
--- a/mustardrouter/Proxy/failover_state.cpp
+++ b/mustardrouter/Proxy/failover_state.cpp
@@ -21,6 +21,22 @@
     return database.unlistedSince == time_point{};
 }
 
+/// Time that a replica needs at most to receive the log again after it has started without one.
+constexpr duration logCopiedWithin = std::chrono::milliseconds(1000);
+
+/// Whether a replica may have lost the only other copy of commits of a primary that is silent, but may return with them.
+bool isCopyLost(const failover_view &view)
+{
+    const auto primary = view.primary ? view.databases->find(*view.primary) : view.databases->end();
+    if (view.syncReplicas == 0 || primary == view.databases->end() || primary->second.suspectedSince == time_point{}) {
+        return false;
+    }
+    return std::ranges::any_of(*view.databases, [&](const auto &entry) {
+        const time_point startedAt = entry.second.startedAgainAt;
+        return startedAt != time_point{} && startedAt + logCopiedWithin > primary->second.lastReplyAt;
+    });
+}
+
 } // namespace
 
 const char *toString(failover_cause cause)
@@ -65,38 +81,81 @@
     return replicationStopped ? failover_cause::unresponsive : failover_cause::none;
 }
 
+bool isPrimaryInReach(const failover_view &view)
+{
+    const auto primary = view.primary ? view.databases->find(*view.primary) : view.databases->end();
+    return primary != view.databases->end() && primary->second.suspectedSince == time_point{};
+}
+
 std::optional<database_name> chooseSuccessor(const failover_view &view, const proxy_settings &settings, time_point now)
 {
+    if (isCopyLost(view)) {
+        return std::nullopt;
+    }
     const database_state *successor = nullptr;
+    const database_state *mostAdvanced = nullptr;
+    const bool isSynchronous = view.syncReplicas > 0;
+    // A primary within reach steps down before its successor is promoted, and that one is to receive its log until then.
+    const bool pausesReplicas = isSynchronous && !isPrimaryInReach(view);
+    const auto isBehind = [](const database_state *best, const database_state &database) {
+        return best == nullptr || database.status->received > best->status->received;
+    };
     for (const auto &[name, database] : *view.databases) {
         if (view.primary == name) {
             continue;
         }
-        if (!hasFreshStatus(database, now)) {
+        if (!hasFreshStatus(database, now) || database.statusAt < view.statusesSince) {
             // With synchronous replication, an unresponsive replica may be the only one that holds a commit.
             const bool mayHoldCommits = isListed(database) || now - database.unlistedSince < settings.unlistedValidFor;
-            if (view.syncReplicas > 0 && mayHoldCommits) {
+            if (isSynchronous && mayHoldCommits) {
                 return std::nullopt;
             }
             continue;
         }
-        if (view.syncReplicas > 0 && database.status->pausedUntilTerm == term_number{}) {
+        if (pausesReplicas && database.status->pausedUntilTerm == term_number{}) {
             // The replica still receives, so the primary may acknowledge a commit that the chosen one lacks.
             return std::nullopt;
         }
+        if (isBehind(mostAdvanced, database)) {
+            mostAdvanced = &database;
+        }
         if (database.listed.leaving || !isListed(database) || database.suspectedSince != time_point{}) {
             continue;
         }
-        if (successor == nullptr || database.status->received > successor->status->received) {
+        if (isBehind(successor, database)) {
             successor = &database;
         }
     }
+    if (isSynchronous && mostAdvanced != nullptr && isBehind(successor, *mostAdvanced)) {
+        const bool canLead = isListed(*mostAdvanced) && mostAdvanced->suspectedSince == time_point{};
+        successor = canLead ? mostAdvanced : nullptr;
+    }
     if (successor == nullptr) {
         return std::nullopt;
     }
     return successor->listed.name;
 }
 
+bool isAheadOfReplicas(const failover_view &view, const failover_state &watch)
+{
+    const auto before = view.databases->find(watch.steppingDown);
+    const bool hasSteppedDown = before != view.databases->end() && before->second.status && before->second.statusAt >= view.statusesSince
+                                && !before->second.status->primary;
+    const auto next = view.databases->find(watch.successor);
+    if (!hasSteppedDown || next == view.databases->end() || !next->second.status || next->second.statusAt < view.statusesSince) {
+        return false;
+    }
+    const bool areUnchanged = std::ranges::all_of(watch.replicas, [&](const auto &replica) {
+        const auto found = view.databases->find(replica.first);
+        return found != view.databases->end() && found->second.listed.incarnation == replica.second;
+    });
+    return areUnchanged && std::ranges::all_of(*view.databases, [&](const auto &entry) {
+               const database_state &database = entry.second;
+               const bool isRead = database.status && database.statusAt >= view.statusesSince;
+               return view.primary == entry.first || (isRead && database.status->received <= next->second.status->received);
+           });
+}
+
 bool isReadyForHandOver(const failover_view &view, const database_name &successor, time_point since)
 {
     const auto primary = view.primary ? view.databases->find(*view.primary) : view.databases->end();
