--- a/UnitTests/Proxy/commit_world.cpp
+++ b/UnitTests/Proxy/commit_world.cpp
@@ -287,8 +287,12 @@
     chosen.replaced = false;
     chosen.term = term_number(highest.value() + 1);
     promotions += 1;
-    // Nobody can take an order back whose database loses its log before it is carried out.
-    m_promoted = chosen.startedEmptyAt > orderedAt ? database_name() : name;
+    m_promoted = name;
+    if (chosen.startedEmptyAt > orderedAt) {
+        // Nobody can take an order back whose database loses its log before it is carried out.
+        m_promoted = database_name();
+        acknowledged.clear();
+    }
     for (const auto &[id, at] : acknowledged) {
         checkAcknowledged(id);
     }
