Store: an odd object is judged on its own

Cause: an answer of the store was parsed as one value, so that one unreadable field refused all of it, and each later answer too. Ruled out: processes that end by themselves (35 shapes in every field). Change: an answer that the reader refuses is split by brackets and quotes, and each object is read on its own; unreadable content is none.

--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -623,7 +623,10 @@
                                     feed.age,
                                     feed.requests,
                                     m_incompleteAnswers,
-                                    feed.changesNotTold},
+                                    feed.changesNotTold,
+                                    feed.unreadable,
+                                    m_ignoredDatabases.problems.size() + m_ignoredDatabases.unlogged + m_ignoredInstances.problems.size()
+                                        + m_ignoredInstances.unlogged},
                                    now())};
     }
     return {404, {}};
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mustardrouter/Edge/edge_metrics.h"
+#include "mustardrouter/Edge/ignored_entries.h"
 #include "mustardrouter/Edge/instance_registration.h"
 #include "mustardrouter/Edge/limit_links.h"
 #include "mustardrouter/Edge/line_stream.h"
@@ -95,6 +96,8 @@
     void startWatches();
     store_history::handlers historyHandlers();
     void logTransfer(const char *kind, bool always, const object_watch::transfer &what);
+    /// Logs that objects could not be read, each time that their number has doubled.
+    void logUnreadable();
     void onDatabasesChanged(const object_watch::objects &objects, time_point changedSince);
     void onConfigurationChanged(const object_watch::objects &objects);
     void onInstancesChanged(const object_watch::objects &objects);
@@ -150,7 +153,10 @@
     duration m_listedAgainAfter{};
     std::map<std::string, std::shared_ptr<platform::http_client>> m_promotionClients;
     std::map<group_name, std::shared_ptr<platform::http_client>> m_verificationClients;
-    std::map<std::string, store_position> m_loggedInvalidEntries;
+    ignored_entries m_ignoredDatabases;
+    ignored_entries m_ignoredInstances;
+    /// Objects of the store's answers that could not be read, as of the last line of the log about them.
+    std::uint64_t m_unreadableLogged = 0;
     std::string m_settingsFingerprint;
     bool m_performingActions = false;
     bool m_stopping = false;
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -198,6 +198,8 @@
     appendWorkspaces(text, figuresOf(counters.workspaces, engine.routes.workspaces, now));
     appendMetric("log_lines_dropped_total", "counter", linesDropped);
     appendMetric("store_histories_lost_total", "counter", counters.storeHistoriesLost);
+    appendMetric("store_objects_unreadable_total", "counter", store.unreadableObjects);
+    appendMetric("entries_ignored", "gauge", store.ignoredEntries);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
     appendMetric("store_era", "gauge", engine.storeEra.value());
     const auto listedAgainAfter = std::chrono::duration_cast<std::chrono::milliseconds>(store.listedAgainAfter);
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -42,6 +42,9 @@
         std::uint64_t incompleteAnswers = 0;
         /// Changes that a source named without telling them.
         std::uint64_t changesNotTold = 0;
+        /// Objects in answers that could not be read, and entries of databases and instances that are ignored now.
+        std::uint64_t unreadableObjects = 0;
+        std::size_t ignoredEntries = 0;
     };
 
     /// Formats all metrics. `sessions` is the number of open sessions, `linesDropped` the number of dropped log lines.
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -243,23 +243,28 @@
                  {"complete_ms_ago", millis(what.ageBefore)}});
 }
 
+void edge_instance::logUnreadable()
+{
+    const std::uint64_t unreadable = m_databaseWatch->unreadable() + m_configurationWatch->unreadable() + m_instanceWatch->unreadable();
+    if (unreadable > 0 && unreadable >= m_unreadableLogged * 2) {
+        m_unreadableLogged = unreadable;
+        m_log.write("objects_unreadable", {{"total", std::to_string(unreadable)}});
+    }
+}
+
 void edge_instance::onDatabasesChanged(const object_watch::objects &objects, time_point changedSince)
 {
-    std::erase_if(m_loggedInvalidEntries, [&](const auto &entry) {
-        return !objects.contains(entry.first);
-    });
+    logUnreadable();
+    beginEntries(m_ignoredDatabases, objects);
     database_listing listing;
     for (const auto &[name, object] : objects) {
         std::string problem;
         std::optional<listed_database> database = platform::decodeDatabase(object, problem);
         if (database) {
+            acceptEntry(m_ignoredDatabases, name);
             listing.push_back(std::move(*database));
-            continue;
-        }
-        store_position &logged = m_loggedInvalidEntries[name];
-        if (logged != object.position) {
-            logged = object.position;
-            m_log.write("entry_ignored", {{"entry", name}, {"why", problem}});
+        } else if (ignoreEntry(m_ignoredDatabases, name, problem)) {
+            m_log.write("entry_ignored", {{"kind", "databases"}, {"entry", name}, {"why", problem}});
         }
     }
     onListing(m_engine, listing, changedSince, m_databaseWatch->changeAnsweredAt(), now());
@@ -268,13 +273,19 @@
 
 void edge_instance::onInstancesChanged(const object_watch::objects &objects)
 {
+    beginEntries(m_ignoredInstances, objects);
     instance_listing instances;
     std::optional<listed_instance> self;
     for (const auto &[name, object] : objects) {
         std::optional<listed_instance> instance = platform::decodeInstance(object);
         if (!instance) {
+            constexpr const char *problem = "a field is missing, of another type or out of range";
+            if (ignoreEntry(m_ignoredInstances, name, problem)) {
+                m_log.write("entry_ignored", {{"kind", "instances"}, {"entry", name}, {"why", problem}});
+            }
             continue;
         }
+        acceptEntry(m_ignoredInstances, name);
         if (name == m_environment.instance) {
             self = instance;
         }
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -169,6 +169,11 @@
     return m_log;
 }
 
+std::uint64_t object_watch::unreadable() const
+{
+    return m_unreadable;
+}
+
 std::uint64_t object_watch::requests() const
 {
     return m_requests;
@@ -216,6 +221,7 @@
         scheduleRetry();
         return;
     }
+    m_unreadable += page->unreadable;
     const time_point changedSince = recordAnswer();
     if (afterName.empty()) {
         m_listChangedSince = changedSince;
@@ -336,6 +342,7 @@
         scheduleRetry();
         return;
     }
+    m_unreadable += changes->unreadable;
     const time_point changedSince = recordAnswer();
     // What was acknowledged before the request was sent is part of the answer; if the store held it to the end, what came until then.
     const bool heldToEnd = changes->changes.empty() && m_answeredAt - m_sentAt >= m_sentHeld;
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -129,6 +129,8 @@
     const change_log &log() const;
     /// Number of requests sent.
     std::uint64_t requests() const;
+    /// Objects in answers that could not be read, or only in part.
+    std::uint64_t unreadable() const;
 
 private:
     void list(const std::string &afterName);
@@ -179,6 +181,7 @@
     time_point m_completeSince{};
     time_point m_changeAnsweredAt{};
     std::uint64_t m_requests = 0;
+    std::uint64_t m_unreadable = 0;
     bool m_paused = false;
     std::uint32_t m_consecutiveFailures = 0;
     /// The objects were listed since the start and since the last loss of the store's history.
--- a/mustardrouter/Edge/store_feed.cpp
+++ b/mustardrouter/Edge/store_feed.cpp
@@ -377,6 +377,7 @@
     for (const std::shared_ptr<object_watch> &watch : m_watches) {
         oldest = std::min(oldest, watch->completeSince());
         now.requests += watch->requests();
+        now.unreadable += watch->unreadable();
     }
     now.age = bootTime() - oldest;
     return now;
--- a/mustardrouter/Edge/store_feed.h
+++ b/mustardrouter/Edge/store_feed.h
@@ -33,6 +33,7 @@
         duration age{};
         /// Requests for lists and changes that were sent to the store.
         std::uint64_t requests = 0;
+        std::uint64_t unreadable = 0;
         std::size_t followers = 0;
         /// Changes that a source named without telling them, or that did not fit this copy.
         std::uint64_t changesNotTold = 0;
