Proxy: fences rise with store revisions of any size

Era times 2^40 plus the revision rises within an era whatever its size, and across eras as long as a returning store has lost fewer than 2^40 revisions.

--- a/mustardrouter/Proxy/promotion_claim.h
+++ b/mustardrouter/Proxy/promotion_claim.h
@@ -32,8 +32,8 @@
 /// Whether an order for the database under this claim or an earlier one may still be carried out.
 bool mayPromote(const promotion_claim &claim, const database_name &database);
 
-/// The fence of an order that is given under the claim at this position. It rises with the era, too, as revisions are given out again
-/// in a later one.
+/// The fence of an order that is given under the claim at this position. It rises with the revision, however large that is, and with the
+/// era, too, as revisions are given out again in a later one: a store that returns from an older copy loses fewer than 2^40 of them.
 fence_number fenceOf(const store_position &position);
 
 } // namespace mustardrouter
