Wire: only CR LF ends a message

Cause: line_stream ended lines at LF and dropped a CR before it; the messages between instances were split in the same way. Ruled out: the codec and the databases. Change: one function, takeLine, for clients, databases and links; a bare LF or CR is part of the text, which is forwarded unchanged.

--- a/mustardrouter/Edge/edge_relaying.cpp
+++ b/mustardrouter/Edge/edge_relaying.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Edge/edge_instance.h"
+#include "mustardrouter/Edge/wire_lines.h"
 
 #include <functional>
 #include <utility>
@@ -13,14 +14,8 @@
 /// Calls the function with each line, without its terminator.
 void forEachLine(std::string_view lines, const std::function<void(std::string_view)> &handleLine)
 {
-    while (!lines.empty()) {
-        const std::size_t end = lines.find('\n');
-        std::string_view line = lines.substr(0, end);
-        lines.remove_prefix(end == std::string_view::npos ? lines.size() : end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        handleLine(line);
+    while (const std::optional<std::string_view> line = takeLine(lines)) {
+        handleLine(*line);
     }
 }
 
--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -1,5 +1,6 @@
 #include "mustardrouter/Edge/line_stream.h"
 
+#include "mustardrouter/Edge/wire_lines.h"
 #include "mustardrouter/Network/tcp_options.h"
 
 #include <asio/post.hpp>
@@ -152,20 +153,15 @@
 {
     // A handler may close the stream and drop the last reference to it.
     const auto self = shared_from_this();
-    std::size_t consumed = 0;
+    std::string_view unread = m_input;
     while (!m_ended && !m_closing) {
-        const std::size_t found = m_input.find('\n', consumed);
-        if (found == std::string::npos) {
+        const std::optional<std::string_view> line = takeLine(unread);
+        if (!line) {
             break;
         }
-        std::string_view line(m_input.data() + consumed, found - consumed);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        consumed = found + 1;
-        m_handlers.onLine(line);
+        m_handlers.onLine(*line);
     }
-    m_input.erase(0, consumed);
+    m_input.erase(0, m_input.size() - unread.size());
     if (m_input.empty() && m_input.capacity() > retainedCapacityBytes) {
         m_input.shrink_to_fit();
     }
