Proxy: a write at a primary that may be replaced is seen by a listed replica

Cause: a reply was delivered when all listed databases had shown that they do not lead; the successor was not among them. Ruled out: replicas that answer wrongly (all refusals were true). Change: a write's reply also waits until a listed replica shows the commit, or, after 0.1 s, until the claim that was read after the reply names listed databases only. Replicas follow the newest primary, so that one that has the commit received it before another led. Cost: the delay of the fastest replica for a write of such a deployment; not measured on a site, as none in force is of this kind.

--- a/UnitTests/Proxy/commit_world.cpp
+++ b/UnitTests/Proxy/commit_world.cpp
@@ -343,6 +343,9 @@
             const std::string &id = m_sent.at({instance, session.value()});
             acknowledged[id] = now;
             checkAcknowledged(id);
+            if (committedByReplaced.contains(id)) {
+                acknowledgedOfReplaced.push_back(id);
+            }
         }
         events.emplace(now + 15ms, [this, instance, session] {
             write(instance, session);
@@ -506,6 +509,9 @@
             break;
         }
         at.log.push_back({at.term, command.id, now});
+        if (at.replaced) {
+            committedByReplaced.insert(command.id);
+        }
         awaitReplicas(key, from.to, at.log.size() - 1, command.id);
         return;
     case command_kind::pause:
--- a/UnitTests/Proxy/commit_world.h
+++ b/UnitTests/Proxy/commit_world.h
@@ -80,6 +80,9 @@
     std::map<std::string, time_point> acknowledged;
     /// Acknowledged commits that a promoted database lacked, each with what happened.
     std::vector<std::string> lost;
+    /// Commits of a primary that another one had replaced, and those of them that were acknowledged.
+    std::set<std::string> committedByReplaced;
+    std::vector<std::string> acknowledgedOfReplaced;
 
     void runFor(duration span);
     log_member &member(const char *name);
--- a/mustardrouter/Proxy/commit_confirmation.cpp
+++ b/mustardrouter/Proxy/commit_confirmation.cpp
@@ -60,6 +60,25 @@
     });
 }
 
+bool isBeforeUnlistedPrimary(const commit_view &view, const database_name &primary, const log_entry &entry, time_point repliedAt)
+{
+    if (countHolders(view, primary, entry) > 0) {
+        return true;
+    }
+    const primary_verification &verification = *view.verification;
+    if (verification.claimRequestedAt < std::max(repliedAt, verification.claimsCompleteFrom)) {
+        return false;
+    }
+    const promotion_claim &claim = verification.claim;
+    if (!claim.exists()) {
+        return true;
+    }
+    const auto isListed = [&](const database_name &named) {
+        return view.databases->contains(named);
+    };
+    return claim.term <= entry.term && isListed(claim.successor) && std::ranges::all_of(claim.unsettledSuccessors, isListed);
+}
+
 bool isCommitKept(const commit_view &view, const database_name &primary, const log_entry &entry, time_point repliedAt)
 {
     if (countHolders(view, primary, entry) < view.syncReplicas) {
--- a/mustardrouter/Proxy/commit_confirmation.h
+++ b/mustardrouter/Proxy/commit_confirmation.h
@@ -44,6 +44,11 @@
 /// next claim.
 bool isCommitKept(const commit_view &view, const database_name &primary, const log_entry &entry, time_point repliedAt);
 
+/// Whether the commit at `entry`, to which `primary` replied at `repliedAt`, was made before any database led that is not listed here.
+/// Where replaced primaries go on, replicas follow the newest primary, so that one that has the commit shows it; otherwise the store's
+/// claim does, if it names only listed databases. Those are to be asked themselves.
+bool isBeforeUnlistedPrimary(const commit_view &view, const database_name &primary, const log_entry &entry, time_point repliedAt);
+
 /// Whether a listed database has not shown that it holds the entry.
 bool isMissingSomewhere(const commit_view &view, const database_name &primary, const log_entry &entry);
 
--- a/mustardrouter/Proxy/engine_confirmation.cpp
+++ b/mustardrouter/Proxy/engine_confirmation.cpp
@@ -53,28 +53,35 @@
 
 } // namespace
 
-bool needsConfirmation(const group_state &group, const held_reply &held)
+bool needsConfirmation(const proxy_engine &engine, const group_state &group, const held_reply &held)
 {
-    return held.writes && group.limits.syncReplicas > 0;
+    return held.writes && (group.limits.syncReplicas > 0 || !engine.settings.replacedPrimariesStepDown);
 }
 
-bool isConfirmed(const group_state &group, const held_reply &held)
+bool isConfirmed(const proxy_engine &engine, const group_state &group, const held_reply &held)
 {
-    return held.reply.position && isCommitKept(commitViewOf(group), held.database, *held.reply.position, held.since);
+    if (!held.reply.position) {
+        return false;
+    }
+    const commit_view view = commitViewOf(group);
+    const log_entry &entry = *held.reply.position;
+    const bool isNewest = engine.settings.replacedPrimariesStepDown || isBeforeUnlistedPrimary(view, held.database, entry, held.since);
+    return isNewest && (group.limits.syncReplicas == 0 || isCommitKept(view, held.database, entry, held.since));
 }
 
 void demandConfirmation(proxy_engine &engine, group_state &group, time_point now)
 {
     const commit_view view = commitViewOf(group);
+    const bool isSynchronous = group.limits.syncReplicas > 0;
     const held_reply *newest = nullptr;
     time_point claimSince{};
     for (const held_reply &held : group.verification.held) {
-        if (!needsConfirmation(group, held) || !held.reply.position) {
+        if (!needsConfirmation(engine, group, held) || !held.reply.position || isConfirmed(engine, group, held)) {
             continue;
         }
         newest = &held;
         const bool isLate = now - held.heldAt >= claimNotBefore && isMissingSomewhere(view, held.database, *held.reply.position);
-        if (view.primaryMayChange || isLate) {
+        if ((isSynchronous && view.primaryMayChange) || isLate) {
             claimSince = held.since;
         }
     }
@@ -94,7 +101,7 @@
 
 void releaseConfirmed(proxy_engine &engine, group_state &group, time_point now)
 {
-    if (group.limits.syncReplicas > 0 && !group.verification.held.empty()) {
+    if (!group.verification.held.empty()) {
         releaseVerified(engine, group, now);
     }
 }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -269,10 +269,10 @@
 
 // Confirmation of commits (engine_confirmation.cpp)
 
-/// Whether the reply acknowledges a commit that replicas have to confirm.
-bool needsConfirmation(const group_state &group, const held_reply &held);
+/// Whether the reply acknowledges a commit that replicas, or the claim, have to confirm.
+bool needsConfirmation(const proxy_engine &engine, const group_state &group, const held_reply &held);
 /// Whether the commit of the held reply survives each promotion that may be carried out.
-bool isConfirmed(const group_state &group, const held_reply &held);
+bool isConfirmed(const proxy_engine &engine, const group_state &group, const held_reply &held);
 /// Asks for what is missing to confirm the commits of held replies.
 void demandConfirmation(proxy_engine &engine, group_state &group, time_point now);
 /// Delivers the held replies that the end of the database's log, as just reported, confirms.
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -34,7 +34,7 @@
 bool isVerified(const proxy_engine &engine, const group_state &group, const held_reply &held)
 {
     const bool isFromPrimary = engine.settings.replacedPrimariesStepDown || onlyPrimaryUntil(viewOf(group), held.database) >= held.since;
-    return isFromPrimary && (!needsConfirmation(group, held) || isConfirmed(group, held));
+    return isFromPrimary && (!needsConfirmation(engine, group, held) || isConfirmed(engine, group, held));
 }
 
 void askForStatus(proxy_engine &engine, group_state &group, database_state &database, time_point now)
@@ -242,7 +242,7 @@
     reply.statementId = session.current->statement.id;
     reply.heldAt = now;
     const bool replaced = group.primary && group.primary != reply.database;
-    const bool confirms = needsConfirmation(group, reply);
+    const bool confirms = needsConfirmation(engine, group, reply);
     if (replaced && (confirms || !engine.settings.replacedPrimariesStepDown)) {
         session.current->replyHeld = true;
         abandon(engine, session, reply, now);
