Proxy: a transaction that a database left open closes its connection

Cause: the reply to a ROLLBACK was not looked at, nor was the state that comes with a statement's reply outside of a transaction. Change: where that state tells of an open transaction, the connection is closed, which rolls it back; a statement that ran in it runs again elsewhere. Ruled out for now: waiting for the replies to SET and ROLLBACK before each statement; it keeps connections longer, and what that costs under load is not measured.

--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -437,6 +437,10 @@
         fake.beginTerm = database.term;
         break;
     case command_kind::rollback:
+        if (database.refusesRollback && fake.inTransaction) {
+            reply.code = reply_code::busy;
+            break;
+        }
         fake.inTransaction = false;
         fake.failed = false;
         fake.writes.clear();
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -54,6 +54,8 @@
     /// The new primary can't reach it to tell it of its replacement.
     bool partitioned = false;
     bool full = false;
+    /// Refuses ROLLBACK as it does when it is full; the transaction stays open.
+    bool refusesRollback = false;
     /// Percentage of replies to clients' statements that are lost, together with all later replies on the connection.
     unsigned replyLossPercent = 0;
     std::map<database_connection_id, fake_connection> connections;
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -187,6 +187,7 @@
     appendMetric("replies_held_total", "counter", counters.repliesHeld);
     appendMetric("replies_held_microseconds_total", "counter", counters.repliesHeldMicros);
     appendMetric("replies_not_verified_total", "counter", counters.repliesNotVerified);
+    appendMetric("transactions_left_open_total", "counter", counters.transactionsLeftOpen);
     appendMetric("promotions_given_up_total", "counter", counters.promotionsGivenUp);
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
--- a/mustardrouter/Proxy/database_connection.h
+++ b/mustardrouter/Proxy/database_connection.h
@@ -67,6 +67,8 @@
     bool valuesUncertain = false;
     /// A transaction may be open at the database.
     bool inTransaction = false;
+    /// A transaction that was to end is still open at the database, as its reply tells; the connection is closed, which rolls it back.
+    bool transactionLeftOpen = false;
     /// When the last successful primary check on this connection was sent.
     time_point primaryCheckedAt{};
     /// The client's statement that it last ran and that was given up before its reply, and when; for the log.
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -332,6 +332,22 @@
     }
 }
 
+/// Closes a connection with a transaction that was left open, once no client waits for a reply on it.
+void closeLeftOpen(proxy_engine &engine, database_connection_id id)
+{
+    const auto found = engine.connections.find(id);
+    if (found == engine.connections.end() || !found->second.transactionLeftOpen) {
+        return;
+    }
+    const database_connection &connection = found->second;
+    const client_session *session = engine.sessions.contains(connection.session) ? &engine.sessions.at(connection.session) : nullptr;
+    const bool isAwaited = session != nullptr && session->current && !connection.expected.empty();
+    if (!isAwaited) {
+        engine.groupsToDispatch.insert(connection.group);
+        discardConnection(engine, id);
+    }
+}
+
 /// Whether no reply is outstanding but those to probes that were sent behind a client's statement.
 bool workIsAnswered(const database_connection &connection)
 {
@@ -394,9 +410,11 @@
         }
         break;
     case reply_purpose::cleanup:
-        connection.inTransaction = false;
-        break;
     case reply_purpose::primaryCheckEnd:
+        if (!connection.toHolder && reply.state != transaction_state::none) {
+            recordLeftOpen(engine, connection, reply.code);
+        }
+        break;
     case reply_purpose::status:
         break;
     }
@@ -405,12 +423,20 @@
     if (remaining != engine.connections.end() && workIsAnswered(remaining->second) && expected.purpose != reply_purpose::begin) {
         allRepliesReceived(engine, remaining->second, now);
     }
+    closeLeftOpen(engine, id);
     dispatchReadyGroups(engine, now);
 }
 
 namespace proxying
 {
 
+void recordLeftOpen(proxy_engine &engine, database_connection &connection, reply_code code)
+{
+    connection.transactionLeftOpen = true;
+    engine.counters.transactionsLeftOpen += 1;
+    reportEvent(engine, "transaction_left_open", {{"database", connection.database.value()}, {"code", std::string(toString(code))}});
+}
+
 database_state *databaseOf(proxy_engine &engine, const database_connection &connection)
 {
     const auto group = engine.groups.find(connection.group);
@@ -635,7 +661,7 @@
 {
     // A statement sent behind an unanswered probe would share the fate of its connection.
     const bool overdue = !connection.expected.empty() && now - connection.expected.front().sentAt >= engine.settings.replyTimeout / 2;
-    return connection.state == database_connection_state::idle && !overdue;
+    return connection.state == database_connection_state::idle && !overdue && !connection.transactionLeftOpen;
 }
 
 database_connection *findIdle(proxy_engine &engine,
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -367,7 +367,8 @@
     for (const database_connection_id id : database.connections) {
         database_connection &connection = engine.connections.at(id);
         const bool overdue = !connection.expected.empty() && now - connection.expected.front().sentAt >= engine.settings.replyTimeout / 2;
-        if (connection.state == database_connection_state::busy && !connection.inTransaction && !overdue) {
+        const bool isFree = !connection.inTransaction && !connection.transactionLeftOpen;
+        if (connection.state == database_connection_state::busy && isFree && !overdue) {
             return &connection;
         }
     }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -125,6 +125,8 @@
 
 /// The state of the database or holder that the connection leads to; nullptr when it is no longer listed.
 database_state *databaseOf(proxy_engine &engine, const database_connection &connection);
+/// Records that the database refused to end a transaction on the connection, or ran a statement in one that was to have ended.
+void recordLeftOpen(proxy_engine &engine, database_connection &connection, reply_code code);
 /// Schedules the idle check of a connection that has become idle.
 void scheduleIdleCheck(proxy_engine &engine, const database_connection &connection, time_point now);
 
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -247,6 +247,10 @@
     engine.groupsToDispatch.insert(connection.group);
     if (connection.toHolder) {
         relayedStatementAnswered(engine, connection, session, reply, now);
+    } else if (reply.state != transaction_state::none) {
+        // It ran in a transaction that was to have ended, and is rolled back with it.
+        recordLeftOpen(engine, connection, reply.code);
+        retry(engine, session, connection.database, "ran in a transaction that was left open", engine.settings.overloadBackoff, now);
     } else if (reply.code != reply_code::done) {
         autocommitRefused(engine, group, connection, session, reply, now);
     } else if (running.writes) {
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -32,6 +32,8 @@
     std::uint64_t repliesHeldMicros = 0;
     std::uint64_t repliesNotVerified = 0;
     std::uint64_t stepDownsSent = 0;
+    /// Transactions that a database did not end when it was told to; their connections were closed.
+    std::uint64_t transactionsLeftOpen = 0;
     /// Attempts to replace a primary that ended before an order, as the successor's log was not known to have all commits.
     std::uint64_t promotionsGivenUp = 0;
     /// Returns of the platform's store from an older copy.
