--- a/tests.d/edge-process.sh
+++ b/tests.d/edge-process.sh
@@ -10,7 +10,8 @@
     cat "$folder/log"
     exit 1
 }
-base=$((20000 + RANDOM % 20000))
+# Below the ports that the system gives to outgoing connections.
+base=$((20000 + RANDOM % 12000))
 settings() { # zone
     cat <<EOF
 {"node_name":"edge-1","role":"edge","ip":"127.0.0.1","zone":"$1","zones":{"z":"r"},
