--- a/tests.d/fuzz.sh
+++ b/tests.d/fuzz.sh
@@ -21,7 +21,7 @@
     "$source/Sessions/session_token.cpp" "$source/Network/frame_reader.cpp" "$source/Instance/wire_codec.cpp"
     "$source/Configuration/change_set.cpp" "$source/Configuration/configuration_check.cpp"
     "$source/Platform/object_codec.cpp" "$source/Runtime/json_settings.cpp"
-    "$source/Edge/limit_codec.cpp" "$source/Workspaces/limit_message.cpp" "$source/Runtime/json_object.cpp" platform/line_codec.cpp platform/stored_objects.cpp "$source/Workspaces/workspace_table.cpp" "$source/Workspaces/key_digest.cpp")
+    "$source/Edge/limit_codec.cpp" "$source/Workspaces/limit_message.cpp" "$source/Runtime/json_object.cpp" "$source/Runtime/json_slices.cpp" platform/line_codec.cpp platform/stored_objects.cpp "$source/Workspaces/workspace_table.cpp" "$source/Workspaces/key_digest.cpp")
 (for file in "${generated[@]}"; do compile "$file"; done) &
 first=$!
 for file in "${others[@]}"; do compile "$file"; done
@@ -35,7 +35,7 @@
 link fuzz_token fuzz_token.cpp.o session_token.cpp.o
 link fuzz_frames fuzz_frames.cpp.o frame_reader.cpp.o wire_codec.cpp.o wire.pb.cc.o
 link fuzz_settings fuzz_settings.cpp.o change_set.cpp.o configuration_check.cpp.o object_codec.cpp.o json_settings.cpp.o objects.pb.cc.o
-link fuzz_platform fuzz_platform.cpp.o line_codec.cpp.o stored_objects.cpp.o limit_codec.cpp.o limit_message.cpp.o json_object.cpp.o workspace_table.cpp.o key_digest.cpp.o relay.pb.cc.o
+link fuzz_platform fuzz_platform.cpp.o line_codec.cpp.o stored_objects.cpp.o limit_codec.cpp.o limit_message.cpp.o json_object.cpp.o json_slices.cpp.o workspace_table.cpp.o key_digest.cpp.o relay.pb.cc.o
 
 for target in token frames settings platform; do
     echo "--- fuzz_$target: $runs runs, seed $seed"
