--- a/UnitTests/PlatformAdapter/odd_entries_test.cpp
+++ b/UnitTests/PlatformAdapter/odd_entries_test.cpp
@@ -176,6 +176,22 @@
     checkOthersHold(entry(R"("i-2")", "service", R"("scripts x\r\n")"), false, "service with an end of line");
 }
 
+TEST(odd_entries, countsOutOfRangeNameNoDatabaseOrInstance)
+{
+    for (const char *slots : {"0", "65536", "4294967295"}) {
+        checkOthersHold(entry(R"("i-2")", "slots", slots), false, std::string("slots are ") + slots);
+    }
+    const auto isInstance = [](const std::string &capacity) {
+        const std::string spec = R"({"address":"10.0.0.1:7440","data_centre":"dc","capacity":)" + capacity + R"(,"leaving":false})";
+        const auto object = platform::decodeObject(R"({"meta":{"name":"edge-1","revision":8},"spec":)" + spec + "}", era);
+        return object && platform::decodeInstance(*object).has_value();
+    };
+    CHECK_TRUE(isInstance("0.17"));
+    for (const char *capacity : {"0", "-1", "4097", "1e308", "1e999"}) {
+        CHECK_FALSE(isInstance(capacity));
+    }
+}
+
 TEST(odd_entries, unreadableObjectsAreCounted)
 {
     const std::optional<platform::object_page> listed = platform::decodePage(page(entry(R"("i-2")", "note", "1e999")), era);
--- a/UnitTests/Proxy/commit_loss_test.cpp
+++ b/UnitTests/Proxy/commit_loss_test.cpp
@@ -109,6 +109,31 @@
     }
 }
 
+/// Plays the replacement of a primary with an event between its steps, and checks that nothing is lost and that writes go on.
+void playReplacement(const commit_conditions &conditions, other_event other)
+{
+    commit_world world(conditions);
+    world.member("i-3c").delay = 1ms * (5 + world.random() % 60);
+    world.runFor(1500ms);
+    if (other == other_event::returns) {
+        world.setDark("i-2b", true);
+        world.runFor(500ms);
+    }
+    const auto first = static_cast<primary_event>(world.random() % 4);
+    begin(world, first);
+    world.runFor(1ms * (world.random() % 2500));
+    disturb(world, other);
+    world.runFor(1ms * (world.random() % 1500));
+    disturb(world, world.random() % 2 == 0 ? other_event::joins : other_event::startsAgain);
+    world.runFor(20s);
+    const std::string what = describe(conditions) + ", primary " + std::to_string(static_cast<int>(first)) + ", other "
+                             + std::to_string(static_cast<int>(other));
+    if (!areBothCopiesGone(first, other)) {
+        checkNothingLost(world, what);
+    }
+    checkServes(world, what);
+}
+
 } // namespace
 
 TEST_GROUP(commit_loss){};
@@ -205,31 +230,21 @@
         for (commit_conditions conditions : allConditions(seed)) {
             for (int other = 0; other < static_cast<int>(other_event::count); ++other) {
                 conditions.seed = seed * 100 + static_cast<std::uint64_t>(other);
-                commit_world world(conditions);
-                world.member("i-3c").delay = 1ms * (5 + world.random() % 60);
-                world.runFor(1500ms);
-                if (other == static_cast<int>(other_event::returns)) {
-                    world.setDark("i-2b", true);
-                    world.runFor(500ms);
-                }
-                const auto first = static_cast<primary_event>(world.random() % 4);
-                begin(world, first);
-                world.runFor(1ms * (world.random() % 2500));
-                disturb(world, static_cast<other_event>(other));
-                world.runFor(1ms * (world.random() % 1500));
-                disturb(world, static_cast<other_event>(world.random() % 2 == 0 ? 0 : 3));
-                world.runFor(20s);
-                const std::string what =
-                    describe(conditions) + ", primary " + std::to_string(static_cast<int>(first)) + ", other " + std::to_string(other);
-                if (!areBothCopiesGone(first, static_cast<other_event>(other))) {
-                    checkNothingLost(world, what);
-                }
-                checkServes(world, what);
+                playReplacement(conditions, static_cast<other_event>(other));
             }
         }
     }
 }
 
+// Guards against a promotion while a silent primary may have the only copy left, and against replicas that stay paused.
+TEST(commit_loss, seedsThatFailedOnce)
+{
+    playReplacement({.seed = 304}, other_event::startsEmpty);
+    playReplacement({.seed = 305}, other_event::returns);
+    playReplacement({.ordersLateBy = 2500ms, .seed = 402}, other_event::crashes);
+    playReplacement({.fenced = false, .ordersLateBy = 2500ms, .seed = 200}, other_event::joins);
+}
+
 // Guards against a group that waits for ever for an old primary whose successor led for a moment: no replica receives from it any more.
 TEST(commit_loss, aPrimaryWhoseSuccessorDiedAtOnceIsReplacedAgain)
 {
