--- a/review/standin-2/machine.cpp
+++ b/review/standin-2/machine.cpp
@@ -97,9 +97,9 @@
     root["internal_ports"].append(m_firstInternalPort);
     root["internal_ports"].append(m_firstInternalPort + internalPorts - 1);
     root["bootstrap"] = m_options.isFirstSystemStart;
-    root["limits"]["cpu_share"] = 0.17;
+    root["limits"]["cpu_share"] = m_options.processorShare;
     root["limits"]["cores"] = 1;
-    root["limits"]["memory_mb"] = 182;
+    root["limits"]["memory_mb"] = m_options.memoryMegabytes;
     root["limits"]["max_fds"] = 3010;
     root["limits"]["link_mbps"] = 700.0;
     root["heartbeat_ms"] = 1200;
@@ -167,6 +167,18 @@
     return WIFEXITED(status) && WEXITSTATUS(status) == 0;
 }
 
+std::uint64_t machine::memoryBytes() const
+{
+    if (m_process == 0) {
+        return 0;
+    }
+    std::ifstream file("/proc/" + std::to_string(m_process) + "/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void machine::probe()
 {
     if (m_process == 0) {
--- a/review/standin-2/machine.h
+++ b/review/standin-2/machine.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <json/json.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <sys/types.h>
@@ -26,6 +27,8 @@
         /// Where promotions are ordered.
         std::string orderAddress;
         bool isFirstSystemStart = true;
+        double processorShare = 0.17;
+        unsigned memoryMegabytes = 182;
     };
 
     machine(asio::io_context &context, options settings);
@@ -41,6 +44,8 @@
     void powerOff();
     /// Takes the status of a process that has ended; true if it has, with status 0.
     bool reap();
+    /// Resident memory of the process; 0 if there is none.
+    std::uint64_t memoryBytes() const;
     /// Asks for readiness, as the platform does once a second.
     void probe();
     bool isReady() const;
--- a/review/standin-2/store_front.cpp
+++ b/review/standin-2/store_front.cpp
@@ -59,6 +59,16 @@
     m_orderDelay = delay;
 }
 
+void store_front::refuseOrders(bool refuses)
+{
+    m_refusesOrders = refuses;
+}
+
+std::size_t store_front::refusedOrders() const
+{
+    return m_refusedOrders;
+}
+
 void store_front::remember(standin_store &store)
 {
     m_store = &store;
@@ -107,7 +117,13 @@
         answerWatch(request, m_now() + wait, respond);
         return;
     }
-    if (request.method == "POST" && request.path == "/failover" && m_orderDelay > duration{}) {
+    const bool orders = request.method == "POST" && request.path == "/failover";
+    if (orders && m_refusesOrders) {
+        m_refusedOrders += 1;
+        respond({503, "{}"});
+        return;
+    }
+    if (orders && m_orderDelay > duration{}) {
         // The call is answered; its effect comes some hundred milliseconds later.
         respond({200, "{}"});
         callLater(m_context, m_orderDelay, [this, address, request] {
--- a/review/standin-2/store_front.h
+++ b/review/standin-2/store_front.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -29,6 +30,9 @@
     std::string listenFor(const std::string &address);
     /// Time from a promotion order to its effect beyond that of the stand-in store.
     void delayOrders(duration delay);
+    /// Answers promotion orders with 503 from now on, or no longer: nothing is done.
+    void refuseOrders(bool refuses);
+    std::size_t refusedOrders() const;
     /// Remembers the states of the store from now on.
     void remember(standin_store &store);
     /// Calls with `allow_stale` see the store as it was this long ago; zero: as it is.
@@ -47,6 +51,8 @@
     standin_store *m_store = nullptr;
     duration m_staleness{};
     duration m_orderDelay{};
+    bool m_refusesOrders = false;
+    std::size_t m_refusedOrders = 0;
     std::deque<std::pair<time_point, standin_objects>> m_states;
     std::vector<std::unique_ptr<standin_http>> m_listeners;
 };
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -33,6 +33,8 @@
     std::size_t clients = 12;
     /// Connections that each database accepts.
     std::uint32_t connections = 45;
+    double processorShare = 0.17;
+    unsigned memoryMegabytes = 182;
     std::uint64_t seed = 1;
     /// Address at which a machine reaches a database; the same one if not set.
     std::function<std::string(std::size_t, const std::string &)> databaseFor;
