--- a/review/7/main.cpp
+++ b/review/7/main.cpp
@@ -14,6 +14,7 @@
 
 constexpr duration clientsFrom = 3s;
 constexpr duration staleFrom = 10s;
+constexpr duration otherChangeAt = 11500ms;
 constexpr duration primaryLeavesAt = 12s;
 constexpr duration staleUntil = 24s;
 constexpr duration end = 30s;
@@ -42,10 +43,11 @@
             front.setStaleness({});
         });
     }
-    time_point leftAt{};
+    all.at(otherChangeAt, [&] {
+        all.changeEntry("db2");
+    });
     all.at(primaryLeavesAt, [&] {
         standin_member *primary = all.primary();
-        leftAt = world::now();
         all.record("the store accepts: the primary " + primary->name.value() + " is draining; a new database has started");
         all.deployment().leave(all.group(), primary->name);
     });
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -1,6 +1,7 @@
 #include "review/standin-2/world.h"
 
 #include "mustardrouter/PlatformStandIn/delayed_call.h"
+#include "mustardrouter/PlatformStandIn/standin_documents.h"
 
 #include <algorithm>
 #include <csignal>
@@ -197,6 +198,14 @@
     return m_context;
 }
 
+void world::changeEntry(const std::string &database)
+{
+    Json::Value entry = entryOf(group(), group().members.at(database_name(database)));
+    entry["warmup_left_ms"] = 100;
+    m_deployment.store().objects().put("servers", database, entry);
+    m_deployment.store().notifyWatches();
+}
+
 void world::at(duration when, std::function<void()> what)
 {
     callLater(m_context, std::max(duration{}, when - elapsed()), std::move(what));
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -64,6 +64,8 @@
     soak_history &history();
     soak_tally &tally();
     asio::io_context &context();
+    /// Changes the entry of a database, as it does while the database warms up; it is written as before 80 ms later at most.
+    void changeEntry(const std::string &database);
     void at(duration when, std::function<void()> what);
     static time_point now();
     /// Time since the start.
