Proxy: a group whose holders are gone is watched by the others

Cause: checkGroup left the watching of the databases to a group's holders, and who is a holder was taken from the entries in the list. An entry stays when its instance is lost. On the untouched code the logs of all four instances have database_leaves and holders_changed (1 holder of 4 instances, self relays), the holder's name belongs to the machine that left, and no promotion_wanted.

Ruled out: a claim that blocks others (no claim was read), the orders (none was sent), the databases (both replicas answered status questions of later starts).

Change: while the primary is in doubt an instance asks the databases itself unless a holder has told it within a second that it watches; the holder's reply to the question names the groups that it leaves to others, so that two instances whose lists differ do not rely on each other. Builds that don't name any count as watching, as before. An instance that has begun to replace a primary, or has paused replicas, goes on with that when it is no longer a holder.

Why it holds: the invariant is stated in engine_watching.cpp, and rests on replies only. ONE: claims and fences decide between two that order, as ever. Connections: a question takes one connection for each database and instance, which an instance without a holder in reach already opens for its statements.

--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -32,6 +32,8 @@
     /// asks for this was sent.
     time_point notPrimaryAt{};
     time_point roleAskedAt{};
+    /// For a holder: when it last told that it watches the group's databases; the epoch if it told that it does not.
+    time_point watchReportedAt{};
     /// For a holder: until when it is assumed not to reach the primary.
     time_point lacksPrimaryUntil{};
     /// When this instance last paused its replication, until a status shows that it is not paused; the epoch otherwise. And when this
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -321,6 +321,9 @@
             trustHolder(engine, connection.database, now);
         }
     }
+    if (expected.purpose == reply_purpose::status && connection.toHolder) {
+        recordWatchReport(engine, connection.database, reply.rows, now);
+    }
     if (expected.purpose != reply_purpose::status || connection.toHolder) {
         return;
     }
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -378,9 +378,8 @@
 void checkGroup(proxy_engine &engine, group_state &group, time_point now)
 {
     removeUnlisted(engine, group, now);
-    if (!group.holders.empty()) {
-        // The holders watch the databases and order promotions.
-        probeHolders(engine, group, now);
+    probeHolders(engine, group, now);
+    if (!watchesDatabases(engine, group, now)) {
         return;
     }
     if (group.failover.phase == failover_phase::readingLogs) {
@@ -391,9 +390,7 @@
         continueHandOver(engine, group, now);
         return;
     }
-    const auto primary = group.primary ? group.databases.find(*group.primary) : group.databases.end();
-    const bool primaryInDoubt =
-        primary == group.databases.end() || primary->second.suspectedSince != time_point{} || primary->second.listed.leaving;
+    const bool primaryInDoubt = isPrimaryInDoubt(group);
     bool anyDoubt = primaryInDoubt;
     bool anyMissing = false;
     for (auto &[name, database] : group.databases) {
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -118,9 +118,22 @@
 /// Records for all groups that the instance of this name doesn't reply, or that it does.
 void suspectHolder(proxy_engine &engine, const database_name &name, const char *reason, time_point now);
 void trustHolder(proxy_engine &engine, const database_name &name, time_point now);
+/// Asks the holder for a reply, on a link of its own if there is none yet.
+void askHolder(proxy_engine &engine, group_state &group, database_state &holder, time_point now);
 /// Asks holders that didn't reply whether they do again.
 void probeHolders(proxy_engine &engine, group_state &group, time_point now);
 
+// Who watches the databases (engine_watching.cpp)
+
+/// Whether the group's primary is unknown, suspected, or leaves.
+bool isPrimaryInDoubt(const group_state &group);
+/// Whether this instance is to watch the group's databases: as a holder, or since no holder has told that it does.
+bool watchesDatabases(proxy_engine &engine, group_state &group, time_point now);
+/// Groups whose databases this instance does not watch; its reply to a holder's question.
+std::vector<std::string> groupsWatchedElsewhere(const proxy_engine &engine);
+/// A holder replied to a question and named the groups that it does not watch.
+void recordWatchReport(proxy_engine &engine, const database_name &holder, const std::vector<std::string> &watchedElsewhere, time_point now);
+
 // Connections (engine_connections.cpp)
 
 /// The state of the database or holder that the connection leads to; nullptr when it is no longer listed.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -491,11 +491,16 @@
     if (asked) {
         return now - holder.roleAskedAt < pingTimeout;
     }
+    askHolder(engine, group, holder, now);
+    return true;
+}
+
+void askHolder(proxy_engine &engine, group_state &group, database_state &holder, time_point now)
+{
     holder.roleAskedAt = now;
     if (database_connection *connection = findOrOpenToHolder(engine, group, holder, {}, now)) {
         sendProbe(engine, *connection, probe_request{.status = true}, now);
     }
-    return true;
 }
 
 void channelOpened(proxy_engine &engine, database_connection &connection, time_point now)
@@ -568,10 +573,7 @@
         if (unanswered) {
             dropHolder(engine, name, now);
         }
-        holder.roleAskedAt = now;
-        if (database_connection *connection = findOrOpenToHolder(engine, group, holder, {}, now)) {
-            sendProbe(engine, *connection, probe_request{.status = true}, now);
-        }
+        askHolder(engine, group, holder, now);
     }
     if (anySuspected) {
         scheduleGroupCheck(engine, group, now + overdueCheckInterval);
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -158,9 +158,12 @@
         session.prepared.clear();
         sendReply(engine, session, localReply(session));
         return true;
-    case client_verb::ping:
-        sendReply(engine, session, localReply(session));
+    case client_verb::ping: {
+        client_reply reply = localReply(session);
+        reply.rows = groupsWatchedElsewhere(engine);
+        sendReply(engine, session, std::move(reply));
         return true;
+    }
     case client_verb::execute:
         if (!session.prepared.contains(statement.name)) {
             sendReply(engine, session, localReply(session, reply_code::unknownStatement, "nothing is prepared under this name"));
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -47,6 +47,10 @@
     /// state is kept like that of a database.
     std::map<database_name, database_state> holders;
     holder_inputs holdersComputedFrom;
+    /// This instance watches the databases although others hold the connections to them; see engine_watching.cpp.
+    bool watchedHere = false;
+    /// Since when the primary is in doubt and no holder has told that it watches; the epoch otherwise.
+    time_point unreportedSince{};
     /// The holders that serve each workspace first, as far as they were needed.
     std::map<workspace_name, std::set<database_name>> preferredHolders;
     /// The database believed to be primary; replies confirm or refute it.
