Edge: an instance that stops marks its entry also where no group is shared

Callers saw: with machines stopped for good, the statements of the others went to instances that no longer existed, each for the time that a link takes to fail.

Cause: at the stop signal only an instance that saw a shared group or a limit marked its entry as leaving. Where each instance holds its own connections none did, so that entries of instances that had gone added up until their number made the group a shared one - with holders among those that had gone.

Change: every instance that has entered itself marks its entry.

Figures: edge_loopback.anInstanceThatStopsMarksItsEntryAlsoWhereNoGroupIsShared fails before and passes now.

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -138,6 +138,14 @@
     }
 }
 
+/// Number of bytes of the body that follows this head.
+std::size_t bodyBytes(const std::string &head)
+{
+    constexpr std::string_view field = "Content-Length: ";
+    const std::size_t at = head.find(field);
+    return at == std::string::npos ? 0 : static_cast<std::size_t>(std::stoul(head.substr(at + field.size())));
+}
+
 /// A store with one configuration, one database and one invalid entry. Watch requests return without a change.
 class fake_store
 {
@@ -153,13 +161,32 @@
     {
         return m_server.address();
     }
+    /// Content of the last write; empty before the first.
+    std::string lastWritten()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_lastWritten;
+    }
 
 private:
+    void takeWritten(tcp::socket &socket, std::string &buffer, std::size_t bytes)
+    {
+        asio::error_code ignored;
+        if (buffer.size() < bytes) {
+            asio::read(socket, asio::dynamic_buffer(buffer), asio::transfer_exactly(bytes - buffer.size()), ignored);
+        }
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_lastWritten = buffer.substr(0, bytes);
+        buffer.erase(0, bytes);
+    }
     void serve(tcp::socket &socket)
     {
         std::string buffer;
         for (std::string head = readUntil(socket, buffer, "\r\n\r\n"); !head.empty(); head = readUntil(socket, buffer, "\r\n\r\n")) {
             std::string body;
+            if (const std::size_t bytes = bodyBytes(head); bytes > 0) {
+                takeWritten(socket, buffer, bytes);
+            }
             if (head.find("watch=") != std::string::npos) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(100));
                 body = R"({"events":[],"as_of":5})";
@@ -179,6 +206,8 @@
     }
 
     std::string m_database;
+    std::mutex m_mutex;
+    std::string m_lastWritten;
     loopback_server m_server;
 };
 
@@ -387,6 +416,18 @@
     CHECK_TRUE(edge.ranToEnd);
 }
 
+TEST(edge_loopback, anInstanceThatStopsMarksItsEntryAlsoWhereNoGroupIsShared)
+{
+    // Review 6: only instances that relayed did so; the entries of all others stayed as if they lived.
+    running_edge edge(1000, freeAddress());
+    for (int tries = 0; edge.store.lastWritten().empty() && tries < 100; ++tries) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK_TRUE(edge.store.lastWritten().find(R"("leaving":false)") != std::string::npos);
+    edge.stop();
+    CHECK_TRUE(edge.store.lastWritten().find(R"("leaving":true)") != std::string::npos);
+}
+
 TEST(edge_loopback, aStatementTakenAfterTheStopSignalIsAnsweredBeforeTheInstanceExits)
 {
     running_edge edge(1000);
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -558,7 +558,8 @@
     m_stopping = true;
     m_stopSince = now();
     m_log.write("stopping", {{"sessions", std::to_string(m_clients.size())}});
-    if (!m_engine.sharedGroups.empty() || !m_engine.limits.limits.empty()) {
+    if (!m_environment.relayAddress.empty()) {
+        // Also where no group is shared yet: the entry outlives this process, and others may be added.
         m_registration.announceLeaving();
     }
     m_storeFeed.onStop();
