Edge: entries of lost instances are marked, and removed if nobody takes the mark back

Cause: nobody removed the entry of an instance that was lost without a signal. The list was read as the list of the living: it makes groups shared, chooses holders, shares limits.

Change: every instance probes the next one in the list, marks the entry of a silent one after 8 s, and removes it after 30 s, both at the revision that it knows. One that lives and reaches the store takes the mark back, as it does with any entry that isn't its own. For limits, marked and removed instances stay members for 10 minutes, as they may still spend. The stand-in of the store takes DELETE.

--- a/UnitTests/PlatformAdapter/store_client_test.cpp
+++ b/UnitTests/PlatformAdapter/store_client_test.cpp
@@ -27,3 +27,15 @@
     CHECK_EQUAL(std::string("/v1/objects/mustardrouter-claims/g.2"), platform::readClaimRequest(group, store_era(2)).target);
     CHECK_EQUAL(std::string("/v1/objects/mustardrouter-claims/g"), platform::readClaimRequest(group, store_era()).target);
 }
+
+TEST(store_client, aMarkAndARemovalNameTheRevisionSoThatAnEntryThatWasWrittenSinceIsKept)
+{
+    const listed_instance lost{instance_name("edge-1"), "10.1.0.8:7441", "z", 0.5, true};
+    const platform::http_request mark = platform::markInstanceRequest(lost, store_revision(8));
+    CHECK_EQUAL(std::string("PUT"), mark.method);
+    CHECK_TRUE(mark.body.find("\"revision\":8") != std::string::npos);
+    CHECK_TRUE(mark.body.find("\"leaving\":true") != std::string::npos);
+    const platform::http_request removal = platform::removeInstanceRequest(lost.name, store_revision(9));
+    CHECK_EQUAL(std::string("DELETE"), removal.method);
+    CHECK_TRUE(removal.target.ends_with("/edge-1?revision=9"));
+}
--- a/UnitTests/PlatformStandIn/standin_store_test.cpp
+++ b/UnitTests/PlatformStandIn/standin_store_test.cpp
@@ -37,3 +37,24 @@
     CHECK_EQUAL(0U, answers.find("HTTP/1.1 200"));
     CHECK_TRUE(answers.find("HTTP/1.1", 1) == std::string::npos);
 }
+
+TEST(standin_store, anObjectIsRemovedOnlyAtItsRevision)
+{
+    asio::io_context context;
+    standin_store store(context, {}, 1);
+    store.objects().put("k", "a", "one");
+    asio::ip::tcp::socket client(context);
+    client.connect(endpointOrUnspecified(store.addInstance()));
+    const std::uint64_t revision = store.objects().revision();
+    const auto remove = [&](std::uint64_t expected) {
+        asio::write(client,
+                    asio::buffer("DELETE /v1/objects/k/a?revision=" + std::to_string(expected)
+                                 + " HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n"));
+        context.restart();
+        context.run_for(50ms);
+    };
+    remove(revision - 1);
+    CHECK_TRUE(store.objects().find("k", "a").has_value());
+    remove(revision);
+    CHECK_FALSE(store.objects().find("k", "a").has_value());
+}
--- a/UnitTests/Workspaces/limit_history_test.cpp
+++ b/UnitTests/Workspaces/limit_history_test.cpp
@@ -205,6 +205,26 @@
     CHECK_TRUE(fullest <= 1);
 }
 
+TEST(limit_history, aMemberThatLivesThoughItsEntryWasRemovedDoesNotExceedTheLimitWithTheOthers)
+{
+    // Neither the store nor another instance can tell it that its entry is gone; the databases are in its reach.
+    running_world run(4);
+    limit_world &world = run.world;
+    world.nodes[3].part = 1;
+    world.cutStore(3, true);
+    world.runUntil(world.now + std::chrono::seconds(20));
+    world.removeEntry(3);
+    world.runUntil(world.now + std::chrono::seconds(20));
+    for (int step = 0; step < 6000; ++step) {
+        world.at(world.now + std::chrono::milliseconds(2) * step, [&world, step] {
+            world.operate(step % 2 == 0 ? 0 : 3, workspaceName, false);
+        });
+    }
+    world.runUntil(world.now + std::chrono::seconds(13));
+    std::string description;
+    CHECK_TRUE_TEXT(world.worstWindow(description) <= 1, description.c_str());
+}
+
 TEST(limit_history, aStartedInstanceOwnsNothingUntilItsPredecessorsLoansHaveEnded)
 {
     running_world run(1);
--- a/UnitTests/Workspaces/limit_world.cpp
+++ b/UnitTests/Workspaces/limit_world.cpp
@@ -190,6 +190,15 @@
     });
 }
 
+void limit_world::removeEntry(std::size_t node)
+{
+    m_lists.push_back(m_lists.back());
+    std::erase_if(m_lists.back(), [&](const limit_instance &instance) {
+        return instance.name == nodes[node].listed.name;
+    });
+    listChanged();
+}
+
 void limit_world::freeze(std::size_t node)
 {
     nodes[node].frozen = nodes[node].engine != nullptr;
--- a/UnitTests/Workspaces/limit_world.h
+++ b/UnitTests/Workspaces/limit_world.h
@@ -59,6 +59,8 @@
     void restart(std::size_t node);
     /// Announces that it leaves, and ends a moment later.
     void leave(std::size_t node);
+    /// Its entry is removed by another, whether it lives or not.
+    void removeEntry(std::size_t node);
     void freeze(std::size_t node);
     void thaw(std::size_t node);
     void cutStore(std::size_t node, bool cut);
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -119,6 +119,13 @@
                       m_environment.processorShare,
                       false},
                      m_engine.settings.seed)
+    , m_livenessProbes(m_context,
+                       m_relayLinks,
+                       m_environment.storeAddress,
+                       m_storeHistory,
+                       m_log,
+                       instance_name(m_environment.instance),
+                       m_engine.settings.seed)
     , m_storeFeed(m_context,
                   m_relayLinks,
                   m_log,
@@ -526,6 +533,7 @@
                 m_configurationWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_instanceWatch->setStoreAddress(newEnvironment.storeAddress);
                 m_registration.setStoreAddress(newEnvironment.storeAddress);
+                m_livenessProbes.setStoreAddress(newEnvironment.storeAddress);
                 m_storeFeed.onCopiesInvalid();
             }
             m_log.write("reload", {{"why", reason}, {"store_moved", storeMoved ? "yes" : "no"}});
@@ -562,6 +570,7 @@
         // Also where no group is shared yet: the entry outlives this process, and others may be added.
         m_registration.announceLeaving();
     }
+    m_livenessProbes.stop();
     m_storeFeed.onStop();
     onStop(m_engine, m_stopSince);
     performActions();
@@ -618,6 +627,8 @@
                                    m_clients.size(),
                                    m_log.dropped(),
                                    {m_registration.writes(),
+                                    m_livenessProbes.marks(),
+                                    m_livenessProbes.removals(),
                                     m_listedAgainAfter,
                                     feed.role,
                                     feed.followers,
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -5,6 +5,7 @@
 #include "mustardrouter/Edge/instance_registration.h"
 #include "mustardrouter/Edge/limit_links.h"
 #include "mustardrouter/Edge/line_stream.h"
+#include "mustardrouter/Edge/liveness_probes.h"
 #include "mustardrouter/Edge/object_watch.h"
 #include "mustardrouter/Edge/relay_links.h"
 #include "mustardrouter/Edge/store_feed.h"
@@ -139,6 +140,7 @@
     std::unordered_map<session_id, relay_channel> m_channelBySession;
     store_history m_storeHistory;
     instance_registration m_registration;
+    liveness_probes m_livenessProbes;
     store_feed m_storeFeed;
     std::vector<std::shared_ptr<line_stream>> m_streamsToFlush;
     /// Streams of clients that are being closed since the stop request; they exist until the client has closed its end.
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -202,6 +202,8 @@
     appendMetric("store_objects_unreadable_total", "counter", store.unreadableObjects);
     appendMetric("entries_ignored", "gauge", store.ignoredEntries);
     appendMetric("own_entries_written_total", "counter", store.entriesWritten);
+    appendMetric("lost_entries_marked_total", "counter", store.entriesMarked);
+    appendMetric("lost_entries_removed_total", "counter", store.entriesRemoved);
     appendMetric("store_era", "gauge", engine.storeEra.value());
     const auto listedAgainAfter = std::chrono::duration_cast<std::chrono::milliseconds>(store.listedAgainAfter);
     appendMetric("store_listed_again_milliseconds", "gauge", static_cast<std::uint64_t>(listedAgainAfter.count()));
--- a/mustardrouter/Edge/edge_metrics.h
+++ b/mustardrouter/Edge/edge_metrics.h
@@ -29,6 +29,9 @@
     struct store_figures {
         /// Confirmed writes of its own entry.
         std::uint64_t entriesWritten = 0;
+        /// Entries of lost instances that it has marked, and removed.
+        std::uint64_t entriesMarked = 0;
+        std::uint64_t entriesRemoved = 0;
         /// Time from the last loss of the store's history until all was listed again.
         duration listedAgainAfter{};
         /// Where changes come from, and for how many others.
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -275,6 +275,7 @@
 {
     beginEntries(m_ignoredInstances, objects);
     instance_listing instances;
+    std::map<instance_name, store_position> positions;
     std::optional<listed_instance> self;
     for (const auto &[name, object] : objects) {
         std::optional<listed_instance> instance = platform::decodeInstance(object);
@@ -289,8 +290,12 @@
         if (name == m_environment.instance) {
             self = instance;
         }
+        positions[instance->name] = object.position;
         instances.push_back(std::move(*instance));
     }
+    if (!m_environment.relayAddress.empty()) {
+        m_livenessProbes.onListed(instances, positions);
+    }
     if (!m_environment.relayAddress.empty() && (!m_stopping || m_registration.isLeaving())) {
         m_registration.onListed(self);
     }
--- a/mustardrouter/Edge/edge_relaying.cpp
+++ b/mustardrouter/Edge/edge_relaying.cpp
@@ -116,14 +116,18 @@
         performActions();
     };
     handlers.onPeerMessage = [this](const std::string &address, const relay::relay_message &message) {
-        if (message.has_changes()) {
+        if (message.has_probe()) {
+            m_livenessProbes.onPeerMessage(message.probe());
+        } else if (message.has_changes()) {
             m_storeFeed.onPeerMessage(address, message.changes());
         } else {
             m_limitLinks.onPeerMessage(address, message);
         }
     };
     handlers.onIncomingMessage = [this](std::uint64_t link, const relay::relay_message &message) {
-        if (message.has_changes()) {
+        if (message.has_probe()) {
+            m_livenessProbes.onIncomingMessage(link, message.probe());
+        } else if (message.has_changes()) {
             m_storeFeed.onIncomingMessage(link, message.changes());
         } else {
             m_limitLinks.onIncomingMessage(link, message);
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -297,6 +297,9 @@
     const std::string rest = request.path.starts_with(objectsPath) ? request.path.substr(objectsPath.size()) : std::string();
     const std::size_t slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
+    if (request.method == "DELETE" && slash != std::string::npos) {
+        return remove(kind, rest.substr(slash + 1), toNumber(parameterOf(request, "revision")));
+    }
     const Json::Value body = parse(request.body);
     if (!body.isObject() || kind.empty()) {
         return {400, "{}"};
@@ -314,6 +317,20 @@
     return {result == write_result::conflict ? 409U : 200U, toText(toJson(0, kind, name, present->revision, present->spec))};
 }
 
+standin_answer standin_store::remove(const std::string &kind, const std::string &name, std::uint64_t expected)
+{
+    const std::optional<standin_object> present = m_objects.find(kind, name);
+    if (!present) {
+        return {404, "{}"};
+    }
+    const bool conflicts = expected != 0 && expected != present->revision;
+    if (!conflicts) {
+        m_objects.remove(kind, name);
+        notifyWatches();
+    }
+    return {conflicts ? 409U : 200U, toText(toJson(0, kind, name, present->revision, present->spec))};
+}
+
 standin_answer standin_store::order(const standin_request &request)
 {
     const Json::Value body = parse(request.body);
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -94,6 +94,7 @@
     void read(std::size_t instance, const standin_request &request, const standin_http::responder &respond);
     void watch(std::size_t instance, const standin_request &request, const std::string &kind, const standin_http::responder &respond);
     standin_answer write(const standin_request &request);
+    standin_answer remove(const std::string &kind, const std::string &name, std::uint64_t expected);
     standin_answer order(const standin_request &request);
     Json::Value toJson(
         std::size_t instance, const std::string &kind, const std::string &name, std::uint64_t revision, const Json::Value &spec) const;
--- a/mustardrouter/Proxy/engine_limits.cpp
+++ b/mustardrouter/Proxy/engine_limits.cpp
@@ -147,7 +147,7 @@
     std::vector<limit_instance> listed;
     listed.reserve(engine.instances.size());
     for (const listed_instance &instance : engine.instances) {
-        listed.push_back({instance.name, instance.capacity, instance.leaving});
+        listed.push_back({instance.name, instance.capacity, instance.leaving && !instance.unresponsive, instance.unresponsive});
     }
     onLimitInstances(engine.limits, listed, now);
     performLimitActions(engine, now);
--- a/mustardrouter/Proxy/listed_instance.h
+++ b/mustardrouter/Proxy/listed_instance.h
@@ -17,6 +17,8 @@
     /// Its share of a processor core; instances with more hold connections for more groups.
     double capacity = 1;
     bool leaving = false;
+    /// It is marked as leaving by another instance, which gets no replies from it.
+    bool unresponsive = false;
 
     bool operator==(const listed_instance &) const = default;
 };
--- a/mustardrouter/Workspaces/limit_engine.cpp
+++ b/mustardrouter/Workspaces/limit_engine.cpp
@@ -413,7 +413,7 @@
     std::vector<weighted_instance> ranked;
     std::vector<instance_name> names;
     for (const limit_instance &instance : listed) {
-        if (!instance.leaving && instance.capacity > 0) {
+        if (!instance.leaving && !instance.unresponsive && instance.capacity > 0) {
             ranked.push_back({instance.name.value(), instance.capacity});
             names.push_back(instance.name);
         }
--- a/mustardrouter/Workspaces/limit_ownership.cpp
+++ b/mustardrouter/Workspaces/limit_ownership.cpp
@@ -22,6 +22,29 @@
 constexpr duration heardValidFor = std::chrono::seconds(60);
 /// The same where the list has this instance as leaving: it may be the entry of before.
 constexpr duration heardAgainstListFor = std::chrono::seconds(10);
+/// Regions lose each other for minutes.
+constexpr duration removedCountsFor = std::chrono::minutes(10);
+
+/// The list, with the instances that were removed from it and may live.
+std::vector<limit_instance> withRemoved(limit_ownership &ownership, const std::vector<limit_instance> &listed, time_point now)
+{
+    for (const limit_instance &before : ownership.listed) {
+        if (!before.leaving && !ownership.removed.contains(before.name)) {
+            ownership.removed[before.name] = now + removedCountsFor;
+        }
+    }
+    for (const limit_instance &instance : listed) {
+        ownership.removed.erase(instance.name);
+    }
+    std::erase_if(ownership.removed, [&](const auto &removed) {
+        return removed.second <= now;
+    });
+    std::vector<limit_instance> all = listed;
+    for (const auto &[name, until] : ownership.removed) {
+        all.push_back({.name = name, .unresponsive = true});
+    }
+    return all;
+}
 
 bool isInList(const limit_ownership &ownership, const instance_name &name)
 {
@@ -102,7 +125,7 @@
 
 void onOwnershipList(limit_ownership &ownership, const limit_settings &settings, const std::vector<limit_instance> &listed, time_point now)
 {
-    ownership.listed = listed;
+    ownership.listed = withRemoved(ownership, listed, now);
     if (!ownership.listReceived) {
         ownership.listReceived = true;
         if (!isInList(ownership, settings.self)) {
--- a/mustardrouter/Workspaces/limit_ownership.h
+++ b/mustardrouter/Workspaces/limit_ownership.h
@@ -21,6 +21,9 @@
 struct limit_ownership {
     std::vector<limit_instance> listed;
     bool listReceived = false;
+    /// Instances whose entries were removed though they had not left, and until when they count as members: one that reaches neither the
+    /// store nor others may still spend its share.
+    std::map<instance_name, time_point> removed;
     /// This instance has been told to stop, and owns nothing more.
     bool leaving = false;
     /// Instances that have told that they join before the list did, and when.
