Edge: databases are not read from old data, and a change is as old as the copy before it

Cause: the watch of the databases allowed answers from old data, which may be seconds old, and the copy took the arrival of an answer for the time of the changes in it (recordAnswer: changedSince = now). The grace period of a leaving database began there. Its log: database_leaves with at_most_ms_ago 0, 6.4 s after the acknowledgement.

Ruled out: the pause of 0.9 s between watches alone (the bound breaks by 0.6 s with answers 6 s old; with fresh ones the notice comes 0.9 s late at most), the promotion (ordered 0 to 0.4 s after the notice), the bound of the stand-in (TROUBLE=0 held).

Change: databases are watched without allow_stale. changedSince is the last moment for which the copy is known to have been complete, in watches, lists and what other instances tell. The grace period counts from there and is the deployment's drain time less a second for the way; the invariant stands at acceptsWork. The watch is short enough to leave two seconds for the replacement of a primary after the notice.

Why it holds: completeSince is the time at which a request was sent whose answer is not stale, so whatever the answer lacks was accepted later.

One check of a test is replaced: changesReadAfterAFailureMayBeAsOldAsTheLastAnswer asked for a change "just now" by its arrival, which is the fault itself; it now asks for exactly the moment up to which the copy was complete, and for one before the change was made. feed_world's copies follow the product.

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -161,6 +161,13 @@
     {
         return m_server.address();
     }
+    /// Whether changes of this kind were asked for with leave to answer from old data; nothing if they were not asked for.
+    std::optional<bool> allowedStale(const std::string &kind)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto found = m_allowedStale.find(kind);
+        return found == m_allowedStale.end() ? std::nullopt : std::optional(found->second);
+    }
     /// Content of the last write; empty before the first.
     std::string lastWritten()
     {
@@ -179,6 +186,16 @@
         m_lastWritten = buffer.substr(0, bytes);
         buffer.erase(0, bytes);
     }
+    void recordWatch(const std::string &head)
+    {
+        const std::size_t kindAt = head.find("/v1/objects/") + std::string_view("/v1/objects/").size();
+        const std::size_t kindEnd = head.find("?watch=");
+        if (kindEnd != std::string::npos) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            bool &allowed = m_allowedStale[head.substr(kindAt, kindEnd - kindAt)];
+            allowed = allowed || head.find("allow_stale=1") != std::string::npos;
+        }
+    }
     void serve(tcp::socket &socket)
     {
         std::string buffer;
@@ -187,6 +204,7 @@
             if (const std::size_t bytes = bodyBytes(head); bytes > 0) {
                 takeWritten(socket, buffer, bytes);
             }
+            recordWatch(head);
             if (head.find("watch=") != std::string::npos) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(100));
                 body = R"({"events":[],"as_of":5})";
@@ -208,6 +226,7 @@
     std::string m_database;
     std::mutex m_mutex;
     std::string m_lastWritten;
+    std::map<std::string, bool> m_allowedStale;
     loopback_server m_server;
 };
 
@@ -416,6 +435,17 @@
     CHECK_TRUE(edge.ranToEnd);
 }
 
+TEST(edge_loopback, changesThatBindWhatMayBeSentAreNotReadFromOldData)
+{
+    // Review 7: a draining database was known seconds late, and nothing said how late.
+    running_edge edge;
+    for (int tries = 0; !edge.store.allowedStale(platform::databaseKind) && tries < 150; ++tries) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK_TRUE(edge.store.allowedStale(platform::databaseKind) == std::optional(false));
+    CHECK_TRUE(edge.store.allowedStale(platform::configurationKind) == std::optional(false));
+}
+
 TEST(edge_loopback, anInstanceThatStopsMarksItsEntryAlsoWhereNoGroupIsShared)
 {
     // Review 6: only instances that relayed did so; the entries of all others stayed as if they lived.
--- a/UnitTests/Edge/object_watch_test.cpp
+++ b/UnitTests/Edge/object_watch_test.cpp
@@ -147,10 +147,13 @@
     watched_store fixture(100ms);
     fixture.watch->start();
     fixture.context.run_for(100ms);
+    const time_point completeSince = fixture.watch->completeSince();
+    const time_point madeBefore = bootTime();
     fixture.store.objects().put("k", "b", "two");
     fixture.store.notifyWatches();
     fixture.context.run_for(100ms);
-    CHECK_TRUE(bootTime() - fixture.changedSince < 150ms);
+    CHECK_TRUE(fixture.changedSince == completeSince);
+    CHECK_TRUE(fixture.changedSince <= madeBefore);
     const time_point lostAt = bootTime();
     fixture.store.faults().down = store_failure::reset;
     fixture.store.disconnectWatches();
@@ -338,6 +341,37 @@
 
 } // namespace
 
+TEST(object_watch, aChangeMadeBeforeTheRequestWasSentIsNotTakenForANewOne)
+{
+    // Review 7: the arrival of an answer was taken for the time of its changes. After a change the next request waits.
+    watched_store fixture(200ms);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.notifyWatches();
+    fixture.context.run_for(10ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+    const time_point madeBefore = bootTime();
+    fixture.store.objects().put("k", "c", "three");
+    fixture.context.run_for(100ms);
+    CHECK_EQUAL(3U, fixture.objectCount);
+    CHECK_TRUE(fixture.changedSince <= madeBefore);
+}
+
+TEST(object_watch, aListIsAsOldAsItsRequest)
+{
+    watched_store fixture(200ms);
+    fixture.watch->start();
+    fixture.context.run_for(100ms);
+    const time_point madeBefore = bootTime();
+    fixture.store.objects().put("k", "b", "two");
+    fixture.store.objects().dropHistory();
+    fixture.store.disconnectWatches();
+    fixture.context.run_for(600ms);
+    CHECK_EQUAL(2U, fixture.objectCount);
+    CHECK_TRUE(fixture.changedSince <= madeBefore);
+}
+
 TEST(object_watch, aPausedWatchAsksNothingAndTakesOverWhatItIsTold)
 {
     watched_store fixture(100ms, 100ms);
--- a/UnitTests/Membership/feed_world.cpp
+++ b/UnitTests/Membership/feed_world.cpp
@@ -401,7 +401,7 @@
         copy.request = 0;
     }
     const time_point now = clockOf(instance);
-    const time_point changedSince = copy.reachable ? now : copy.completeSince;
+    const time_point changedSince = copy.completeSince;
     const bool full = what.changes.empty() && now - copy.sentAt >= copy.held;
     const bool changed = what.list || !what.changes.empty();
     if (what.list) {
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -55,6 +55,7 @@
     settings.limits.window = std::chrono::milliseconds(environment.quotaWindowMs);
     settings.limits.overrun = environment.quotaOverrun;
     settings.limits.slack = environment.quotaSlack;
+    settings.leavingGracePeriod = std::max(duration{}, std::chrono::milliseconds(environment.drainMs) - leavingMargin);
     const duration gracePeriod = std::chrono::milliseconds(environment.stopGraceMs);
     settings.sessionCloseJitter = std::min(settings.sessionCloseJitter, gracePeriod * sessionCloseTenths / 10);
     settings.transactionDrainTimeout = gracePeriod / 2;
--- a/mustardrouter/Edge/edge_platform.cpp
+++ b/mustardrouter/Edge/edge_platform.cpp
@@ -171,21 +171,23 @@
     };
     const watch_timing timing = watchTimingFor(std::chrono::milliseconds(m_environment.stableWindowMs));
     const std::uint64_t seed = m_engine.settings.seed;
-    // Stale reads may be seconds late. That is acceptable for databases, since a leaving one must be noticed within 7 s, but
-    // not for the configuration, which must be adopted within 3 s.
-    m_databaseWatch =
-        std::make_shared<object_watch>(m_context,
-                                       m_environment.storeAddress,
-                                       m_storeHistory,
-                                       object_watch::options{platform::databaseKind, databaseBatchDelay, true, databaseMaxBackoff, timing},
-                                       seed,
-                                       object_watch::handlers{[this](const object_watch::objects &objects, time_point changedSince) {
-                                                                  onDatabasesChanged(objects, changedSince);
-                                                              },
-                                                              onReachable("databases"),
-                                                              onListedAgain("databases"),
-                                                              onState,
-                                                              onTransfer("databases", false)});
+    // What may be sent rests on the age of the databases' entries and of the configuration: neither is read from old data. Of the list of
+    // instances nothing does.
+    const watch_timing databaseTiming =
+        databaseWatchTimingFor(std::chrono::milliseconds(m_environment.stableWindowMs), std::chrono::milliseconds(m_environment.drainMs));
+    m_databaseWatch = std::make_shared<object_watch>(
+        m_context,
+        m_environment.storeAddress,
+        m_storeHistory,
+        object_watch::options{platform::databaseKind, databaseBatchDelay, false, databaseMaxBackoff, databaseTiming},
+        seed,
+        object_watch::handlers{[this](const object_watch::objects &objects, time_point changedSince) {
+                                   onDatabasesChanged(objects, changedSince);
+                               },
+                               onReachable("databases"),
+                               onListedAgain("databases"),
+                               onState,
+                               onTransfer("databases", false)});
     m_configurationWatch = std::make_shared<object_watch>(
         m_context,
         m_environment.storeAddress,
--- a/mustardrouter/Edge/object_watch.cpp
+++ b/mustardrouter/Edge/object_watch.cpp
@@ -222,9 +222,9 @@
         return;
     }
     m_unreadable += page->unreadable;
-    const time_point changedSince = recordAnswer();
+    recordAnswer();
     if (afterName.empty()) {
-        m_listChangedSince = changedSince;
+        m_listChangedSince = m_completeSince;
         m_listPosition = page->position;
     }
     std::string lastName;
@@ -322,7 +322,6 @@
     }
     const platform::request_outcome outcome = era ? platform::outcomeOfStatus(response.status) : platform::request_outcome::noResponse;
     if (outcome == platform::request_outcome::historyExpired) {
-        // What the list shows may have changed at any time since the last answer.
         m_unanswered = true;
         m_isBehind = true;
         list({});
@@ -343,7 +342,8 @@
         return;
     }
     m_unreadable += changes->unreadable;
-    const time_point changedSince = recordAnswer();
+    recordAnswer();
+    const time_point changedSince = m_completeSince;
     // What was acknowledged before the request was sent is part of the answer; if the store held it to the end, what came until then.
     const bool heldToEnd = changes->changes.empty() && m_answeredAt - m_sentAt >= m_sentHeld;
     m_completeSince = std::max(m_completeSince, m_sentAt + (heldToEnd ? m_sentHeld : duration{}));
@@ -468,11 +468,9 @@
     return !m_listComplete || m_isBehind || (m_options.fewLargeObjects && m_consecutiveFailures > 0);
 }
 
-time_point object_watch::recordAnswer()
+void object_watch::recordAnswer()
 {
-    const time_point now = bootTime();
-    const time_point lastAnswerAt = std::exchange(m_answeredAt, now);
-    const time_point changedSince = m_unanswered ? lastAnswerAt : now;
+    m_answeredAt = bootTime();
     m_consecutiveFailures = 0;
     m_unanswered = false;
     if (!m_reachable) {
@@ -480,7 +478,6 @@
         m_handlers.onReachable(true);
         tellState();
     }
-    return changedSince;
 }
 
 void object_watch::tellState()
--- a/mustardrouter/Edge/object_watch.h
+++ b/mustardrouter/Edge/object_watch.h
@@ -45,8 +45,8 @@
         duration ageBefore{};
     };
     struct handlers {
-        /// Called with all objects after each change. The change was made after `changedSince`: after the last answer if requests
-        /// have failed since, else just now.
+        /// Called with all objects after each change. The change was made after `changedSince`, the last moment for which the copy is
+        /// known to have been complete. The arrival of the answer says nothing about that.
         std::function<void(const objects &, time_point changedSince)> onChange;
         /// Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable)> onReachable;
@@ -83,7 +83,8 @@
         std::string kind;
         /// Delay of the next watch request after a change, so that changes in quick succession cost one request.
         duration batchDelay{};
-        /// Watch requests may return changes seconds late, at a tenth of the cost. List requests are never stale.
+        /// Watch requests may return changes seconds late, at a tenth of the cost, so that completeSince() is too late by as much. Only for
+        /// kinds on whose age nothing rests. List requests are never stale.
         bool allowStale = false;
         /// Maximum pause between retries, before jitter of up to half of the pause is added.
         duration maxBackoff{};
@@ -148,8 +149,7 @@
     void takeChanges(platform::object_changes &changes, change_batch &batch);
     void scheduleRetry();
     void watchAfterDelay(duration delay);
-    /// Returns the time after which the changes in this answer were made.
-    time_point recordAnswer();
+    void recordAnswer();
     void recordFailure();
     void tellState();
     void tellTransfer(transfer what) const;
--- a/mustardrouter/Edge/watch_timing.cpp
+++ b/mustardrouter/Edge/watch_timing.cpp
@@ -1,5 +1,7 @@
 #include "mustardrouter/Edge/watch_timing.h"
 
+#include "mustardrouter/Membership/feed_settings.h"
+
 #include <algorithm>
 
 namespace mustardrouter
@@ -26,6 +28,13 @@
     return {held, held + responseMargin};
 }
 
+watch_timing databaseWatchTimingFor(duration stableWindow, duration drainTime)
+{
+    const duration limit = drainTime - leavingMargin - replacementTime - responseMargin - repetitionMargin;
+    const duration held = std::clamp<duration>(std::min(watchTimingFor(stableWindow).held, limit), minHeld, maxHeld);
+    return {held, held + responseMargin};
+}
+
 watch_timing probeTiming()
 {
     return {1ms, probeTimeout};
--- a/mustardrouter/Edge/watch_timing.h
+++ b/mustardrouter/Edge/watch_timing.h
@@ -17,6 +17,10 @@
 /// `stableWindow`, after which changes count as known.
 watch_timing watchTimingFor(duration stableWindow);
 
+/// The same for databases: also short enough that after the notice of a leaving primary there is time to replace it, while statements may
+/// still be sent to it. The copy may have been complete last when the request was sent.
+watch_timing databaseWatchTimingFor(duration stableWindow, duration drainTime);
+
 /// Times of a request that a working store answers at once; used after a failure, when the store may still be unresponsive.
 watch_timing probeTiming();
 
--- a/mustardrouter/Membership/feed_settings.cpp
+++ b/mustardrouter/Membership/feed_settings.cpp
@@ -13,8 +13,6 @@
 constexpr duration askJitter = 250ms;
 /// Connecting to the store, its answer to a request that it need not hold, and the adoption of what it tells.
 constexpr duration ownAnswer = 450ms;
-/// The store's answers about databases may be late by this much; an instance that asks itself has to bear that as well.
-constexpr duration lateNotice = 3000ms;
 /// Polls in the time for which a source's knowledge is used, and the limits of their interval.
 constexpr int pollsPerAgeLimit = 5;
 constexpr duration minPollInterval = 300ms;
@@ -33,7 +31,7 @@
 feed_settings feedSettingsFor(duration configurationDelay, duration drainTime, std::size_t minInstances, duration readTime)
 {
     feed_settings settings;
-    settings.ageLimit = std::min(configurationDelay, drainTime - lateNotice) - askJitter - ownAnswer - readTime;
+    settings.ageLimit = std::min(configurationDelay, drainTime - leavingMargin - replacementTime) - askJitter - ownAnswer - readTime;
     settings.askJitter = askJitter;
     settings.pollInterval = std::clamp(settings.ageLimit / pollsPerAgeLimit, minPollInterval, maxPollInterval);
     settings.held = settings.ageLimit - settings.pollInterval - answerMargin;
--- a/mustardrouter/Membership/feed_settings.h
+++ b/mustardrouter/Membership/feed_settings.h
@@ -8,6 +8,13 @@
 namespace mustardrouter
 {
 
+/// A statement is on its way to a leaving database no longer than this, after it was allowed to be sent: the network, a wait for this
+/// process, and TCP's first repetition.
+constexpr duration leavingMargin = std::chrono::milliseconds(1000);
+/// Time that is left at least, in touch, to replace a leaving primary once its instance has noticed that it leaves: the spread of orders
+/// (0.4 s), the questions before them, and the promotion (1 s).
+constexpr duration replacementTime = std::chrono::milliseconds(2000);
+
 /// Times of the passing on of the store's changes within a data centre; see docs/design/0021-passing-on-changes.md.
 struct feed_settings {
     /// In a data centre with fewer instances that are not leaving each asks the store itself. 0: each does everywhere.
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -52,7 +52,7 @@
     /// Connections of all instances as it last reported, and when.
     std::uint32_t connectionsInUse = 0;
     time_point connectionsReportedAt{};
-    /// When it last refused work for lack of capacity; the earliest time since when it may be leaving.
+    /// When it last refused work for lack of capacity; the last moment at which it was known not to leave, once it does.
     time_point overloadedAt{};
     time_point leavingSince{};
     /// Smoothed duration of a read from this instance, including the wait at the database, in microseconds,
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -141,7 +141,8 @@
 namespace
 {
 
-/// Whether statements may be sent to the database: a leaving one gets none after a grace period.
+/// Whether statements may be sent to the database. Invariant: there is a moment, less than the grace period ago, at which the platform's
+/// store is known not to have accepted that the database leaves. The arrival of the notice is no such moment.
 bool acceptsWork(const proxy_engine &engine, const database_state &database, time_point now)
 {
     return !database.listed.leaving || now - database.leavingSince < engine.settings.leavingGracePeriod;
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -67,8 +67,8 @@
     bool warmUpEnabled = true;
     /// The first connections are opened at random times within this span after the start.
     duration warmUpJitter = std::chrono::seconds(4);
-    /// A leaving database gets no new work after this time. At most 7 s are allowed, and the platform's notice may
-    /// be seconds late.
+    /// A leaving database gets no new work later than this after the last moment at which it was known not to leave. Deployments allow
+    /// 7 s or more.
     duration leavingGracePeriod = std::chrono::milliseconds(4000);
     /// First pause before a retry after a database refused a statement for lack of capacity.
     duration overloadBackoff = std::chrono::milliseconds(20);
