Proxy: the first statement of a transaction is checked where it is sent

Cause: whether the database may still be used was looked at before BEGIN only; the client sends its first statement up to tx_idle_ms later. A first statement that was refused for lack of a slot was repeated on the same connection, too.

Change: sendInTransaction checks the invariant of acceptsWork before the first statement that runs; if it no longer holds the transaction begins again at the database that serves it now, as nothing of it has run. A holder checks for itself.

--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -590,6 +590,38 @@
     engine.groupsToDispatch.insert(group->name);
 }
 
+namespace
+{
+
+/// Whether the first statement of a transaction may follow the BEGIN on this connection: the client may have rested in between.
+bool mayFollowBegin(proxy_engine &engine, const database_connection &connection, time_point now)
+{
+    if (connection.toHolder) {
+        // The holder decides when it sends the statement.
+        return true;
+    }
+    const database_state *database = databaseOf(engine, connection);
+    return database != nullptr && acceptsWork(engine, *database, now);
+}
+
+/// Begins the session's transaction again, at the database that serves it now. Nothing of it has run.
+void beginAgain(proxy_engine &engine, client_session &session, time_point now)
+{
+    client_transaction &transaction = *session.transaction;
+    const database_connection_id held = std::exchange(transaction.connection, database_connection_id{});
+    reportEvent(engine,
+                "transaction_begun_again",
+                {{"request", session.current->statement.id},
+                 {"transaction", transaction.beginStatementId},
+                 {"from", engine.connections.at(held).database.value()},
+                 {"why", "the database leaves"}});
+    transaction.phase = transaction_phase::waitingForConnection;
+    releaseConnection(engine, held, now);
+    queueForConnection(engine, session, now);
+}
+
+} // namespace
+
 void sendInTransaction(proxy_engine &engine, client_session &session, time_point now)
 {
     if (!mayContinueTransaction(engine, session)) {
@@ -597,6 +629,10 @@
         return;
     }
     database_connection &connection = engine.connections.at(session.transaction->connection);
+    if (session.transaction->statements == 0 && !mayFollowBegin(engine, connection, now)) {
+        beginAgain(engine, session, now);
+        return;
+    }
     session.transaction->statements += 1;
     session.current->floor.reset();
     session.current->needsPrimaryCheck = false;
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -300,6 +300,8 @@
     if (reply.code == reply_code::busy && reply.state == transaction_state::open && !connection.toHolder) {
         engine.counters.retries += 1;
         running.overloadRefusals += 1;
+        // It has not run.
+        session.transaction->statements -= 1;
         if (database_state *database = databaseOf(engine, connection)) {
             recordOverload(*database, now);
         }
