Proxy: a database that is gone is not used past the bound of one that leaves

Change: it is usable no longer than the grace period after the last moment at which it was known to be listed. Where the store could not be asked for longer than that, the 2.5 s stay, as entries that expired then come back within two seconds.

Figures: leaving_database.oneThatIsGoneIsNotUsedLater... fails before; oneThatIsMissingAfterAnOutage... passes on both.

--- a/UnitTests/Proxy/leaving_database_test.cpp
+++ b/UnitTests/Proxy/leaving_database_test.cpp
@@ -123,3 +123,39 @@
     }
     checkNoViolations(world);
 }
+
+TEST(leaving_database, oneThatIsGoneIsNotUsedLaterThanTheGracePeriodAfterItWasListedLast)
+{
+    leaving_world world;
+    world.storeUnavailable = true;
+    fake_client &client = world.connect("latest");
+    const database_name gone = world.primary().listed.name;
+    database_listing listing;
+    for (const auto &[name, database] : world.databases) {
+        if (name != gone) {
+            listing.push_back(database.listed);
+        }
+    }
+    // It was listed when the request was sent that is answered now.
+    const time_point listedUntil = world.now - (world.grace() - 500ms);
+    onListing(world.engine, listing, listedUntil, world.now);
+    world.performActions();
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "1").code == reply_code::done);
+    world.runFor(600ms);
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "2").code == reply_code::busy);
+    CHECK_FALSE(world.committed().contains(client.sent.id));
+}
+
+TEST(leaving_database, oneThatIsMissingAfterAnOutageOfTheStoreStaysUsableUntilItsEntryIsBack)
+{
+    leaving_world world;
+    fake_client &client = world.connect("latest");
+    onListing(world.engine, {}, world.now - 20s, world.now);
+    world.performActions();
+    world.runFor(1900ms);
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "1").code == reply_code::done);
+    world.publishListing();
+    world.runFor(3s);
+    CHECK_TRUE(world.sendAndWait(client, client_verb::write, "x", "2").code == reply_code::done);
+    checkNoViolations(world);
+}
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -18,6 +18,8 @@
     listed_database listed;
     /// Since when it is missing from the platform's list; the epoch while it is listed.
     time_point unlistedSince{};
+    /// How long it stays usable then.
+    time_point unlistedUntil{};
     std::vector<database_connection_id> connections;
     /// Workspaces that wait for their first connection.
     std::vector<connection_claim> claims;
--- a/mustardrouter/Proxy/engine_groups.cpp
+++ b/mustardrouter/Proxy/engine_groups.cpp
@@ -89,11 +89,20 @@
     }
 }
 
+/// How long a database may be used that is listed no longer. The same invariant holds as for one that leaves (acceptsWork), unless the
+/// store could not be asked: an entry that expired then is back soon.
+time_point usableUntil(const proxy_engine &engine, time_point listedUntil, time_point missingSince)
+{
+    const time_point lapses = missingSince + engine.settings.unlistedValidFor;
+    const time_point end = listedUntil + engine.settings.leavingGracePeriod;
+    return missingSince < end ? std::min(lapses, end) : lapses;
+}
+
 void removeUnlisted(proxy_engine &engine, group_state &group, time_point now)
 {
     for (auto it = group.databases.begin(); it != group.databases.end();) {
         database_state &database = it->second;
-        if (database.unlistedSince == time_point{} || now - database.unlistedSince < engine.settings.unlistedValidFor) {
+        if (database.unlistedSince == time_point{} || now < database.unlistedUntil) {
             ++it;
             continue;
         }
@@ -203,7 +212,8 @@
         for (auto &[databaseName, database] : group.databases) {
             if (!seen.contains(databaseName) && database.unlistedSince == time_point{}) {
                 database.unlistedSince = std::min(answeredAt, now);
-                scheduleGroupCheck(engine, group, database.unlistedSince + engine.settings.unlistedValidFor);
+                database.unlistedUntil = usableUntil(engine, changedSince, database.unlistedSince);
+                scheduleGroupCheck(engine, group, database.unlistedUntil);
             }
         }
     }
