Soak: entries of lost instances, old answers of the store, and refused orders

The stand-in of the store answers watches that allow it from the copies that it keeps for its returns, and may refuse promotion orders; seeds from 60000 play both, beside entries of instances that never existed.

--- a/UnitTests/PlatformStandIn/standin_store_test.cpp
+++ b/UnitTests/PlatformStandIn/standin_store_test.cpp
@@ -58,3 +58,31 @@
     remove(revision);
     CHECK_FALSE(store.objects().find("k", "a").has_value());
 }
+
+TEST(standin_store, onlyWatchesThatAllowItSeeTheObjectsOfBefore)
+{
+    asio::io_context context;
+    standin_store store(context, {}, 1);
+    const time_point start{100s};
+    store.objects().put("k", "a", "one");
+    const std::string revision = std::to_string(store.objects().revision());
+    store.keepCopy(start);
+    store.objects().put("k", "b", "two");
+    store.faults().staleness = 3s;
+    store.keepCopy(start + 1s);
+    asio::ip::tcp::socket client(context);
+    client.connect(endpointOrUnspecified(store.addInstance()));
+    const auto answer = [&](const std::string &further) {
+        asio::write(
+            client, asio::buffer("GET /v1/objects/k?watch=" + revision + "&wait_ms=20" + further + " HTTP/1.1\r\nHost: store\r\n\r\n"));
+        context.restart();
+        context.run_for(60ms);
+        std::string text(client.available(), '\0');
+        client.read_some(asio::buffer(text));
+        return text;
+    };
+    CHECK_TRUE(answer("").find("two") != std::string::npos);
+    CHECK_TRUE(answer("&allow_stale=1").find("two") == std::string::npos);
+    store.keepCopy(start + 5s);
+    CHECK_TRUE(answer("&allow_stale=1").find("two") != std::string::npos);
+}
--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -37,7 +37,7 @@
 TEST(fault_plan, everyKindOfFaultIsDrawn)
 {
     std::set<soak_fault> seen;
-    for (const std::uint64_t first : {1, 5'000, 10'000}) {
+    for (const std::uint64_t first : {1, 5'000, 10'000, 60'000}) {
         for (std::uint64_t seed = first; seed < first + 200; ++seed) {
             for (const planned_fault &fault : makePlan(seed, 25s).faults) {
                 seen.insert(fault.kind);
--- a/mustardrouter/PlatformStandIn/standin_store.cpp
+++ b/mustardrouter/PlatformStandIn/standin_store.cpp
@@ -115,6 +115,7 @@
 
 void standin_store::keepCopy(time_point now)
 {
+    m_copyCheckedAt = now;
     if (m_copies.empty() || m_copies.back().second.revision() != m_objects.revision()) {
         m_copies.emplace_back(now, m_objects);
     }
@@ -122,6 +123,9 @@
     while (m_copies.size() > 1 && now - m_copies[1].first > oldestCopy) {
         m_copies.pop_front();
     }
+    if (m_faults.staleness > duration{}) {
+        notifyWatches();
+    }
 }
 
 void standin_store::returnFromCopy(duration age, time_point now)
@@ -223,11 +227,8 @@
                           const std::string &kind,
                           const standin_http::responder &respond)
 {
-    pending_watch pending{instance, kind, toNumber(parameterOf(request, "watch")), respond, nullptr};
-    if (!m_objects.changesSince(kind, pending.since)) {
-        respond({410, "{}"});
-        return;
-    }
+    const bool allowsStale = parameterOf(request, "allow_stale") == "1";
+    pending_watch pending{instance, kind, toNumber(parameterOf(request, "watch")), allowsStale, respond, nullptr};
     if (answerWatch(pending, false)) {
         return;
     }
@@ -250,9 +251,25 @@
     });
 }
 
+const standin_objects &standin_store::seenBy(const pending_watch &pending) const
+{
+    if (!pending.allowsStale || m_faults.staleness == duration{} || m_copies.empty()) {
+        return m_objects;
+    }
+    const time_point seen = m_copyCheckedAt - m_faults.staleness;
+    const auto later = std::ranges::find_if(m_copies, [&](const auto &copy) {
+        return copy.first > seen;
+    });
+    return later == m_copies.begin() ? m_copies.front().second : std::prev(later)->second;
+}
+
 bool standin_store::answerWatch(pending_watch &pending, bool timedOut)
 {
-    const std::optional<std::vector<standin_change>> changes = m_objects.changesSince(pending.kind, pending.since);
+    const standin_objects &objects = seenBy(pending);
+    // What the instance knows already may be newer than what it is shown.
+    const bool isBehind = &objects != &m_objects && objects.revision() < pending.since;
+    const std::optional<std::vector<standin_change>> changes =
+        isBehind ? std::vector<standin_change>() : objects.changesSince(pending.kind, pending.since);
     if (!changes) {
         pending.respond({410, "{}"});
         return true;
@@ -268,7 +285,7 @@
         event["deleted"] = change.removed;
         body["events"].append(event);
     }
-    body["as_of"] = Json::UInt64(m_objects.revision());
+    body["as_of"] = Json::UInt64(std::max(objects.revision(), isBehind ? pending.since : 0));
     pending.respond({200, toText(body)});
     return true;
 }
@@ -333,6 +350,9 @@
 
 standin_answer standin_store::order(const standin_request &request)
 {
+    if (m_faults.refusesOrders) {
+        return {503, "{}"};
+    }
     const Json::Value body = parse(request.body);
     const auto holder = request.headers.find("Duty-Holder");
     const auto fence = request.headers.find("Fencing-Token");
--- a/mustardrouter/PlatformStandIn/standin_store.h
+++ b/mustardrouter/PlatformStandIn/standin_store.h
@@ -38,6 +38,10 @@
     bool writesLate = false;
     /// Percentage of promotion orders that get no answer and are executed seconds later.
     unsigned percentOrdersDelayed = 0;
+    /// Promotion orders are refused.
+    bool refusesOrders = false;
+    /// Watches that allow it are answered with the objects of so long ago, as far as copies are kept.
+    duration staleness{};
 };
 
 /// A promotion order.
@@ -84,6 +88,7 @@
         std::size_t instance;
         std::string kind;
         std::uint64_t since;
+        bool allowsStale;
         standin_http::responder respond;
         std::unique_ptr<asio::steady_timer> timer;
     };
@@ -99,12 +104,16 @@
     Json::Value toJson(
         std::size_t instance, const std::string &kind, const std::string &name, std::uint64_t revision, const Json::Value &spec) const;
     bool answerWatch(pending_watch &pending, bool timedOut);
+    /// The objects as this watch sees them now.
+    const standin_objects &seenBy(const pending_watch &pending) const;
 
     asio::io_context &m_context;
     handlers m_handlers;
     std::mt19937_64 m_random;
     standin_objects m_objects;
     std::deque<std::pair<time_point, standin_objects>> m_copies;
+    /// When the last copy was compared with the objects.
+    time_point m_copyCheckedAt{};
     std::uint64_t m_era = 1;
     bool m_checksFences = true;
     std::uint64_t m_requestCount = 0;
--- a/mustardrouter/Soak/fault_injector.cpp
+++ b/mustardrouter/Soak/fault_injector.cpp
@@ -64,6 +64,7 @@
     case soak_fault::storeForgets:
     case soak_fault::storeReturnsFromCopy:
     case soak_fault::ordersLate:
+    case soak_fault::ordersRefused:
     case soak_fault::configurationChange:
         return injectStoreFault(fault);
     case soak_fault::keysWithdrawn:
@@ -281,6 +282,11 @@
         return [&store] {
             store.faults().percentOrdersDelayed = 0;
         };
+    case soak_fault::ordersRefused:
+        store.faults().refusesOrders = true;
+        return [&store] {
+            store.faults().refusesOrders = false;
+        };
     default:
         if (store.faults().down == store_failure::none) {
             m_deployment.publishConfiguration();
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -39,6 +39,7 @@
 /// Seeds below it play workspaces, down to this one; the odd ones with store losses.
 constexpr std::uint64_t firstSeedWithWorkspaces = 5'000;
 constexpr std::uint64_t firstSeedWithPlannedWorkOnly = 40'000;
+constexpr std::uint64_t firstSeedWithOldEntries = 60'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -79,6 +80,7 @@
     "limit lowered",
     "limit raised",
     "workspace busy",
+    "orders refused",
 };
 
 class plan_builder
@@ -175,6 +177,23 @@
         }
     }
 
+    /// Adds a time in which promotion orders are refused, most of it while a database leaves.
+    void addRefusedOrders(soak_plan &plan, const soak_round &round)
+    {
+        constexpr std::uint64_t startSpreadMicros = 2'000'000;
+        planned_fault refusal;
+        refusal.kind = soak_fault::ordersRefused;
+        refusal.at = round.faultsFrom + duration(m_stopRandom() % startSpreadMicros);
+        refusal.length = round.quietFrom - refusal.at;
+        plan.faults.push_back(refusal);
+        planned_fault leaving = refusal;
+        leaving.kind = soak_fault::databaseLeaves;
+        leaving.at += duration(m_stopRandom() % startSpreadMicros);
+        leaving.target = static_cast<std::uint32_t>(m_stopRandom() % 1000);
+        leaving.variant = static_cast<std::uint32_t>(m_stopRandom() % 1000);
+        plan.faults.push_back(leaving);
+    }
+
     /// Changes after the return, of which half of the instances learn late.
     void addAfterStoreLoss(soak_plan &plan, const soak_round &round, const planned_fault &loss)
     {
@@ -303,7 +322,12 @@
 
 bool playsPlannedWorkOnly(std::uint64_t seed)
 {
-    return seed >= firstSeedWithPlannedWorkOnly;
+    return seed >= firstSeedWithPlannedWorkOnly && seed < firstSeedWithOldEntries;
+}
+
+bool playsOldEntries(std::uint64_t seed)
+{
+    return seed >= firstSeedWithOldEntries;
 }
 
 soak_plan makePlan(std::uint64_t seed, duration length)
@@ -328,6 +352,9 @@
         if (playsWorkspaces(seed)) {
             builder.addWorkspaceChanges(plan, round);
         }
+        if (playsOldEntries(seed)) {
+            builder.addRefusedOrders(plan, round);
+        }
         builder.addPlannedWork(plan, round);
         at = round.end;
     } while (at + faultPhaseLength + quietPhaseLength <= length);
--- a/mustardrouter/Soak/fault_plan.h
+++ b/mustardrouter/Soak/fault_plan.h
@@ -53,6 +53,8 @@
     limitRaised,
     /// A workspace sends many times its usual.
     workspaceBusy,
+    /// Promotion orders are refused; planned where entries are old.
+    ordersRefused,
     /// Number of kinds, not a fault.
     count,
 };
@@ -90,6 +92,9 @@
 /// Whether the soak of this seed has planned work only, and statements that take long.
 bool playsPlannedWorkOnly(std::uint64_t seed);
 
+/// Whether the soak of this seed plays a store whose answers are old where that is allowed, and which has entries of lost instances.
+bool playsOldEntries(std::uint64_t seed);
+
 /// Makes the plan for a seed: whole rounds within `length`, at least one.
 soak_plan makePlan(std::uint64_t seed, duration length);
 
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "mustardrouter/PlatformStandIn/delayed_call.h"
 #include "mustardrouter/PlatformStandIn/standin_documents.h"
+#include "platform/stored_objects.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,6 +33,9 @@
 constexpr std::size_t furtherRoutes = 1400;
 constexpr double bytesPerMegabit = 1e6 / 8;
 constexpr std::uint64_t firstVersion = 10;
+/// Longest delay of what the store shows where it may be old, and most entries of lost instances.
+constexpr std::uint64_t maxStalenessMillis = 6000;
+constexpr std::uint64_t maxLostInstances = 13;
 
 const char *const dataCentres[] = {"dc-a", "dc-b", "dc-c"};
 
@@ -44,13 +48,14 @@
     constexpr std::uint64_t passingOn = 7;
     constexpr std::uint64_t firstLarge = 30'000;
     const bool plannedWorkOnly = playsPlannedWorkOnly(seed);
-    const bool isLarge = seed >= firstLarge && !plannedWorkOnly;
+    const bool isLarge = seed >= firstLarge && !plannedWorkOnly && !playsOldEntries(seed);
     return {seed % kinds == kinds - 1,
             seed % kinds == 0 || both,
             isLarge || seed % passingOn == 3,
             playsWorkspaces(seed),
             isLarge,
-            plannedWorkOnly};
+            plannedWorkOnly,
+            playsOldEntries(seed)};
 }
 
 soak_deployment::soak_deployment(
@@ -73,6 +78,24 @@
         m_store.faults().bytesPerSecond = static_cast<std::size_t>(narrowLinkMegabits * bytesPerMegabit);
     }
     m_store.setChecksFences(!variant.replacedPrimariesContinue);
+    if (m_variant.entriesAreOld) {
+        m_store.faults().staleness = std::chrono::milliseconds(m_random() % maxStalenessMillis);
+        addLostInstances();
+    }
+}
+
+void soak_deployment::addLostInstances()
+{
+    const std::uint64_t count = m_random() % maxLostInstances;
+    for (std::uint64_t index = 0; index < count; ++index) {
+        listed_instance lost;
+        lost.name = instance_name("lost-" + std::to_string(index));
+        // Nobody listens there.
+        lost.relayAddress = "127.0.0.1:" + std::to_string(1 + index);
+        lost.dataCentre = dataCentres[index % std::size(dataCentres)];
+        const std::optional<Json::Value> entry = platform::decodeContent(platform::encodeInstance(lost));
+        m_store.objects().put(platform::instanceKind, lost.name.value(), (*entry)["spec"]);
+    }
 }
 
 bool soak_deployment::start(std::size_t groupCount, std::size_t instanceCount)
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -49,6 +49,8 @@
     bool configurationIsLarge = false;
     /// All work that disturbs instances is planned, and some statements take longer than an instance waits before it asks elsewhere.
     bool plannedWorkOnly = false;
+    /// The store has entries of lost instances from the start, and answers from old data where it may.
+    bool entriesAreOld = false;
 };
 
 /// Link of the instances where the configuration is large.
@@ -109,6 +111,8 @@
 
 private:
     void tick();
+    /// Enters instances that will never answer.
+    void addLostInstances();
     void publishEntries();
     void publishEntry(const standin_group &group, standin_member &member);
     /// Writes the newest version to the store.
