Edge: no more is read from a client whose waiting statements are large

Cause: what waits behind a session's statement was limited to 64 statements, not in bytes, and everything that a client sent was read at once.

Ruled out: unsent answers (reading pauses for these already, at 256 KB).

Change: with more than 64 KB waiting nothing more is read from that client until something has been answered; its own buffers hold the rest.

Not limited: one statement of 1 MB for each of many sessions.

--- a/UnitTests/Edge/edge_loopback_test.cpp
+++ b/UnitTests/Edge/edge_loopback_test.cpp
@@ -415,6 +415,26 @@
     CHECK_EQUAL(std::string("COMPLETE -"), client.readLine());
 }
 
+TEST(edge_loopback, largeStatementsThatAreSentWithoutAwaitingAnswersAreAllAnsweredInOrder)
+{
+    running_edge edge;
+    wire_client client(edge.environment.clientAddress);
+    client.exchange("STARTUP shop someone");
+    constexpr int count = 40;
+    std::string all;
+    for (int number = 0; number < count; ++number) {
+        all += "QUERY f" + std::to_string(number) + " WRITE x " + std::string(100'000, 'x') + "\r\n";
+    }
+    std::thread sender([&] {
+        send(client.socket, all);
+    });
+    for (int number = 0; number < count; ++number) {
+        CHECK_EQUAL("COMPLETE signed-f" + std::to_string(number), client.readLine());
+        client.readLine();
+    }
+    sender.join();
+}
+
 TEST(edge_loopback, stopLetsAnOpenTransactionFinishAndClosesIdleSessions)
 {
     running_edge edge;
--- a/UnitTests/Edge/line_stream_test.cpp
+++ b/UnitTests/Edge/line_stream_test.cpp
@@ -1,6 +1,7 @@
 #include "mustardrouter/Edge/line_stream.h"
 #include "mustardrouter/Network/tcp_options.h"
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
@@ -24,11 +25,15 @@
 /// A stream and the socket of its peer.
 struct connected_stream {
     asio::io_context context;
+    /// A paused stream leaves the context without work.
+    asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
     asio::ip::tcp::socket peer{context};
     std::shared_ptr<line_stream> stream;
     std::vector<std::string> lines;
     /// The stream replies to each line as it arrives.
     bool replies = false;
+    /// Reading pauses once with this many lines; 0: never.
+    std::size_t pausesAt = 0;
 
     connected_stream()
     {
@@ -37,6 +42,9 @@
         line_stream::handlers callbacks;
         callbacks.onLine = [this](std::string_view line) {
             lines.emplace_back(line);
+            if (lines.size() == pausesAt) {
+                stream->pauseReading();
+            }
             if (replies) {
                 stream->out() += "reply\n";
                 stream->flush();
@@ -169,3 +177,50 @@
     }
     CHECK_EQUAL(size, received);
 }
+
+TEST(line_stream, aPausedStreamDeliversNothingAndTheRestInOrderLater)
+{
+    // Review, flood: all that clients sent was read, whatever waited already.
+    constexpr std::size_t count = 3000;
+    connected_stream pair;
+    pair.pausesAt = 10;
+    std::string sent;
+    for (std::size_t number = 0; number < count; ++number) {
+        sent += "line number " + std::to_string(number) + "\r\n";
+    }
+    asio::write(pair.peer, asio::buffer(sent));
+    pair.context.run_for(std::chrono::milliseconds(50));
+    CHECK_EQUAL(10, pair.lines.size());
+    // Replies that are sent meanwhile don't let it go on.
+    pair.stream->out() += "reply\n";
+    pair.stream->flush();
+    pair.context.run_for(std::chrono::milliseconds(20));
+    CHECK_EQUAL(10, pair.lines.size());
+    pair.stream->resumeReading();
+    pair.runUntil(count);
+    CHECK_EQUAL(count, pair.lines.size());
+    for (std::size_t number = 0; number < count; ++number) {
+        CHECK_EQUAL("line number " + std::to_string(number), pair.lines[number]);
+    }
+    pair.stream->close();
+}
+
+TEST(line_stream, aPausedStreamThatIsClosedEnds)
+{
+    connected_stream pair;
+    pair.pausesAt = 1;
+    asio::write(pair.peer, asio::buffer(std::string("one\r\ntwo\r\n")));
+    pair.runUntil(1);
+    pair.stream->out() += "last\r\n";
+    pair.stream->closeAfterFlush();
+    std::thread reader([&] {
+        asio::error_code ended;
+        std::string text;
+        asio::read(pair.peer, asio::dynamic_buffer(text), ended);
+        CHECK_EQUAL(std::string("last\r\n"), text);
+        pair.peer.close(ended);
+    });
+    pair.context.run_for(std::chrono::milliseconds(300));
+    reader.join();
+    CHECK_EQUAL(1, pair.lines.size());
+}
--- a/UnitTests/Proxy/proxy_engine_test.cpp
+++ b/UnitTests/Proxy/proxy_engine_test.cpp
@@ -605,3 +605,21 @@
         CHECK_TRUE(world.engine.connections.at(id).state == database_connection_state::idle);
     }
 }
+
+TEST(proxy_engine, noMoreIsReadFromAClientWhoseWaitingStatementsAreLarge)
+{
+    ready_world world;
+    fake_client &client = world.connect("latest");
+    world.primary().full = true;
+    const std::string large(20'000, 'x');
+    world.send(client, client_verb::write, "x", large);
+    CHECK_TRUE(mayReadFrom(world.engine, client.id));
+    world.send(client, client_verb::write, "x", large);
+    CHECK_TRUE(mayReadFrom(world.engine, client.id));
+    world.send(client, client_verb::write, "x", large);
+    CHECK_FALSE(mayReadFrom(world.engine, client.id));
+    world.primary().full = false;
+    world.runFor(1s);
+    CHECK_EQUAL(3, client.replies.size());
+    CHECK_TRUE(mayReadFrom(world.engine, client.id));
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -260,7 +260,11 @@
         onSessionStarted(m_engine, id, start.database, now(), start.key);
     } else if (std::holds_alternative<client_statement>(message) && found->second.startupReceived) {
         found->second.statementReceivedAt = now();
+        const std::shared_ptr<line_stream> stream = found->second.stream;
         onStatement(m_engine, id, std::move(std::get<client_statement>(message)), now());
+        if (!mayReadFrom(m_engine, id)) {
+            stream->pauseReading();
+        }
     } else {
         platform::encodeSessionRefused(found->second.stream->out(), reply_code::malformed, "not a message that is expected here");
         const std::shared_ptr<line_stream> stream = found->second.stream;
@@ -417,6 +421,9 @@
         m_edgeMetrics.recordStatement(action.reply.code, std::chrono::duration<double>(now() - found->second.statementReceivedAt).count());
         platform::encodeClientReply(found->second.stream->out(), action.reply);
         m_streamsToFlush.push_back(found->second.stream);
+        if (mayReadFrom(m_engine, action.session)) {
+            found->second.stream->resumeReading();
+        }
     }
 }
 
--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -52,6 +52,25 @@
     });
 }
 
+void line_stream::pauseReading()
+{
+    m_paused = true;
+}
+
+void line_stream::resumeReading()
+{
+    if (!m_paused) {
+        return;
+    }
+    m_paused = false;
+    // The caller may be handling a line of this stream.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_ended && !self->m_closing && self->deliverLines()) {
+            self->read();
+        }
+    });
+}
+
 std::string &line_stream::out()
 {
     return m_pendingOutput;
@@ -125,7 +144,7 @@
 void line_stream::read()
 {
     // A flush in the line handler may have started a read already; a second one would overwrite the buffer of the first.
-    if (m_reading || m_ended) {
+    if (m_reading || m_ended || (m_paused && !m_closing)) {
         return;
     }
     m_reading = true;
@@ -154,7 +173,7 @@
     // A handler may close the stream and drop the last reference to it.
     const auto self = shared_from_this();
     std::string_view unread = m_input;
-    while (!m_ended && !m_closing) {
+    while (!m_ended && !m_closing && !m_paused) {
         const std::optional<std::string_view> line = takeLine(unread);
         if (!line) {
             break;
@@ -165,7 +184,7 @@
     if (m_input.empty() && m_input.capacity() > retainedCapacityBytes) {
         m_input.shrink_to_fit();
     }
-    if (!m_ended && !m_closing && m_input.size() >= m_maxLineBytes) {
+    if (!m_ended && !m_closing && !m_paused && m_input.size() >= m_maxLineBytes) {
         end(close_reason::lineTooLong);
     }
     return !m_ended;
--- a/mustardrouter/Edge/line_stream.h
+++ b/mustardrouter/Edge/line_stream.h
@@ -33,6 +33,9 @@
     void start();
     /// Connects, sends `startupMessage` and starts reading. A failure is reported through `onEnd`.
     void connect(const asio::ip::tcp::endpoint &to, std::string startupMessage);
+    /// Delivers no lines until resumeReading(), so that the peer's output waits in its own buffers.
+    void pauseReading();
+    void resumeReading();
     /// Output buffer to append to; sent by the next flush().
     std::string &out();
     /// Sends the buffered output.
@@ -63,6 +66,7 @@
     std::string m_writeBuffer;
     bool m_ended = false;
     bool m_reading = false;
+    bool m_paused = false;
     bool m_closing = false;
 };
 
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -293,6 +293,19 @@
     acceptOrRefuseSession(engine, session, now);
 }
 
+bool mayReadFrom(const proxy_engine &engine, session_id id)
+{
+    const auto found = engine.sessions.find(id);
+    if (found == engine.sessions.end()) {
+        return true;
+    }
+    std::size_t bytes = 0;
+    for (const client_statement &statement : found->second.queuedStatements) {
+        bytes += statement.text.size() + statement.value.size();
+    }
+    return bytes <= engine.settings.maxQueuedBytes;
+}
+
 void onStatement(proxy_engine &engine, session_id id, client_statement statement, time_point now)
 {
     const auto found = engine.sessions.find(id);
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -175,6 +175,9 @@
 void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now, const api_key &key = {});
 /// A client sent a statement.
 void onStatement(proxy_engine &engine, session_id id, client_statement statement, time_point now);
+/// Whether what the session's client sends next may be read: not while statements that wait for earlier ones have more than
+/// `maxQueuedBytes`.
+bool mayReadFrom(const proxy_engine &engine, session_id id);
 /// A client's connection was closed or lost.
 void onSessionClosed(proxy_engine &engine, session_id id, time_point now);
 
--- a/mustardrouter/Proxy/proxy_settings.h
+++ b/mustardrouter/Proxy/proxy_settings.h
@@ -22,6 +22,8 @@
     std::uint32_t maxConnectionsPerDatabase = 8;
     /// Most statements that wait in one session while another runs.
     std::size_t maxQueuedStatements = 64;
+    /// With more bytes in them than this, no more is read from the client until some have been answered. A statement has up to 1 MB.
+    std::size_t maxQueuedBytes = 64U << 10U;
     /// Opening a connection takes longer than this only when the network or the database is faulty.
     duration openTimeout = std::chrono::milliseconds(1000);
     /// The same for a link to a holder, which needs no more than two crossings of the network.
