Proxy: what is sent on a connection has a file of its own

No logic is changed: sendAutocommit, sendBegin, sendInTransaction and what they use are moved to engine_sending.cpp.

--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -57,8 +57,6 @@
 
 /// Queues the session for a connection and marks its group for dispatch.
 void queueForConnection(proxy_engine &engine, client_session &session, time_point now);
-/// Sends the session's current statement on the connection that its transaction holds.
-void sendInTransaction(proxy_engine &engine, client_session &session, time_point now);
 /// Dispatches the waiting sessions of the group as far as connections are available.
 void dispatch(proxy_engine &engine, group_state &group, time_point now);
 /// Dispatches all groups that are marked for dispatch.
@@ -68,10 +66,17 @@
 /// The group that serves the session's transaction or route; nullptr when the route is unknown.
 group_state *groupOf(proxy_engine &engine, const client_session &session);
 
+// Sending (engine_sending.cpp)
+
 /// Sends a statement outside of a transaction, with the primary checks that it needs.
 void sendAutocommit(proxy_engine &engine, client_session &session, database_connection &connection, time_point now);
 /// Sends the BEGIN of the session's transaction.
 void sendBegin(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now);
+/// Sends the session's current statement on the connection that its transaction holds.
+void sendInTransaction(proxy_engine &engine, client_session &session, time_point now);
+/// Whether statements may be sent to the database. Invariant: there is a moment, less than the grace period ago, at which the platform's
+/// store is known not to have accepted that the database leaves. The arrival of the notice is no such moment.
+bool acceptsWork(const proxy_engine &engine, const database_state &database, time_point now);
 
 // The store's history (engine_store_history.cpp)
 
