Proxy: values and role checks are answered before a statement follows

Cause: DISCARD, SET and the BEGIN and ROLLBACK of a role check were sent together with the statement that rests on them; their refusal arrived after it had run.

Change: what a statement or BEGIN rests on is sent first, on a connection that is kept for it; when the database has replied, the session is dispatched again and finds the connection ready. Inside a transaction the same holds for values that its client sets there.

--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -426,6 +426,11 @@
     if (command.floor && command.floor->position > reply.position->position) {
         return refuse(reply_code::lagging);
     }
+    if (command.kind != command_kind::status && database.refusalPercent > 0 && random() % 100 < database.refusalPercent) {
+        reply.code = reply_code::busy;
+        reply.state = fake.inTransaction ? transaction_state::open : transaction_state::none;
+        return reply;
+    }
     switch (command.kind) {
     case command_kind::begin:
     case command_kind::beginRead:
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -56,6 +56,8 @@
     bool full = false;
     /// Refuses ROLLBACK as it does when it is full; the transaction stays open.
     bool refusesRollback = false;
+    /// Percentage of requests other than STATUS that are refused and not run, whose replies tell the state truly.
+    unsigned refusalPercent = 0;
     /// Percentage of replies to clients' statements that are lost, together with all later replies on the connection.
     unsigned replyLossPercent = 0;
     std::map<database_connection_id, fake_connection> connections;
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -244,6 +244,9 @@
 /// Sends the statement if the workspace's limit allows. Returns whether the session no longer waits.
 bool sendAutocommitWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, time_point now)
 {
+    if (!isPrepared(engine, session, connection, session.current->needsPrimaryCheck, now)) {
+        return false;
+    }
     if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
         return *held;
     }
@@ -254,6 +257,9 @@
 /// The same for a BEGIN.
 bool sendBeginWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now)
 {
+    if (!isPrepared(engine, session, connection, false, now)) {
+        return false;
+    }
     if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
         return *held;
     }
@@ -364,6 +370,9 @@
         if (session.transaction->phase != transaction_phase::waitingForConnection) {
             return true;
         }
+        if (now < session.transaction->notBefore || isBeingPrepared(engine, session, now)) {
+            return false;
+        }
         if (!identify(engine, session)) {
             return refuseWaiting(engine, session, now);
         }
@@ -378,7 +387,7 @@
     if (!session.current || session.current->connection != database_connection_id{} || session.current->replyHeld) {
         return true;
     }
-    if (now < session.current->notBefore) {
+    if (now < session.current->notBefore || isBeingPrepared(engine, session, now)) {
         return false;
     }
     const auto sessionRoute = engine.routes.routes.find(session.database);
