Proxy: a session uses the connection that was prepared for it

A read ranked its databases anew after its connection had been prepared, and could choose another one, which had to be prepared in its turn.

--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -36,6 +36,9 @@
     if (found == group.databases.end() || !acceptsWork(engine, found->second, now)) {
         return nullptr;
     }
+    if (database_connection *prepared = preparedConnection(engine, session, name, now)) {
+        return prepared;
+    }
     return findOrOpenShared(engine, group, found->second, session, now);
 }
 
@@ -105,6 +108,12 @@
     }
     const std::vector<ranked_database> ranked =
         rankForRead({&group.databases, group.primary, &excludedDatabases, floor, true}, engine.settings, now, engine.random);
+    for (const ranked_database &candidate : ranked) {
+        // Another one would have to be prepared first.
+        if (database_connection *prepared = preparedConnection(engine, session, candidate.database->listed.name, now)) {
+            return prepared;
+        }
+    }
     std::vector<connection_option> options;
     options.reserve(ranked.size());
     for (const ranked_database &candidate : ranked) {
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -76,6 +76,8 @@
 /// missing, and the session has to be dispatched again. Invariant: no statement and no BEGIN of a client is sent before the database has
 /// replied that it has set the values, and that it has ended whatever transaction came before.
 bool isPrepared(proxy_engine &engine, client_session &session, database_connection &connection, bool checksPrimary, time_point now);
+/// The connection to the database that has been prepared for the session and is still free; nullptr without one.
+database_connection *preparedConnection(proxy_engine &engine, const client_session &session, const database_name &database, time_point now);
 /// Whether the session waits for a connection that is being prepared for it.
 bool isBeingPrepared(const proxy_engine &engine, const client_session &session, time_point now);
 /// The database refused to set a value or to prepare a statement.
--- a/mustardrouter/Proxy/engine_sending.cpp
+++ b/mustardrouter/Proxy/engine_sending.cpp
@@ -227,6 +227,14 @@
     return false;
 }
 
+database_connection *preparedConnection(proxy_engine &engine, const client_session &session, const database_name &database, time_point now)
+{
+    const auto found = engine.connections.find(session.preparing);
+    const bool isFree = found != engine.connections.end() && found->second.preparedFor == session.id && !found->second.toHolder
+                        && found->second.database == database && isUsableIdle(engine, found->second, now);
+    return isFree && !needsValues(found->second, session) ? &found->second : nullptr;
+}
+
 bool isBeingPrepared(const proxy_engine &engine, const client_session &session, time_point now)
 {
     const auto found = engine.connections.find(session.preparing);
