--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -125,9 +125,6 @@
     bool failureUntold = false;
     /// Whether it is in the group's queue for connections.
     bool waiting = false;
-    /// The connection that was last prepared for its statement or transaction, and since when; zero once something was sent.
-    database_connection_id preparing;
-    time_point preparingSince{};
     /// When the limit of its workspace last kept its statement waiting.
     time_point heldByLimitAt{};
 };
--- a/mustardrouter/Proxy/database_connection.h
+++ b/mustardrouter/Proxy/database_connection.h
@@ -69,8 +69,6 @@
     bool inTransaction = false;
     /// A transaction that was to end is still open at the database, as its reply tells; the connection is closed, which rolls it back.
     bool transactionLeftOpen = false;
-    /// The session for whose statement its values are being set or its database's role is being checked, until something else is sent on it.
-    session_id preparedFor;
     /// When the last successful primary check on this connection was sent.
     time_point primaryCheckedAt{};
     /// The client's statement that it last ran and that was given up before its reply, and when; for the log.
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -58,9 +58,6 @@
             const database_reply reply = std::move(*session->current->reply);
             session->current->reply.reset();
             transactionAnswered(engine, connection, *session, reply, now);
-        } else if (session->current && connection.preparedFor == session->id && !connection.valuesUncertain) {
-            connection.preparedFor = session_id{};
-            sendInTransaction(engine, *session, now);
         }
         return;
     }
@@ -389,7 +386,7 @@
     case reply_purpose::setup:
         if (reply.code != reply_code::done) {
             reportEvent(engine, "setup_refused", {{"database", connection.database.value()}, {"code", std::string(toString(reply.code))}});
-            preparationRefused(engine, connection, now);
+            connection.valuesUncertain = true;
         }
         break;
     case reply_purpose::primaryCheck:
@@ -619,7 +616,6 @@
 
 void checkConnection(proxy_engine &engine, database_connection &connection, time_point now)
 {
-    checkPreparation(engine, connection, now);
     if (connection.state == database_connection_state::opening && waitsForSlot(engine, connection, now)) {
         scheduleTimer(engine, now + engine.settings.probeInterval, timer_kind::connection, connection.id.value());
         return;
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -36,9 +36,6 @@
     if (found == group.databases.end() || !acceptsWork(engine, found->second, now)) {
         return nullptr;
     }
-    if (database_connection *prepared = preparedConnection(engine, session, name, now)) {
-        return prepared;
-    }
     return findOrOpenShared(engine, group, found->second, session, now);
 }
 
@@ -108,12 +105,6 @@
     }
     const std::vector<ranked_database> ranked =
         rankForRead({&group.databases, group.primary, &excludedDatabases, floor, true}, engine.settings, now, engine.random);
-    for (const ranked_database &candidate : ranked) {
-        // Another one would have to be prepared first.
-        if (database_connection *prepared = preparedConnection(engine, session, candidate.database->listed.name, now)) {
-            return prepared;
-        }
-    }
     std::vector<connection_option> options;
     options.reserve(ranked.size());
     for (const ranked_database &candidate : ranked) {
@@ -253,9 +244,6 @@
 /// Sends the statement if the workspace's limit allows. Returns whether the session no longer waits.
 bool sendAutocommitWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, time_point now)
 {
-    if (!isPrepared(engine, session, connection, session.current->needsPrimaryCheck, now)) {
-        return false;
-    }
     if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
         return *held;
     }
@@ -266,9 +254,6 @@
 /// The same for a BEGIN.
 bool sendBeginWithinLimit(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now)
 {
-    if (!isPrepared(engine, session, connection, false, now)) {
-        return false;
-    }
     if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::beforeSending, now)) {
         return *held;
     }
@@ -379,9 +364,6 @@
         if (session.transaction->phase != transaction_phase::waitingForConnection) {
             return true;
         }
-        if (now < session.transaction->notBefore || isBeingPrepared(engine, session, now)) {
-            return false;
-        }
         if (!identify(engine, session)) {
             return refuseWaiting(engine, session, now);
         }
@@ -396,7 +378,7 @@
     if (!session.current || session.current->connection != database_connection_id{} || session.current->replyHeld) {
         return true;
     }
-    if (now < session.current->notBefore || isBeingPrepared(engine, session, now)) {
+    if (now < session.current->notBefore) {
         return false;
     }
     const auto sessionRoute = engine.routes.routes.find(session.database);
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -72,18 +72,6 @@
 void sendAutocommit(proxy_engine &engine, client_session &session, database_connection &connection, time_point now);
 /// Sends the BEGIN of the session's transaction.
 void sendBegin(proxy_engine &engine, client_session &session, database_connection &connection, bool forReading, time_point now);
-/// Whether the connection has the session's values and, if that is needed, its database was checked to be primary; else sends what is
-/// missing, and the session has to be dispatched again. Invariant: no statement and no BEGIN of a client is sent before the database has
-/// replied that it has set the values, and that it has ended whatever transaction came before.
-bool isPrepared(proxy_engine &engine, client_session &session, database_connection &connection, bool checksPrimary, time_point now);
-/// The connection to the database that has been prepared for the session and is still free; nullptr without one.
-database_connection *preparedConnection(proxy_engine &engine, const client_session &session, const database_name &database, time_point now);
-/// Whether the session waits for a connection that is being prepared for it.
-bool isBeingPrepared(const proxy_engine &engine, const client_session &session, time_point now);
-/// The database refused to set a value or to prepare a statement.
-void preparationRefused(proxy_engine &engine, database_connection &connection, time_point now);
-/// Suspects a database that doesn't reply to the preparation of a connection.
-void checkPreparation(proxy_engine &engine, const database_connection &connection, time_point now);
 /// Sends the session's current statement on the connection that its transaction holds.
 void sendInTransaction(proxy_engine &engine, client_session &session, time_point now);
 /// Whether statements may be sent to the database. Invariant: there is a moment, less than the grace period ago, at which the platform's
