--- a/UnitTests/Edge/watch_timing_test.cpp
+++ b/UnitTests/Edge/watch_timing_test.cpp
@@ -1,4 +1,5 @@
 #include "mustardrouter/Edge/watch_timing.h"
+#include "mustardrouter/Membership/feed_settings.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -27,3 +28,12 @@
         CHECK_TRUE(timing.timeout > timing.held);
     }
 }
+
+TEST(watch_timing, afterTheNoticeOfALeavingPrimaryThereIsTimeToReplaceIt)
+{
+    for (const duration drainTime : {duration(7s), duration(10s)}) {
+        // The copy may have been complete last when the request was sent that is given up, and the repetition is answered.
+        const watch_timing timing = databaseWatchTimingFor(30s, drainTime);
+        CHECK_TRUE(timing.timeout + 500ms + replacementTime + leavingMargin <= drainTime);
+    }
+}
