--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -482,6 +482,7 @@
     : m_loop(loop)
     , m_name(std::move(name))
     , m_maxConnections(maxConnections)
+    , m_lag(replicaLag)
 {
 }
 
@@ -509,6 +510,23 @@
                      .port;
 }
 
+void service::fill(std::size_t commits)
+{
+    for (std::size_t index = 0; index < commits; ++index) {
+        m_log.push_back({"before", "-", {}});
+    }
+}
+
+void service::setLag(milliseconds lag)
+{
+    m_lag = lag;
+}
+
+std::size_t service::length() const
+{
+    return m_log.size();
+}
+
 void service::publish(object_store &store) const
 {
     for (const database &one : m_databases) {
@@ -547,7 +565,7 @@
     if (where.primary) {
         return m_log.size();
     }
-    const time_point until = clock_type::now() - replicaLag;
+    const time_point until = clock_type::now() - m_lag;
     return static_cast<std::size_t>(std::ranges::count_if(m_log, [&](const entry &one) {
         return one.at <= until;
     }));
@@ -682,7 +700,7 @@
         refuse("READONLY");
         return;
     }
-    runs.push_back({id, text, m_name, name, one->at->callers[link.get()], clock_type::now()});
+    runs.push_back({id, text, m_name, name, one->at->callers[link.get()], clock_type::now(), appliedAt(*one->at)});
     const std::string complete = "COMPLETE s" + std::to_string(++m_signatures) + "." + m_name + "\r\n";
     if (verb == "WRITE") {
         const std::string item = takeWord(rest);
@@ -766,6 +784,8 @@
             m_ready = true;
             m_link->output += std::exchange(m_waiting, {});
         } else if (word == "READY") {
+            takeWord(line);
+            m_answer.position = line;
             if (const auto callback = std::exchange(m_onAnswer, nullptr)) {
                 callback(m_answer);
             }
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -126,6 +126,8 @@
     /// The instance whose connection it came on.
     std::string caller;
     time_point at;
+    /// Number of the last commit in the log that it ran on.
+    std::size_t applied = 0;
 };
 
 /// A service: one primary, which holds the log, and replicas that apply it some time later.
@@ -134,6 +136,12 @@
 public:
     service(event_loop &loop, std::string name, std::size_t maxConnections);
     void addDatabase(const std::string &id, const std::string &zone, bool primary);
+    /// Fills the log with this many commits from before, under item names that no client uses.
+    void fill(std::size_t commits);
+    /// From now on replicas apply what they receive this much later.
+    void setLag(milliseconds lag);
+    /// Commits in the log.
+    std::size_t length() const;
     /// Enters the databases in the store.
     void publish(object_store &store) const;
     const std::string &name() const;
@@ -180,12 +188,14 @@
     std::size_t m_maxConnections;
     std::deque<database> m_databases;
     std::vector<entry> m_log;
+    milliseconds m_lag;
     std::uint64_t m_signatures = 0;
 };
 
 /// The reply to a statement; `code` is empty after a success.
 struct client_answer {
     std::string code;
+    std::string position;
     std::vector<std::string> rows;
     bool closed = false;
 };
