Proxy: a session's floor that is lowered is logged, with its group

Three hypotheses: a position of another group takes the place of the session's own; a floor is lowered by a reply that is never verified; the samples of the primary's position are too old. replica_lags named neither the group nor where its floor came from, and a lowered floor had no line, so the logs could not tell.

Change: own_commits_lowered (request, group, database, before, now, why), only when a position falls; replica_lags also has the group and the session's own commits. No behaviour changes.

--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -373,7 +373,8 @@
                                 && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
         // The holder returns a read below the floor only from a verified primary, whose log then lacks what the floor stood for.
         if (running.writes || rolledBack) {
-            session.ownCommits = reply.position;
+            setOwnCommits(
+                engine, session, connection.group, connection.database, reply.position, running.writes ? "committed" : "rolled back");
         }
         break;
     }
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -77,7 +77,7 @@
     if (running.needsPrimaryCheck && ownCommitsRolledBack) {
         // The log of the confirmed primary lacks commits of this session, so a promotion has rolled them back. The old floor
         // would block all further reads of the session.
-        session.ownCommits = reply.position;
+        setOwnCommits(engine, session, group.name, connection.database, reply.position, "rolled back");
     }
     (group.primary == connection.database ? engine.counters.primaryReads : engine.counters.replicaReads) += 1;
     if (running.needsPrimaryCheck) {
@@ -121,8 +121,10 @@
         reportEvent(engine,
                     "replica_lags",
                     {{"request", running.statement.id},
+                     {"group", group.name.value()},
                      {"database", connection.database.value()},
                      {"floor", textOf(running.floor)},
+                     {"own_commits", textOf(session.ownCommits)},
                      {"position", textOf(reply.position)}});
         running.excludedDatabases.push_back(connection.database);
         retry(engine, session, connection.database, "replica lags", {}, now);
@@ -157,7 +159,7 @@
     if (reply.code == reply_code::done) {
         connection.inTransaction = false;
         if (wrote && connection.toHolder) {
-            session.ownCommits = reply.position;
+            setOwnCommits(engine, session, group.name, connection.database, reply.position, "committed");
         } else if (wrote) {
             recordPrimary(engine, group, connection.database, reply.position, session.current->sentAt, now);
         }
@@ -186,6 +188,26 @@
 
 } // namespace
 
+void setOwnCommits(proxy_engine &engine,
+                   client_session &session,
+                   const group_name &group,
+                   const database_name &from,
+                   const std::optional<log_entry> &position,
+                   const char *reason)
+{
+    if (session.ownCommits && position < session.ownCommits) {
+        reportEvent(engine,
+                    "own_commits_lowered",
+                    {{"request", session.current->statement.id},
+                     {"group", group.value()},
+                     {"database", from.value()},
+                     {"before", textOf(session.ownCommits)},
+                     {"now", textOf(position)},
+                     {"why", reason}});
+    }
+    session.ownCommits = position;
+}
+
 client_reply toClient(const database_reply &reply)
 {
     client_reply result;
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -70,7 +70,7 @@
 void deliver(proxy_engine &engine, group_state &group, client_session &session, held_reply &held, time_point now)
 {
     if (held.writes) {
-        session.ownCommits = held.reply.position;
+        setOwnCommits(engine, session, group.name, held.database, held.reply.position, "committed");
         recordFirstWrite(engine, group, held.database, now);
     }
     if (session.transaction) {
