Proxy: a session's commits are kept by group

Cause: client_session::ownCommits was one position for all groups. (term, position) orders the entries of one log; at the second group a read took the shorter log for a rollback and a commit took the place of the entry, so that the first group's replicas were asked without a floor afterwards. Evidence: own_commits_lowered, 12 sessions, 12 lines, all by replies of the second group.

Change: own_commits.h, entries by group, with the invariant; the engine reaches an entry only by naming the group. An entry is lowered in one place, when a read that was verified is delivered (before, also by a reply that was then abandoned). A commit without a position stands for an unknown entry, and the next read is confirmed at the primary, in place of no floor at all.

--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Proxy/client_statement.h"
 #include "mustardrouter/Proxy/database_reply.h"
+#include "mustardrouter/Proxy/own_commits.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 #include "mustardrouter/Proxy/route_table.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
@@ -30,7 +31,7 @@
     time_point sentAt{};
     /// From then on its reply is overdue.
     time_point replyDueAt{};
-    /// Log entry that the replying database must have; none when a primary check takes its place.
+    /// Entry in the log of the connection's group that the replying database must have; none when a primary check takes its place.
     std::optional<log_entry> floor;
     bool needsPrimaryCheck = false;
     bool primaryCheckedAfter = false;
@@ -83,6 +84,7 @@
     transaction_phase phase = transaction_phase::waitingForConnection;
     database_connection_id connection;
     std::vector<database_name> excludedDatabases;
+    /// Entry in the log of the route's group that the database must have.
     std::optional<log_entry> floor;
     /// A reply that was delivered proved that the database was the only primary after the transaction began.
     bool primaryVerified = false;
@@ -116,8 +118,8 @@
     std::optional<client_transaction> transaction;
     std::optional<running_statement> current;
     std::deque<client_statement> queuedStatements;
-    /// Log entry up to which all commits acknowledged to this session are included.
-    std::optional<log_entry> ownCommits;
+    /// What was acknowledged to this session. For a relayed one: what the relaying instance says of the group of its current statement.
+    own_commits ownCommits;
     time_point idleSince{};
     /// From this instant on the session is closed once it is idle; the epoch while the instance does not stop.
     time_point closeAt{};
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -75,15 +75,16 @@
         requirement.needsConfirmedPrimary = true;
         return requirement;
     }
-    const bool ownCommitsRolledBack = session.ownCommits && group.primaryTerm > session.ownCommits->term;
-    if (sessionRoute.rule == read_rule::session && ownCommitsRolledBack) {
+    const std::optional<log_entry> own = sessionRoute.rule == read_rule::session ? floorOf(session.ownCommits, group.name) : std::nullopt;
+    const bool mayBeRolledBack = own && group.primaryTerm > own->term;
+    if (mayBeRolledBack || own == unknownEntry) {
         requirement.needsConfirmedPrimary = true;
         return requirement;
     }
     requirement.floor = floorAt(group.samples, arrivedAt - sessionRoute.maxAge);
     requirement.positionUnknown = !requirement.floor.has_value();
-    if (sessionRoute.rule == read_rule::session && session.ownCommits) {
-        requirement.floor = requirement.floor ? std::max(*requirement.floor, *session.ownCommits) : requirement.floor;
+    if (own && requirement.floor) {
+        requirement.floor = std::max(*requirement.floor, *own);
     }
     return requirement;
 }
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -197,13 +197,18 @@
 
 /// Queues the statement for another attempt, which starts after `pause` at the earliest.
 void retry(proxy_engine &engine, client_session &session, const database_name &from, const char *reason, duration pause, time_point now);
-/// Sets the session's own commits to a position of the group's log, and logs it if it was higher.
-void setOwnCommits(proxy_engine &engine,
+/// A commit of the session is acknowledged, which a database of the group, or a holder, has replied to; see own_commits.h.
+void recordOwnCommit(proxy_engine &engine,
+                     client_session &session,
+                     const group_name &group,
+                     const database_name &from,
+                     const std::optional<log_entry> &position);
+/// A read of the session is answered by a database of the group that is verified to be its only primary, or has the session's commits.
+void recordOwnRead(proxy_engine &engine,
                    client_session &session,
                    const group_name &group,
                    const database_name &from,
-                   const std::optional<log_entry> &position,
-                   const char *reason);
+                   const std::optional<log_entry> &position);
 /// The client's reply with the content of a database's reply.
 client_reply toClient(const database_reply &reply);
 /// Tells the client that it is unknown whether its statement was committed.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -237,7 +237,11 @@
     session.relayedTimeout = timeLeft;
     if (!session.transaction && !session.current) {
         session.database = database;
-        session.ownCommits = floor;
+        session.ownCommits = {};
+        const auto sessionRoute = engine.routes.routes.find(database);
+        if (floor && sessionRoute != engine.routes.routes.end()) {
+            recordCommit(session.ownCommits, sessionRoute->second.group, floor);
+        }
     }
     onStatement(engine, id, std::move(statement), now);
 }
@@ -332,7 +336,7 @@
         return false;
     }
     engine.counters.statementsRelayed += 1;
-    const std::optional<log_entry> floor = sessionRoute.rule == read_rule::session ? session.ownCommits : std::nullopt;
+    const std::optional<log_entry> floor = sessionRoute.rule == read_rule::session ? floorOf(session.ownCommits, group.name) : std::nullopt;
     if (begins) {
         session.transaction->floor = floor;
         sendBegin(engine, session, *connection, session.transaction->readOnly, now);
@@ -368,16 +372,14 @@
         connection.valuesUncertain = true;
         retry(engine, session, connection.database, "prepared statement lost", {}, now);
         return;
-    case reply_code::done: {
-        const bool rolledBack = session.ownCommits && reply.position
-                                && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
-        // The holder returns a read below the floor only from a verified primary, whose log then lacks what the floor stood for.
-        if (running.writes || rolledBack) {
-            setOwnCommits(
-                engine, session, connection.group, connection.database, reply.position, running.writes ? "committed" : "rolled back");
+    case reply_code::done:
+        if (running.writes) {
+            recordOwnCommit(engine, session, connection.group, connection.database, reply.position);
+        } else {
+            // The holder returns a read below the floor only from a verified primary, whose log then lacks what the floor stood for.
+            recordOwnRead(engine, session, connection.group, connection.database, reply.position);
         }
         break;
-    }
     default:
         reportEvent(engine,
                     "relayed_statement_failed",
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -19,6 +19,27 @@
     return entry ? std::to_string(entry->term.value()) + "." + std::to_string(entry->position.value()) : std::string("-");
 }
 
+void reportLowered(proxy_engine &engine,
+                   const client_session &session,
+                   const group_name &group,
+                   const database_name &from,
+                   const std::optional<log_entry> &before,
+                   const char *reason)
+{
+    const std::optional<log_entry> after = floorOf(session.ownCommits, group);
+    if (after >= before) {
+        return;
+    }
+    reportEvent(engine,
+                "own_commits_lowered",
+                {{"request", session.current->statement.id},
+                 {"group", group.value()},
+                 {"database", from.value()},
+                 {"before", textOf(before)},
+                 {"now", textOf(after)},
+                 {"why", reason}});
+}
+
 /// Backoff before the next attempt after an overloaded database refused the statement. A read that another database may
 /// serve is retried at once the first time.
 duration overloadBackoffOf(const proxy_engine &engine, const running_statement &running)
@@ -72,13 +93,6 @@
         recordReadTime(*database, now - (waited ? running.admittedAt : running.sentAt), now, work);
         recordReadDuration(engine, group, session, now - running.sentAt);
     }
-    const bool ownCommitsRolledBack =
-        session.ownCommits && reply.position && (*reply.position < *session.ownCommits || reply.position->term > session.ownCommits->term);
-    if (running.needsPrimaryCheck && ownCommitsRolledBack) {
-        // The log of the confirmed primary lacks commits of this session, so a promotion has rolled them back. The old floor
-        // would block all further reads of the session.
-        setOwnCommits(engine, session, group.name, connection.database, reply.position, "rolled back");
-    }
     (group.primary == connection.database ? engine.counters.primaryReads : engine.counters.replicaReads) += 1;
     if (running.needsPrimaryCheck) {
         releaseEarlierRun(engine, session, now);
@@ -124,7 +138,7 @@
                      {"group", group.name.value()},
                      {"database", connection.database.value()},
                      {"floor", textOf(running.floor)},
-                     {"own_commits", textOf(session.ownCommits)},
+                     {"own_commits", textOf(floorOf(session.ownCommits, group.name))},
                      {"position", textOf(reply.position)}});
         running.excludedDatabases.push_back(connection.database);
         retry(engine, session, connection.database, "replica lags", {}, now);
@@ -159,7 +173,7 @@
     if (reply.code == reply_code::done) {
         connection.inTransaction = false;
         if (wrote && connection.toHolder) {
-            setOwnCommits(engine, session, group.name, connection.database, reply.position, "committed");
+            recordOwnCommit(engine, session, group.name, connection.database, reply.position);
         } else if (wrote) {
             recordPrimary(engine, group, connection.database, reply.position, session.current->sentAt, now);
         }
@@ -188,24 +202,27 @@
 
 } // namespace
 
-void setOwnCommits(proxy_engine &engine,
+void recordOwnCommit(proxy_engine &engine,
+                     client_session &session,
+                     const group_name &group,
+                     const database_name &from,
+                     const std::optional<log_entry> &position)
+{
+    const std::optional<log_entry> before = floorOf(session.ownCommits, group);
+    recordCommit(session.ownCommits, group, position);
+    reportLowered(engine, session, group, from, before, "committed");
+}
+
+void recordOwnRead(proxy_engine &engine,
                    client_session &session,
                    const group_name &group,
                    const database_name &from,
-                   const std::optional<log_entry> &position,
-                   const char *reason)
+                   const std::optional<log_entry> &position)
 {
-    if (session.ownCommits && position < session.ownCommits) {
-        reportEvent(engine,
-                    "own_commits_lowered",
-                    {{"request", session.current->statement.id},
-                     {"group", group.value()},
-                     {"database", from.value()},
-                     {"before", textOf(session.ownCommits)},
-                     {"now", textOf(position)},
-                     {"why", reason}});
+    const std::optional<log_entry> before = floorOf(session.ownCommits, group);
+    if (recordVerifiedLog(session.ownCommits, group, position)) {
+        reportLowered(engine, session, group, from, before, "rolled back");
     }
-    session.ownCommits = position;
 }
 
 client_reply toClient(const database_reply &reply)
--- a/mustardrouter/Proxy/engine_verification.cpp
+++ b/mustardrouter/Proxy/engine_verification.cpp
@@ -70,8 +70,10 @@
 void deliver(proxy_engine &engine, group_state &group, client_session &session, held_reply &held, time_point now)
 {
     if (held.writes) {
-        setOwnCommits(engine, session, group.name, held.database, held.reply.position, "committed");
+        recordOwnCommit(engine, session, group.name, held.database, held.reply.position);
         recordFirstWrite(engine, group, held.database, now);
+    } else if (!session.transaction) {
+        recordOwnRead(engine, session, group.name, held.database, held.reply.position);
     }
     if (session.transaction) {
         session.transaction->primaryVerified = true;
