Proxy: a statement that pauses while its route moves is served after the pause

Callers saw: busy, "no connection in time", after the whole time of the route, for a statement that a full database had refused just before its route moved, if nothing else happened in the new group.

Cause: a pause ends with a dispatch timer of the group, and the one that was set belonged to the group before; queued again, the session waited for any other event.

Change: where a session is queued again because its route has moved, the timer is set for the new group.

Figures: route_move.aStatementThatPausesWhileItsRouteMovesIsServedOnceThePauseIsOver fails without it (2 of 3 replies after 500 ms).

--- a/UnitTests/Proxy/route_move_test.cpp
+++ b/UnitTests/Proxy/route_move_test.cpp
@@ -142,3 +142,23 @@
         checkNoViolations(world);
     }
 }
+
+TEST(route_move, aStatementThatPausesWhileItsRouteMovesIsServedOnceThePauseIsOver)
+{
+    // The timer of the pause belonged to the group before, and nothing else happened in the new one.
+    two_group_world world;
+    fake_client &client = world.connect("session");
+    world.moveEverywhere(secondGroup);
+    checkDone(world, client, client_verb::write);
+    world.moveEverywhere(firstGroup);
+    checkDone(world, client, client_verb::write);
+    for (auto &[name, database] : world.databases) {
+        database.full = database.listed.group == firstGroup;
+    }
+    world.send(client, client_verb::write, "x", "2");
+    world.runFor(50ms);
+    world.moveEverywhere(secondGroup);
+    world.runFor(500ms);
+    CHECK_EQUAL(3, client.replies.size());
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+}
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -507,7 +507,11 @@
         client_session &session = found->second;
         session.waiting = false;
         if (const group_state *served = groupOf(engine, session); served != nullptr && served != &group) {
-            // Its route has changed to another service since it was queued.
+            // Its route has changed to another group since it was queued. The timer of a pause belongs to the group before.
+            const time_point notBefore = session.transaction ? session.transaction->notBefore
+                                         : session.current   ? session.current->notBefore
+                                                             : now;
+            scheduleTimer(engine, std::max(now, notBefore), timer_kind::dispatch, 0, served->name);
             queueForConnection(engine, session, now);
             continue;
         }
