Relaying: a statement names the group that it is for

Cause: a relayed statement carried the name of its route and a bare position. The holder looked the route up in its own version of the configuration, and its reply's position was stored as one of the group that the relaying instance meant.

Change: the first message of a statement or transaction has the group, the read rule and the maximum age. A holder whose own route leads to another group runs nothing and says so, whichever of the two is newer; with the same group the stricter of both rules holds. A position from a build that names no groups is not used: the next read is confirmed at the primary. Design: relayed_route.h, engine_routes.cpp; metric relayed_to_other_route_total, event holder_has_other_route.

Weighed: serving by the newer of both. Neither knows which is newer without sending the version too, and an instance would answer by turns at both services while it is cut off.

Figures: route_move, eight more tests, and proxy_random with moving routes, lagging replicas and instances at different versions (80 plays).

--- a/UnitTests/Edge/relay_links_test.cpp
+++ b/UnitTests/Edge/relay_links_test.cpp
@@ -34,6 +34,8 @@
     std::map<std::uint64_t, std::string> replies;
     std::vector<std::string> statements;
     std::vector<caller_identity> callers;
+    std::vector<std::optional<relayed_route>> served;
+    std::vector<bool> atNamedGroup;
     std::vector<relay_channel> channels;
     std::vector<bool> opens;
     std::vector<relay_channel> closedChannels;
@@ -49,18 +51,15 @@
         record.closed.push_back(id.value());
         record.lastSent.push_back(lastSent);
     };
-    handlers.onReplies = [&](database_connection_id id, std::string_view lines) {
+    handlers.onReplies = [&](database_connection_id id, std::string_view lines, bool atNamedGroup) {
+        record.atNamedGroup.push_back(atNamedGroup);
         record.replies[id.value()] += lines;
     };
-    handlers.onStatements = [&](const relay_channel &channel,
-                                bool opens,
-                                const std::string &route,
-                                duration timeLeft,
-                                const caller_identity &caller,
-                                std::string_view lines) {
-        const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-        record.statements.push_back(route + " " + std::to_string(millis) + " " + std::string(lines));
-        record.callers.push_back(caller);
+    handlers.onStatements = [&](const relay_channel &channel, bool opens, const statement_header &header, std::string_view lines) {
+        const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(header.timeLeft).count();
+        record.statements.push_back(header.route + " " + std::to_string(millis) + " " + std::string(lines));
+        record.callers.push_back(header.caller);
+        record.served.push_back(header.served);
         record.channels.push_back(channel);
         record.opens.push_back(opens);
     };
@@ -145,10 +144,10 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 2;
     });
-    pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"route-a", 700ms}, "QUERY a READ x\r\n");
     // A name need not be UTF-8.
     const caller_identity caller{workspace_name("w\xff"), key_digest(0xfedcba9876543210)};
-    pair.entry.send(two, "route-b", 800ms, "QUERY b READ y\r\n", caller);
+    pair.entry.send(two, {"route-b", 800ms, caller}, "QUERY b READ y\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 2;
     });
@@ -188,7 +187,7 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 1;
     });
-    pair.entry.send(one, "r", 1s, "QUERY a BEGIN\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY a BEGIN\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
@@ -198,7 +197,7 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 2 && pair.atHolder.closedChannels.size() == 1;
     });
-    pair.entry.send(two, "r", 1s, "QUERY b BEGIN\r\n");
+    pair.entry.send(two, {"r", 1s}, "QUERY b BEGIN\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 2;
     });
@@ -218,7 +217,7 @@
     asio::write(stranger, asio::buffer(std::string("\x05hello, no frame\xff\xff\xff\xff\xff\xff")));
     pair.context.run_for(20ms);
     pair.context.restart();
-    pair.entry.send(one, "r", 1s, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY a READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
@@ -232,12 +231,12 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 1;
     });
-    pair.entry.send(one, "r", 1s, "QUERY - SET a 1\r\nQUERY a READ x\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY - SET a 1\r\nQUERY a READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
     // Both are under way at once.
-    pair.entry.send(one, "r", 1s, "QUERY b READ x\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY b READ x\r\n");
     pair.holder.closeChannel(pair.atHolder.channels.front());
     pair.runUntil([&] {
         return pair.atEntry.closed.size() == 1;
@@ -328,7 +327,7 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 1;
     });
-    pair.entry.send(one, "r", 1s, "QUERY a WRITE x 1\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY a WRITE x 1\r\n");
     pair.runUntil([&] {
         return pair.atEntry.closed.size() == 1;
     });
@@ -343,13 +342,13 @@
     pair.runUntil([&] {
         return pair.atEntry.opened.size() == 2;
     });
-    pair.entry.send(one, "r", 1s, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY a READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
     pair.holder.refuseNewChannels();
-    pair.entry.send(two, "r", 1s, "QUERY b WRITE x 1\r\n");
-    pair.entry.send(one, "r", 1s, "QUERY c READ x\r\n");
+    pair.entry.send(two, {"r", 1s}, "QUERY b WRITE x 1\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY c READ x\r\n");
     pair.runUntil([&] {
         return pair.atEntry.closed.size() == 1 && pair.atHolder.statements.size() == 2;
     });
@@ -375,7 +374,7 @@
     const std::string laterField = "\xfa\x01\x02\x08\x01";
     CHECK_TRUE(unknown.ParseFromString(laterField));
     pair.entry.sendToPeer(pair.address, unknown);
-    pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"route-a", 700ms}, "QUERY a READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
@@ -390,7 +389,7 @@
         return pair.atEntry.opened.size() == 1;
     });
     pair.entry.dropUnusedLink(pair.address);
-    pair.entry.send(one, "route-a", 700ms, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"route-a", 700ms}, "QUERY a READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 1;
     });
@@ -400,9 +399,31 @@
     });
     pair.entry.dropUnusedLink(pair.address);
     pair.entry.open(two, pair.address);
-    pair.entry.send(two, "route-b", 700ms, "QUERY b READ x\r\n");
+    pair.entry.send(two, {"route-b", 700ms}, "QUERY b READ x\r\n");
     pair.runUntil([&] {
         return pair.atHolder.statements.size() == 2;
     });
     CHECK_TRUE(pair.atHolder.channels[0].link != pair.atHolder.channels[1].link);
 }
+
+TEST(relay_links, theGroupThatAMessageNamesArrivesWithItsReadRuleAndRepliesAreMarkedAsItsOwn)
+{
+    linked_pair pair;
+    pair.entry.open(one, pair.address);
+    pair.runUntil([&] {
+        return !pair.atEntry.opened.empty();
+    });
+    const relayed_route named{group_name("g"), read_rule::session, 2500ms};
+    pair.entry.send(one, {"r", 1s, {}, named}, "QUERY a READ x\r\n");
+    pair.entry.send(one, {"r", 1s}, "QUERY b READ x\r\n");
+    pair.runUntil([&] {
+        return pair.atHolder.served.size() == 2;
+    });
+    CHECK_TRUE(pair.atHolder.served[0] == named);
+    CHECK_FALSE(pair.atHolder.served[1].has_value());
+    pair.holder.reply(pair.atHolder.channels.front(), "READY I 3.4\r\n");
+    pair.runUntil([&] {
+        return !pair.atEntry.atNamedGroup.empty();
+    });
+    CHECK_TRUE(pair.atEntry.atNamedGroup.front());
+}
--- a/UnitTests/Proxy/proxy_random_test.cpp
+++ b/UnitTests/Proxy/proxy_random_test.cpp
@@ -95,7 +95,41 @@
     }
 }
 
-/// Withdraws, adds or moves a key. Each instance reads the version up to half a second after the operator wrote it.
+/// Has each instance read the next version up to half a second after the operator wrote it.
+void publishVersion(proxy_world &world)
+{
+    world.lastVersion += 1;
+    for (proxy_engine *instance : {&world.engine, world.entry.get()}) {
+        if (instance == nullptr) {
+            continue;
+        }
+        const duration wait = 1ms * static_cast<int>(world.random() % 500);
+        world.events.emplace(
+            world.now + wait, [&world, instance, table = world.workspaces, groups = world.groupByRoute, version = world.lastVersion] {
+                world.workspaces = table;
+                world.groupByRoute = groups;
+                world.configure(*instance, version);
+            });
+    }
+}
+
+const group_name secondGroup("h");
+
+/// Moves routes between the two groups, and changes the lag of replicas, so that either log may be the shorter one.
+void moveRoutes(proxy_world &world)
+{
+    for (const char *name : {"latest", "session", "age"}) {
+        world.groupByRoute[name] = world.random() % 2 == 0 ? group_name("g") : secondGroup;
+    }
+    publishVersion(world);
+    for (auto &[name, database] : world.databases) {
+        if (database.listed.group == secondGroup) {
+            database.lag = world.random() % 2 == 0 ? 10ms : 1ms * static_cast<int>(world.random() % 3000);
+        }
+    }
+}
+
+/// Withdraws, adds or moves a key.
 void changeKeys(proxy_world &world)
 {
     const char *keys[] = {"key-0", "key-1", "key-2"};
@@ -106,17 +140,7 @@
         }
     }
     world.setWorkspaces(all);
-    world.lastVersion += 1;
-    for (proxy_engine *instance : {&world.engine, world.entry.get()}) {
-        if (instance == nullptr) {
-            continue;
-        }
-        const duration wait = 1ms * static_cast<int>(world.random() % 500);
-        world.events.emplace(world.now + wait, [&world, instance, table = world.workspaces, version = world.lastVersion] {
-            world.workspaces = table;
-            world.configure(*instance, version);
-        });
-    }
+    publishVersion(world);
 }
 
 /// What a replaced primary does, what the engine expects of it, and which instances there are.
@@ -127,6 +151,8 @@
     bool relays = false;
     /// Clients have keys, which are withdrawn, added and moved.
     bool workspaces = false;
+    /// Routes move between two groups.
+    bool movesRoutes = false;
     /// Statements take up to 3 s while there are faults, and openings and statuses up to 1.5 s.
     bool longStatements = false;
 };
@@ -182,6 +208,10 @@
         world.setWorkspaces(allKeys);
     }
     world.addGroup();
+    if (kind.movesRoutes) {
+        world.addGroup(secondGroup.value(), "other-");
+        world.groupByRoute["open"] = secondGroup;
+    }
     world.configure(1);
     const char *routes[] = {"latest", "session", "age"};
     if (kind.relays) {
@@ -207,7 +237,13 @@
         if (kind.workspaces && step > 40 && step < 300 && world.random() % 15 == 0) {
             changeKeys(world);
         }
+        if (kind.movesRoutes && step > 40 && step < 300 && world.random() % 12 == 0) {
+            moveRoutes(world);
+        }
         world.writeFromOtherInstance();
+        if (kind.movesRoutes && world.random() % 3 == 0) {
+            world.writeFromOtherInstance(secondGroup);
+        }
         world.runFor(20ms);
         if (step > 40 && step < 300 && world.random() % 25 == 0) {
             changeFaults(world);
@@ -224,6 +260,10 @@
                 world.setWorkspaces(allKeys);
                 world.configure(world.lastVersion + 1);
             }
+            if (kind.movesRoutes) {
+                world.runFor(500ms);
+                world.configure(world.lastVersion + 1);
+            }
             for (auto &[name, database] : world.databases) {
                 world.restart(database);
                 database.full = false;
@@ -319,6 +359,19 @@
     }
 }
 
+TEST(proxy_random, guaranteesHoldWhileRoutesMoveBetweenGroups)
+{
+    constexpr std::uint64_t scenarios = 40;
+    for (std::uint64_t seed = 1; seed <= scenarios; ++seed) {
+        for (const bool relays : {false, true}) {
+            const bool continues = seed % 2 == 0;
+            const std::string problem =
+                runScenario(seed, {.continues = continues, .engineExpectsThat = continues, .relays = relays, .movesRoutes = true});
+            CHECK_TRUE_TEXT(problem.empty(), problem.c_str());
+        }
+    }
+}
+
 TEST(proxy_random, guaranteesHoldForLongStatementsUnderOverlappingFaults)
 {
     constexpr std::uint64_t scenarios = 40;
--- a/UnitTests/Proxy/proxy_world.cpp
+++ b/UnitTests/Proxy/proxy_world.cpp
@@ -88,7 +88,8 @@
         const auto moved = groupByRoute.find(name);
         const group_name group = moved == groupByRoute.end() ? group_name("g") : moved->second;
         table.groups[group] = {connectionLimit, 0};
-        table.routes[name] = {group, rule, maxAge, 1000ms, 600ms, 2, false};
+        const auto changed = ruleByRoute.find(name);
+        table.routes[name] = {group, changed == ruleByRoute.end() ? rule : changed->second, maxAge, 1000ms, 600ms, 2, false};
     };
     add("latest", read_rule::latest, 0ms);
     add("session", read_rule::session, 2500ms);
@@ -407,7 +408,7 @@
 {
     const fake_commit commit{database.term, id};
     database.log.push_back(commit);
-    m_groupByStatement[id] = database.listed.group;
+    groupByStatement[id] = database.listed.group;
     if (&database != &primary(database.listed.group)) {
         m_committedAfterReplacement.insert(id);
         rolledBack.insert(id);
@@ -559,8 +560,8 @@
         for (const fake_commit &commit : database.log) {
             seen.insert(commit.id);
         }
-        m_seenByRead[command.id] = seen;
-        m_groupByStatement[command.id] = database.listed.group;
+        seenByRead[command.id] = seen;
+        groupByStatement[command.id] = database.listed.group;
         reply.rows = {"row of " + command.id};
     }
     reply.signature = "signed " + command.id;
@@ -664,14 +665,14 @@
 {
     const time_point arrived = client.inTransaction ? client.transactionAt : client.sentAt;
     for (const acknowledged_commit &commit : acknowledged) {
-        const bool otherGroup = m_groupByStatement[commit.id] != m_groupByStatement[id];
+        const bool otherGroup = groupByStatement[commit.id] != groupByStatement[id];
         if (otherGroup || rolledBack.contains(commit.id) || commit.acknowledgedAt >= arrived) {
             continue;
         }
         const bool own = client.database == "session" && commit.session == client.id;
         const duration age = client.database == "latest" ? 0ms : client.database == "age" ? 1500ms : 2500ms;
         const bool due = own || commit.acknowledgedAt < arrived - age;
-        if (due && !m_seenByRead[id].contains(commit.id)) {
+        if (due && !seenByRead[id].contains(commit.id)) {
             violations.emplace_back("STALE: " + id + " on '" + client.database + "' lacks " + commit.id);
         }
     }
--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -110,6 +110,8 @@
     duration relayDelay = std::chrono::milliseconds(1);
     /// The process of `engine` stands still; see standStill.
     bool holderStandsStill = false;
+    /// Messages between the instances name no groups, as those of an older build.
+    bool groupsUnknown = false;
     /// The holder opens no channels for `entry`, as when it has drained.
     bool refusesNewChannels = false;
     std::mt19937_64 random;
@@ -125,11 +127,17 @@
     workspace_table workspaces;
     /// Group of each route in the next configuration; "g" for those that are missing here.
     std::map<std::string, group_name> groupByRoute;
+    /// Read rule of each route in the next configuration, where it is another one than the route's name says.
+    std::map<std::string, read_rule> ruleByRoute;
     /// The latest version that the operator wrote, where instances read it at different times.
     std::uint64_t lastVersion = 1;
     std::map<session_id, fake_client> clients;
     std::vector<acknowledged_commit> acknowledged;
     std::set<std::string> rolledBack;
+    /// What the log of its database held, for each read that ran.
+    std::map<std::string, std::set<std::string>> seenByRead;
+    /// The group that ran each read and each commit.
+    std::map<std::string, group_name> groupByStatement;
     std::vector<std::string> violations;
     std::uint64_t nextId = 1;
     std::uint64_t nextSession = 1;
@@ -226,9 +234,6 @@
     void checkReply(fake_client &client, const client_reply &reply);
     void checkFreshness(const fake_client &client, const std::string &id);
     promotion_claim &claimOf(const group_name &group);
-    std::map<std::string, std::set<std::string>> m_seenByRead;
-    /// The group that ran each read and each commit.
-    std::map<std::string, group_name> m_groupByStatement;
     /// Claims of other groups than "g".
     std::map<group_name, promotion_claim> m_otherClaims;
     /// Commits of a primary that had already been replaced.
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -213,8 +213,15 @@
         std::string line;
         platform::encodeCommand(line, command);
         platform::relayed_statement relayed = platform::decodeRelayedLine(std::string_view(line).substr(0, line.size() - 2));
-        onRelayedStatement(
-            engine, channel, message.route, message.timeLeft, relayed.floor, std::move(relayed.statement), now, message.caller);
+        onRelayedStatement(engine,
+                           channel,
+                           message.route,
+                           message.timeLeft,
+                           relayed.floor,
+                           std::move(relayed.statement),
+                           now,
+                           message.caller,
+                           groupsUnknown ? std::nullopt : message.served);
     }
 }
 
@@ -230,7 +237,7 @@
         received.signature = reply.signature;
         received.detail = reply.detail;
         received.state = reply.state;
-        received.position = reply.position;
+        received.position = groupsUnknown ? std::nullopt : reply.position;
         onDatabaseReply(*entry, connection, std::move(received), now);
     });
 }
--- a/UnitTests/Proxy/route_move_test.cpp
+++ b/UnitTests/Proxy/route_move_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 using namespace mustardrouter;
 using namespace std::chrono_literals;
 
@@ -36,6 +38,22 @@
         }
         lastVersion = engine.routes.version.value();
         runFor(3s);
+        openConnections();
+    }
+
+    /// Has the instance that holds connections open some to all databases of both groups.
+    void openConnections()
+    {
+        std::vector<fake_client *> readers;
+        for (int index = 0; index < 12; ++index) {
+            readers.push_back(&connect(index % 2 == 0 ? "age" : "open"));
+        }
+        for (int round = 0; round < 5; ++round) {
+            for (fake_client *reader : readers) {
+                send(*reader, client_verb::read, "x");
+            }
+            runFor(200ms);
+        }
     }
 
     void moveRoutes(const group_name &group)
@@ -162,3 +180,159 @@
     CHECK_EQUAL(3, client.replies.size());
     CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
 }
+
+TEST(route_move, aHolderWithAnotherConfigurationDoesNotRunAStatementOfARouteThatHasMoved)
+{
+    // The old service ran half of the requests, as the holder looked the route up in its own configuration.
+    for (const bool holderIsNewer : {false, true}) {
+        two_group_world world(true);
+        fake_client &client = world.connectToEntry("session");
+        checkDone(world, client, client_verb::write);
+        world.moveRoutes(secondGroup);
+        world.configure(holderIsNewer ? world.engine : *world.entry, world.lastVersion);
+        for (const client_verb verb :
+             {client_verb::write, client_verb::read, client_verb::begin, client_verb::write, client_verb::commit}) {
+            checkDone(world, client, verb);
+            const auto ran = world.groupByStatement.find(client.sent.id);
+            CHECK_TRUE(ran == world.groupByStatement.end() || ran->second == (holderIsNewer ? firstGroup : secondGroup));
+        }
+        CHECK_TRUE(world.entry->counters.relayedToOtherRoute > 0);
+        checkNoViolations(world);
+        world.configure(world.lastVersion);
+        world.runFor(3s);
+        const std::uint64_t relayed = world.entry->counters.statementsRelayed;
+        checkDone(world, client, client_verb::write);
+        CHECK_EQUAL(relayed + 1, world.entry->counters.statementsRelayed);
+        CHECK_TRUE(world.groupByStatement.at(client.sent.id) == secondGroup);
+    }
+}
+
+TEST(route_move, aRelayedSessionSeesItsCommitsWhereverTheTwoInstancesDisagree)
+{
+    for (const bool holderMovesFirst : {false, true}) {
+        two_group_world world(true);
+        world.fillLog(firstGroup, 20);
+        fake_client &client = world.connectToEntry("session");
+        world.setLag(firstGroup, 1500ms);
+        checkDone(world, client, client_verb::read);
+        checkDone(world, client, client_verb::write);
+        proxy_engine &first = holderMovesFirst ? world.engine : *world.entry;
+        proxy_engine &second = holderMovesFirst ? *world.entry : world.engine;
+        for (const group_name &group : {secondGroup, firstGroup}) {
+            world.moveRoutes(group);
+            world.configure(first, world.lastVersion);
+            checkDone(world, client, client_verb::read);
+            checkDone(world, client, client_verb::read);
+            world.configure(second, world.lastVersion);
+            checkDone(world, client, client_verb::read);
+        }
+        checkNoViolations(world);
+    }
+}
+
+TEST(route_move, aRelayedStatementIsServedByTheStricterReadRule)
+{
+    // The holder still has the rule from before the change, or the relaying instance has.
+    for (const bool holderIsNewer : {false, true}) {
+        two_group_world world(true);
+        fake_client &writer = world.connect("latest");
+        fake_client &reader = world.connectToEntry("age");
+        checkDone(world, reader, client_verb::read);
+        world.setLag(firstGroup, 1500ms);
+        world.ruleByRoute["age"] = read_rule::latest;
+        world.lastVersion += 1;
+        world.configure(holderIsNewer ? world.engine : *world.entry, world.lastVersion);
+        checkDone(world, writer, client_verb::write);
+        const std::string written = writer.sent.id;
+        checkDone(world, reader, client_verb::read);
+        CHECK_TRUE(world.seenByRead.at(reader.sent.id).contains(written));
+    }
+}
+
+TEST(route_move, aSessionSeesItsCommitsWhenItsRouteBecomesReadYourWritesAtTheHolderFirst)
+{
+    two_group_world world(true);
+    fake_client &client = world.connectToEntry("age");
+    world.setLag(firstGroup, 1200ms);
+    checkDone(world, client, client_verb::read);
+    world.ruleByRoute["age"] = read_rule::session;
+    world.lastVersion += 1;
+    world.configure(world.engine, world.lastVersion);
+    checkDone(world, client, client_verb::write);
+    const std::string written = client.sent.id;
+    for (int reads = 0; reads < 5; ++reads) {
+        checkDone(world, client, client_verb::read);
+        CHECK_TRUE(world.seenByRead.at(client.sent.id).contains(written));
+    }
+}
+
+TEST(route_move, aRouteThatBecomesPrimaryAndBackKeepsTheSessionsCommits)
+{
+    for (const bool relays : {false, true}) {
+        two_group_world world(relays);
+        world.fillLog(firstGroup, 5);
+        fake_client &client = relays ? world.connectToEntry("session") : world.connect("session");
+        world.setLag(firstGroup, 1500ms);
+        checkDone(world, client, client_verb::read);
+        for (const read_rule rule : {read_rule::latest, read_rule::age, read_rule::session}) {
+            world.ruleByRoute["session"] = rule;
+            world.lastVersion += 1;
+            world.configure(world.lastVersion);
+            checkDone(world, client, client_verb::write);
+        }
+        for (int reads = 0; reads < 10; ++reads) {
+            checkDone(world, client, client_verb::read);
+        }
+        checkNoViolations(world);
+    }
+}
+
+TEST(route_move, aTransactionWhoseBeginTheHolderRefusesForItsRouteBeginsByThePresentOne)
+{
+    two_group_world world(true);
+    fake_client &client = world.connectToEntry("latest");
+    checkDone(world, client, client_verb::write);
+    world.send(client, client_verb::begin);
+    // The BEGIN is on its way, and names the first group.
+    world.moveEverywhere(secondGroup);
+    world.runFor(50ms);
+    checkDone(world, client, client_verb::write);
+    checkDone(world, client, client_verb::commit);
+    CHECK_TRUE(world.groupByStatement.at(client.sent.id) == secondGroup);
+    checkNoViolations(world);
+}
+
+TEST(route_move, aRelayedStatementWhoseRouteMovesWhileItWaitsAtTheHolderDoesNotRunThere)
+{
+    two_group_world world(true);
+    fake_client &client = world.connectToEntry("session");
+    checkDone(world, client, client_verb::write);
+    for (auto &[name, database] : world.databases) {
+        database.full = database.listed.group == firstGroup;
+    }
+    world.send(client, client_verb::write, "x", "2");
+    world.runFor(50ms);
+    world.moveRoutes(secondGroup);
+    world.configure(world.engine, world.lastVersion);
+    world.runFor(100ms);
+    CHECK_FALSE(world.groupByStatement.contains(client.sent.id));
+    world.configure(*world.entry, world.lastVersion);
+    world.runFor(1s);
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    CHECK_TRUE(world.groupByStatement.at(client.sent.id) == secondGroup);
+}
+
+TEST(route_move, aPositionFromABuildThatNamesNoGroupsIsNotTakenForOneOfTheGroup)
+{
+    two_group_world world(true);
+    world.fillLog(firstGroup, 20);
+    fake_client &client = world.connectToEntry("session");
+    world.groupsUnknown = true;
+    world.setLag(firstGroup, 1500ms);
+    checkDone(world, client, client_verb::read);
+    checkDone(world, client, client_verb::write);
+    for (int reads = 0; reads < 10; ++reads) {
+        checkDone(world, client, client_verb::read);
+    }
+    checkNoViolations(world);
+}
--- a/mustardrouter/Edge/edge_instance.cpp
+++ b/mustardrouter/Edge/edge_instance.cpp
@@ -457,7 +457,7 @@
         for (const database_command &command : action.commands) {
             platform::encodeCommand(lines, command);
         }
-        m_relayLinks.send(action.connection, action.route, action.timeLeft, lines, action.caller);
+        m_relayLinks.send(action.connection, {action.route, action.timeLeft, action.caller, action.served}, lines);
         return;
     }
     const auto found = m_databases.find(action.connection);
--- a/mustardrouter/Edge/edge_instance.h
+++ b/mustardrouter/Edge/edge_instance.h
@@ -64,13 +64,8 @@
     void onClientClosed(session_id id, close_reason reason);
     void onDatabaseLine(database_connection_id id, std::string_view line);
     void onDatabaseClosed(database_connection_id id);
-    void onHolderReplies(database_connection_id id, std::string_view lines);
-    void onRelayedLines(const relay_channel &channel,
-                        bool opens,
-                        const std::string &route,
-                        duration timeLeft,
-                        const caller_identity &caller,
-                        std::string_view lines);
+    void onHolderReplies(database_connection_id id, std::string_view lines, bool atNamedGroup);
+    void onRelayedLines(const relay_channel &channel, bool opens, const statement_header &header, std::string_view lines);
     void onRelayChannelClosed(const relay_channel &channel);
     limit_links::handlers limitHandlers();
 
--- a/mustardrouter/Edge/edge_metrics.cpp
+++ b/mustardrouter/Edge/edge_metrics.cpp
@@ -192,6 +192,7 @@
     appendMetric("step_downs_sent_total", "counter", counters.stepDownsSent);
     appendMetric("statements_relayed_total", "counter", counters.statementsRelayed);
     appendMetric("relayed_not_handled_total", "counter", counters.relayedNotHandled);
+    appendMetric("relayed_to_other_route_total", "counter", counters.relayedToOtherRoute);
     appendMetric("relayed_refused_total", "counter", counters.relayedRefused);
     appendMetric("unknown_keys_total", "counter", counters.unknownKeys);
     appendMetric("keys_withdrawn_total", "counter", counters.keysWithdrawn);
--- a/mustardrouter/Edge/edge_relaying.cpp
+++ b/mustardrouter/Edge/edge_relaying.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void edge_instance::onHolderReplies(database_connection_id id, std::string_view lines)
+void edge_instance::onHolderReplies(database_connection_id id, std::string_view lines, bool atNamedGroup)
 {
     forEachLine(lines, [&](std::string_view line) {
         // Handling a reply may close the connection.
@@ -35,18 +35,17 @@
             m_relayLinks.close(id);
             onConnectionClosed(m_engine, id, now());
         } else if (reply) {
+            if (!atNamedGroup) {
+                // The position may be one in the log of another group.
+                reply->position.reset();
+            }
             onDatabaseReply(m_engine, id, std::move(*reply), now());
         }
     });
     performActions();
 }
 
-void edge_instance::onRelayedLines(const relay_channel &channel,
-                                   bool opens,
-                                   const std::string &route,
-                                   duration timeLeft,
-                                   const caller_identity &caller,
-                                   std::string_view lines)
+void edge_instance::onRelayedLines(const relay_channel &channel, bool opens, const statement_header &header, std::string_view lines)
 {
     if (opens) {
         const session_id added(m_nextSession++);
@@ -61,7 +60,15 @@
     const session_id session = found->second;
     forEachLine(lines, [&](std::string_view line) {
         platform::relayed_statement relayed = platform::decodeRelayedLine(line);
-        onRelayedStatement(m_engine, session, route, timeLeft, relayed.floor, std::move(relayed.statement), now(), caller);
+        onRelayedStatement(m_engine,
+                           session,
+                           header.route,
+                           header.timeLeft,
+                           relayed.floor,
+                           std::move(relayed.statement),
+                           now(),
+                           header.caller,
+                           header.served);
     });
     performActions();
 }
@@ -91,16 +98,11 @@
         onConnectionClosed(m_engine, id, now(), lastSent);
         performActions();
     };
-    handlers.onReplies = [this](database_connection_id id, std::string_view lines) {
-        onHolderReplies(id, lines);
+    handlers.onReplies = [this](database_connection_id id, std::string_view lines, bool atNamedGroup) {
+        onHolderReplies(id, lines, atNamedGroup);
     };
-    handlers.onStatements = [this](const relay_channel &channel,
-                                   bool opens,
-                                   const std::string &route,
-                                   duration timeLeft,
-                                   const caller_identity &caller,
-                                   std::string_view lines) {
-        onRelayedLines(channel, opens, route, timeLeft, caller, lines);
+    handlers.onStatements = [this](const relay_channel &channel, bool opens, const statement_header &header, std::string_view lines) {
+        onRelayedLines(channel, opens, header, lines);
     };
     handlers.onChannelClosed = [this](const relay_channel &channel) {
         onRelayChannelClosed(channel);
--- a/mustardrouter/Edge/relay_links.cpp
+++ b/mustardrouter/Edge/relay_links.cpp
@@ -6,6 +6,8 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <limits>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -29,6 +31,44 @@
     return message;
 }
 
+std::uint32_t millisOf(duration span)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(millis, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t numberOf(read_rule rule)
+{
+    switch (rule) {
+    case read_rule::latest:
+        return 0;
+    case read_rule::session:
+        return 1;
+    case read_rule::age:
+        return 2;
+    }
+    return 0;
+}
+
+/// Rules of later builds are taken for the strictest one.
+read_rule ruleOf(std::uint32_t number)
+{
+    return number == 1 ? read_rule::session : number == 2 ? read_rule::age : read_rule::latest;
+}
+
+statement_header headerOf(const relay::relayed_statements &statements)
+{
+    statement_header header;
+    header.route = statements.route();
+    header.timeLeft = std::chrono::milliseconds(statements.time_left_ms());
+    header.caller = {workspace_name(statements.workspace()), key_digest(statements.key_digest())};
+    if (statements.has_group()) {
+        header.served = relayed_route{
+            group_name(statements.group()), ruleOf(statements.read_rule()), std::chrono::milliseconds(statements.max_age_ms())};
+    }
+    return header;
+}
+
 } // namespace
 
 relay_links::relay_links(asio::io_context &context, handlers callbacks)
@@ -97,8 +137,7 @@
     }
 }
 
-void relay_links::send(
-    database_connection_id connection, const std::string &route, duration timeLeft, const std::string &lines, const caller_identity &caller)
+void relay_links::send(database_connection_id connection, const statement_header &header, const std::string &lines)
 {
     const auto channel = m_outgoingChannels.find(connection);
     if (channel == m_outgoingChannels.end()) {
@@ -108,13 +147,17 @@
     relay::relay_message message;
     relay::relayed_statements &statements = *message.mutable_statements();
     statements.set_channel(connection.value());
-    statements.set_route(route);
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-    statements.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis)));
+    statements.set_route(header.route);
+    statements.set_time_left_ms(millisOf(header.timeLeft));
     statements.set_lines(lines);
     statements.set_number(channel->second.sent);
-    statements.set_workspace(caller.workspace.value());
-    statements.set_key_digest(caller.key.value());
+    statements.set_workspace(header.caller.workspace.value());
+    statements.set_key_digest(header.caller.key.value());
+    if (header.served) {
+        statements.set_group(header.served->group.value());
+        statements.set_read_rule(numberOf(header.served->rule));
+        statements.set_max_age_ms(millisOf(header.served->maxAge));
+    }
     m_outgoing.at(channel->second.address).frames->send(message);
 }
 
@@ -191,7 +234,7 @@
     if (message.has_replies()) {
         const database_connection_id connection(message.replies().channel());
         if (link->second.channels.contains(connection)) {
-            m_handlers.onReplies(connection, message.replies().lines());
+            m_handlers.onReplies(connection, message.replies().lines(), message.replies().at_named_group());
         }
     } else if (message.has_closed() && message.closed().channel() == wholeLink) {
         if (m_handlers.onHolderCloses) {
@@ -271,12 +314,7 @@
     const std::uint32_t number = statements.number();
     const relay_arrival arrival = arrive(from.channels, channel.channel, number);
     if (arrival == relay_arrival::opens || arrival == relay_arrival::continues) {
-        m_handlers.onStatements(channel,
-                                arrival == relay_arrival::opens,
-                                statements.route(),
-                                std::chrono::milliseconds(statements.time_left_ms()),
-                                {workspace_name(statements.workspace()), key_digest(statements.key_digest())},
-                                statements.lines());
+        m_handlers.onStatements(channel, arrival == relay_arrival::opens, headerOf(statements), statements.lines());
         return;
     }
     if (arrival == relay_arrival::outOfOrder) {
@@ -345,6 +383,7 @@
     relay::relay_message message;
     message.mutable_replies()->set_channel(channel.channel);
     message.mutable_replies()->set_lines(lines);
+    message.mutable_replies()->set_at_named_group(true);
     found->second.frames->send(message);
 }
 
--- a/mustardrouter/Edge/relay_links.h
+++ b/mustardrouter/Edge/relay_links.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "mustardrouter/Core/virtual_clock.h"
+#include "mustardrouter/Edge/statement_header.h"
 #include "mustardrouter/Network/frame_connection.h"
 #include "mustardrouter/Network/frame_listener.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 #include "mustardrouter/Proxy/relay_channels.h"
 #include "mustardrouter/Proxy/sent_work.h"
 #include "mustardrouter/Schema/relay.pb.h"
-#include "mustardrouter/Workspaces/caller_identity.h"
 
 #include <asio/io_context.hpp>
 
@@ -43,12 +43,10 @@
         std::function<void(database_connection_id)> onOpened;
         /// A channel to a holder was closed by the holder, or its link was lost or could not be opened.
         std::function<void(database_connection_id, sent_work)> onClosed;
-        /// A holder sent replies.
-        std::function<void(database_connection_id, std::string_view lines)> onReplies;
+        /// A holder sent replies; `atNamedGroup` if they are known to be those of the group that the statements named.
+        std::function<void(database_connection_id, std::string_view lines, bool atNamedGroup)> onReplies;
         /// Another instance relays statements; `opens` if they are the first ones of the channel.
-        std::function<void(
-            relay_channel, bool opens, const std::string &route, duration timeLeft, const caller_identity &caller, std::string_view lines)>
-            onStatements;
+        std::function<void(relay_channel, bool opens, const statement_header &header, std::string_view lines)> onStatements;
         /// Another instance closed its channel, or its link was lost.
         std::function<void(relay_channel)> onChannelClosed;
         /// A message other than statements and replies arrived on the link to the address.
@@ -72,11 +70,7 @@
 
     /// Opens a channel to the holder at the address; calls onOpened or onClosed later.
     void open(database_connection_id connection, const std::string &address);
-    void send(database_connection_id connection,
-              const std::string &route,
-              duration timeLeft,
-              const std::string &lines,
-              const caller_identity &caller = {});
+    void send(database_connection_id connection, const statement_header &header, const std::string &lines);
     /// Closes a channel without a callback.
     void close(database_connection_id connection);
     /// Whether channels to the address are open or being opened.
--- a/mustardrouter/Proxy/client_session.h
+++ b/mustardrouter/Proxy/client_session.h
@@ -6,6 +6,7 @@
 #include "mustardrouter/Proxy/database_reply.h"
 #include "mustardrouter/Proxy/own_commits.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Proxy/relayed_route.h"
 #include "mustardrouter/Proxy/route_table.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
 
@@ -109,6 +110,8 @@
     bool accepted = false;
     /// Statements of another instance's clients, which that instance relays one at a time.
     bool relayed = false;
+    /// For a relayed session: how the relaying instance serves its route; none from a build that does not say.
+    std::optional<relayed_route> relayedRoute;
     /// Time that the relaying instance has left for the current statement.
     duration relayedTimeout{};
     time_point startedAt{};
--- a/mustardrouter/Proxy/database_state.h
+++ b/mustardrouter/Proxy/database_state.h
@@ -4,6 +4,7 @@
 #include "mustardrouter/Core/virtual_clock.h"
 #include "mustardrouter/Proxy/database_listing.h"
 #include "mustardrouter/Proxy/database_status.h"
+#include "mustardrouter/Proxy/other_route.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
 #include "mustardrouter/Workspaces/connection_share.h"
 
@@ -38,6 +39,8 @@
     time_point watchReportedAt{};
     /// For a holder: until when it is assumed not to reach the primary.
     time_point lacksPrimaryUntil{};
+    /// For a holder: the last route that it was found to lead elsewhere.
+    other_route otherRoute;
     /// When this instance last paused its replication, until a status shows that it is not paused; the epoch otherwise. And when this
     /// instance last asked it to resume.
     time_point pausedAt{};
--- a/mustardrouter/Proxy/engine_connections.cpp
+++ b/mustardrouter/Proxy/engine_connections.cpp
@@ -541,6 +541,7 @@
     send_commands action{connection.id, std::move(commands), {}, {}, {}};
     if (const client_session *session = connection.toHolder ? sessionOf(engine, connection) : nullptr) {
         action.route = session->database;
+        action.served = routeToName(engine, connection, *session);
         action.caller = session->caller;
         // The holder's refusal is to arrive before the deadline here.
         action.timeLeft = session->current ? std::max(session->current->deadline - now - relayReplyMargin, relayReplyMargin) : duration{};
--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -382,9 +382,9 @@
     if (now < session.current->notBefore) {
         return false;
     }
-    const auto sessionRoute = engine.routes.routes.find(session.database);
-    if (sessionRoute == engine.routes.routes.end()) {
-        refuseRun(engine, session, reply_code::busy, "the route was removed", now);
+    const std::optional<route> sessionRoute = servedRouteOf(engine, session);
+    if (!sessionRoute) {
+        refuseWithoutRoute(engine, session, now);
         return true;
     }
     if (!identify(engine, session)) {
@@ -392,16 +392,16 @@
         return true;
     }
     if (isToBeRelayed(group, session, now)) {
-        return dispatchRelayed(engine, group, session, sessionRoute->second, now);
+        return dispatchRelayed(engine, group, session, *sessionRoute, now);
     }
     if (const std::optional<bool> held = heldByLimit(engine, session, limit_check::early, now)) {
         return *held;
     }
     if (!session.current->writes) {
-        return dispatchRead(engine, group, session, sessionRoute->second, now);
+        return dispatchRead(engine, group, session, *sessionRoute, now);
     }
     if (isVerificationStalled(engine, group, now)) {
-        return refuseUnverifiable(engine, group, session, sessionRoute->second, now);
+        return refuseUnverifiable(engine, group, session, *sessionRoute, now);
     }
     if (!group.primary) {
         return false;
@@ -448,8 +448,8 @@
     if (session.transaction) {
         return &findOrCreateGroup(engine, session.transaction->sessionRoute.group);
     }
-    const auto sessionRoute = engine.routes.routes.find(session.database);
-    return sessionRoute == engine.routes.routes.end() ? nullptr : &findOrCreateGroup(engine, sessionRoute->second.group);
+    const route *configured = configuredRouteOf(engine, session);
+    return configured == nullptr ? nullptr : &findOrCreateGroup(engine, configured->group);
 }
 
 void queueForConnection(proxy_engine &engine, client_session &session, time_point now)
@@ -457,7 +457,7 @@
     group_state *group = groupOf(engine, session);
     if (group == nullptr) {
         if (session.current) {
-            refuseRun(engine, session, reply_code::busy, "the route was removed", now);
+            refuseWithoutRoute(engine, session, now);
         }
         return;
     }
@@ -483,8 +483,8 @@
     }
     const client_session &session = found->second;
     const bool writes = session.transaction.has_value() || (session.current && session.current->writes);
-    const auto sessionRoute = engine.routes.routes.find(session.database);
-    return writes || (sessionRoute != engine.routes.routes.end() && sessionRoute->second.rule == read_rule::latest);
+    const route *configured = configuredRouteOf(engine, session);
+    return writes || (configured != nullptr && configured->rule == read_rule::latest);
 }
 
 } // namespace
--- a/mustardrouter/Proxy/engine_parts.h
+++ b/mustardrouter/Proxy/engine_parts.h
@@ -112,6 +112,8 @@
 /// A holder closed a channel before it handled the last message on it.
 void workNotHandled(
     proxy_engine &engine, database_state &holder, const database_connection &connection, sent_work lastSent, time_point now);
+/// Pause before a statement that so many holders have refused is relayed to the next one.
+duration pauseBeforeNextHolder(std::size_t refusals);
 /// A holder refused the BEGIN of a transaction: schedules the next attempt, at another holder if there is one.
 void delayBegin(proxy_engine &engine, const group_state &group, client_transaction &transaction, reply_code code, time_point now);
 /// A connection to a holder can be used.
@@ -193,6 +195,27 @@
 /// Whether the connection is idle and no reply to a probe on it is overdue.
 bool isUsableIdle(const proxy_engine &engine, const database_connection &connection, time_point now);
 
+// Routes (engine_routes.cpp)
+
+/// The route that serves the session's next statement or transaction; nullptr if there is none, or if it leads to another group than
+/// the instance that relays the statement has named.
+const route *configuredRouteOf(const proxy_engine &engine, const client_session &session);
+/// The same, with the read rule that the relaying instance demands.
+std::optional<route> servedRouteOf(const proxy_engine &engine, const client_session &session);
+/// Refuses a statement that has no route any more. The instance that relays it runs it elsewhere.
+void refuseWithoutRoute(proxy_engine &engine, client_session &session, time_point now);
+/// What a message to a holder says of the route where a statement or transaction starts; nothing inside a transaction.
+std::optional<relayed_route> routeToName(const proxy_engine &engine, const database_connection &connection, const client_session &session);
+/// What is known of the commits of a relayed session in the group that serves its statement, whose message has the floor.
+own_commits relayedCommits(const proxy_engine &engine, const client_session &session, const std::optional<log_entry> &floor);
+/// Whether the holder was found to lead the session's route to another group, and for so long that it is not asked any more.
+bool hasOtherRoute(const database_state &holder, const client_session &session, time_point now);
+bool isOtherRouteLasting(const database_state &holder, const client_session &session, time_point now);
+/// The holder leads the route of the session's statement elsewhere, and has not run it.
+void runElsewhereByRoute(proxy_engine &engine, const database_connection &connection, client_session &session, time_point now);
+/// The holder leads the route of the session's transaction elsewhere. Nothing of it has run, so it begins by the present route.
+void beginByPresentRoute(proxy_engine &engine, const database_connection &connection, client_session &session, time_point now);
+
 // Replies (engine_replies.cpp)
 
 /// Queues the statement for another attempt, which starts after `pause` at the earliest.
--- a/mustardrouter/Proxy/engine_relaying.cpp
+++ b/mustardrouter/Proxy/engine_relaying.cpp
@@ -84,11 +84,6 @@
     return distance + inFlightMicros * static_cast<double>(workAt(engine, holder)) + (slowToOpen ? slowOpenPenaltyMicros : 0);
 }
 
-duration pauseBeforeNextHolder(std::size_t holdersWithoutPrimary)
-{
-    return holdersWithoutPrimary < quickAttempts ? duration{} : promotionRetryPause;
-}
-
 /// Whether only the primary can serve the session's statement or transaction.
 bool needsPrimary(const client_session &session, const route &sessionRoute)
 {
@@ -114,7 +109,7 @@
         }
         constexpr double refusedPenaltyMicros = 1e9;
         const bool lacksPrimary = primaryNeeded && now < holder.lacksPrimaryUntil;
-        const bool refused = lacksPrimary || std::ranges::find(excluded, name) != excluded.end();
+        const bool refused = lacksPrimary || hasOtherRoute(holder, session, now) || std::ranges::find(excluded, name) != excluded.end();
         const bool other = preferred != nullptr && !preferred->contains(name);
         const double micros = expectedMicros(engine, holder, now) + (refused ? refusedPenaltyMicros : 0) + (other ? otherHolderMicros : 0);
         if (micros < bestMicros) {
@@ -221,7 +216,8 @@
                         const std::optional<log_entry> &floor,
                         client_statement statement,
                         time_point now,
-                        const caller_identity &caller)
+                        const caller_identity &caller,
+                        const std::optional<relayed_route> &served)
 {
     const auto found = engine.sessions.find(id);
     if (found == engine.sessions.end()) {
@@ -237,11 +233,8 @@
     session.relayedTimeout = timeLeft;
     if (!session.transaction && !session.current) {
         session.database = database;
-        session.ownCommits = {};
-        const auto sessionRoute = engine.routes.routes.find(database);
-        if (floor && sessionRoute != engine.routes.routes.end()) {
-            recordCommit(session.ownCommits, sessionRoute->second.group, floor);
-        }
+        session.relayedRoute = served;
+        session.ownCommits = relayedCommits(engine, session, floor);
     }
     onStatement(engine, id, std::move(statement), now);
 }
@@ -308,11 +301,17 @@
     }
 }
 
+duration pauseBeforeNextHolder(std::size_t refusals)
+{
+    return refusals < quickAttempts ? duration{} : promotionRetryPause;
+}
+
 bool isToBeRelayed(const group_state &group, const client_session &session, time_point now)
 {
     // A relayed statement is never relayed again: instances may disagree on the holders for a moment.
     return !session.relayed && std::ranges::any_of(group.holders, [&](const auto &entry) {
-        return isUsable(entry.second, now);
+        const database_state &holder = entry.second;
+        return isUsable(holder, now) && !isOtherRouteLasting(holder, session, now);
     });
 }
 
@@ -354,6 +353,8 @@
     running_statement &running = *session.current;
     switch (reply.code) {
     case reply_code::unknownDatabase:
+        runElsewhereByRoute(engine, connection, session, now);
+        return;
     case reply_code::unauthorized:
         running.excludedDatabases.push_back(connection.database);
         retry(engine, session, connection.database, "holder has another configuration", otherConfigurationBackoff, now);
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -320,7 +320,9 @@
     } else {
         group.lagRefusedAt = reply.code == reply_code::lagging ? now : group.lagRefusedAt;
         transaction.excludedDatabases.push_back(connection.database);
-        if (connection.toHolder) {
+        if (connection.toHolder && reply.code == reply_code::unknownDatabase) {
+            beginByPresentRoute(engine, connection, session, now);
+        } else if (connection.toHolder) {
             delayBegin(engine, group, transaction, reply.code, now);
         }
     }
--- a/mustardrouter/Proxy/engine_sessions.cpp
+++ b/mustardrouter/Proxy/engine_sessions.cpp
@@ -22,12 +22,6 @@
 /// Retry-after value for a group without a primary: a promotion takes about this long.
 constexpr duration failoverRetryAfter = std::chrono::milliseconds(1000);
 
-const route *findRoute(const proxy_engine &engine, const client_session &session)
-{
-    const auto found = engine.routes.routes.find(session.database);
-    return found == engine.routes.routes.end() ? nullptr : &found->second;
-}
-
 client_reply localReply(const client_session &session, reply_code code = reply_code::done, std::string detail = {})
 {
     client_reply reply;
@@ -48,7 +42,7 @@
         scheduleTimer(engine, session.startedAt + sessionStartTimeout, timer_kind::session, session.id.value());
         return;
     }
-    if (findRoute(engine, session) == nullptr) {
+    if (configuredRouteOf(engine, session) == nullptr) {
         const reply_code code = engine.configurationReceived ? reply_code::unknownDatabase : reply_code::busy;
         const char *detail = engine.configurationReceived ? "no route has this name" : "no configuration yet";
         engine.actions.emplace_back(close_session{session.id, code, detail});
@@ -69,8 +63,8 @@
 /// Begins a transaction for the client. BEGIN is sent to the database as soon as a connection is available.
 void beginTransaction(proxy_engine &engine, client_session &session, const client_statement &statement, time_point now)
 {
-    const route *sessionRoute = findRoute(engine, session);
-    if (sessionRoute == nullptr) {
+    std::optional<route> sessionRoute = servedRouteOf(engine, session);
+    if (!sessionRoute) {
         sendReply(engine, session, localReply(session, reply_code::unknownDatabase, "no route has this name"));
         return;
     }
@@ -79,7 +73,7 @@
         return;
     }
     client_transaction transaction;
-    transaction.sessionRoute = *sessionRoute;
+    transaction.sessionRoute = std::move(*sessionRoute);
     transaction.beginStatementId = statement.id;
     transaction.readOnly = statement.verb == client_verb::beginRead;
     transaction.beganAt = now;
@@ -188,7 +182,7 @@
 void startStatement(proxy_engine &engine, client_session &session, client_statement statement, time_point now)
 {
     engine.counters.statements += 1;
-    const route *sessionRoute = session.transaction ? &session.transaction->sessionRoute : findRoute(engine, session);
+    const route *sessionRoute = session.transaction ? &session.transaction->sessionRoute : configuredRouteOf(engine, session);
     if (sessionRoute == nullptr) {
         sendReply(engine, session, localReply(session, reply_code::unknownDatabase, "no route has this name"));
         return;
--- a/mustardrouter/Proxy/proxy_action.h
+++ b/mustardrouter/Proxy/proxy_action.h
@@ -6,9 +6,11 @@
 #include "mustardrouter/Proxy/database_command.h"
 #include "mustardrouter/Proxy/failover_state.h"
 #include "mustardrouter/Proxy/proxy_ids.h"
+#include "mustardrouter/Proxy/relayed_route.h"
 #include "mustardrouter/Workspaces/caller_identity.h"
 #include "mustardrouter/Workspaces/limit_action.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -55,6 +57,8 @@
     std::string route;
     duration timeLeft{};
     caller_identity caller{};
+    /// Only to a holder, where a statement or transaction starts.
+    std::optional<relayed_route> served{};
 };
 
 /// Closes a connection; the database rolls back an open transaction.
--- a/mustardrouter/Proxy/proxy_counters.h
+++ b/mustardrouter/Proxy/proxy_counters.h
@@ -42,6 +42,8 @@
     std::uint64_t statementsRelayed = 0;
     /// Of these, those that the holder did not handle as it had closed the channel.
     std::uint64_t relayedNotHandled = 0;
+    /// Statements and transactions that a holder did not run, as it leads their route to another group.
+    std::uint64_t relayedToOtherRoute = 0;
     /// Messages that other instances relayed to a channel that was not open here; they were not handled.
     std::uint64_t relayedRefused = 0;
     workspace_usage_table workspaces;
--- a/mustardrouter/Proxy/proxy_engine.h
+++ b/mustardrouter/Proxy/proxy_engine.h
@@ -161,7 +161,7 @@
 /// Another instance opened a channel for statements that it relays.
 void onRelayedSessionStarted(proxy_engine &engine, session_id id, time_point now);
 /// Another instance relayed a statement of a client that had requested `database`. `floor` is the log entry up to which the client's
-/// own commits go; `caller` is what that instance has found the client to be.
+/// own commits go in the log of the group of `served`; `caller` is what that instance has found the client to be.
 void onRelayedStatement(proxy_engine &engine,
                         session_id id,
                         const std::string &database,
@@ -169,7 +169,8 @@
                         const std::optional<log_entry> &floor,
                         client_statement statement,
                         time_point now,
-                        const caller_identity &caller = {});
+                        const caller_identity &caller = {},
+                        const std::optional<relayed_route> &served = {});
 
 /// A client requests a session with a database, and shows who it is by its key.
 void onSessionStarted(proxy_engine &engine, session_id id, const std::string &database, time_point now, const api_key &key = {});
