Line stream: a message that arrives in parts is searched once

Cause: deliverLines searched all that had arrived of a message again with each 4 KB, so a message of 1 MB was searched 250 times, and a carriage return stopped the search at each byte; the configuration is read in turn with these connections.

Change: takeLine remembers up to where it has searched; the last byte is searched again, as it may be the first of a terminator. The share of a round was bounded already, 4 KB for each connection and round, also for those that the peer has closed.

--- a/mustardrouter/Edge/line_stream.cpp
+++ b/mustardrouter/Edge/line_stream.cpp
@@ -174,7 +174,7 @@
     const auto self = shared_from_this();
     std::string_view unread = m_input;
     while (!m_ended && !m_closing && !m_paused) {
-        const std::optional<std::string_view> line = takeLine(unread);
+        const std::optional<std::string_view> line = takeLine(unread, m_searched);
         if (!line) {
             break;
         }
--- a/mustardrouter/Edge/line_stream.h
+++ b/mustardrouter/Edge/line_stream.h
@@ -62,6 +62,8 @@
     handlers m_handlers;
     std::array<char, 4096> m_buffer;
     std::string m_input;
+    /// So much of m_input was searched for the end of a line.
+    std::size_t m_searched = 0;
     std::string m_pendingOutput;
     std::string m_writeBuffer;
     bool m_ended = false;
