--- a/UnitTests/Proxy/route_move_test.cpp
+++ b/UnitTests/Proxy/route_move_test.cpp
@@ -287,6 +287,36 @@
     }
 }
 
+TEST(route_move, commitsOfALogThatIsGoneDoNotKeepASessionFromReplicas)
+{
+    // The route leads back to a service whose databases have begun a new log.
+    two_group_world world;
+    world.fillLog(firstGroup, 20);
+    fake_client &client = world.connect("session");
+    checkDone(world, client, client_verb::write);
+    world.moveEverywhere(secondGroup);
+    for (auto &[name, database] : world.databases) {
+        if (database.listed.group == firstGroup) {
+            for (const fake_commit &commit : database.log) {
+                world.rolledBack.insert(commit.id);
+            }
+            database.log.clear();
+            database.pendingCommits.clear();
+        }
+    }
+    world.runFor(5s);
+    world.moveEverywhere(firstGroup);
+    checkDone(world, client, client_verb::read);
+    // Databases that refused the read for lag are avoided for a moment.
+    world.runFor(2s);
+    const std::uint64_t before = world.engine.counters.replicaReads;
+    for (int reads = 0; reads < 20; ++reads) {
+        checkDone(world, client, client_verb::read);
+    }
+    CHECK_TRUE(world.engine.counters.replicaReads - before > 10);
+    checkNoViolations(world);
+}
+
 TEST(route_move, aTransactionWhoseBeginTheHolderRefusesForItsRouteBeginsByThePresentOne)
 {
     two_group_world world(true);
--- a/UnitTests/Soak/fault_plan_test.cpp
+++ b/UnitTests/Soak/fault_plan_test.cpp
@@ -19,7 +19,7 @@
 TEST(fault_plan, allFaultsEndBeforeTheQuietPhase)
 {
     for (std::uint64_t index = 0; index < 800; ++index) {
-        constexpr std::uint64_t firstSeeds[] = {0, 5'000, 10'000, 20'000, 40'000};
+        constexpr std::uint64_t firstSeeds[] = {0, 5'000, 10'000, 20'000, 40'000, 70'000};
         const std::uint64_t seed = firstSeeds[index % std::size(firstSeeds)] + index;
         const soak_plan plan = makePlan(seed, 60s);
         CHECK_TRUE(std::ranges::is_sorted(plan.faults, {}, &planned_fault::at));
--- a/UnitTests/Soak/soak_history_test.cpp
+++ b/UnitTests/Soak/soak_history_test.cpp
@@ -16,6 +16,9 @@
     std::uint64_t attempt = addAttempt();
     read_rule rule = read_rule::latest;
     bool inTransaction = false;
+    bool routeMoves = false;
+    /// Where statements run.
+    group_name group{"g"};
 
     sent_statement make(const std::string &id, client_verb verb, const std::string &text) const
     {
@@ -28,6 +31,7 @@
         sent.rule = rule;
         sent.maxAge = 1500ms;
         sent.group = group_name("g");
+        sent.routeMoves = routeMoves;
         sent.inTransaction = inTransaction;
         return sent;
     }
@@ -43,7 +47,7 @@
         statement_run ran;
         ran.id = id;
         ran.text = text;
-        ran.group = group_name("g");
+        ran.group = group;
         ran.database = database_name("d");
         ran.connection = 1;
         ran.applied = applied;
@@ -62,7 +66,7 @@
     {
         send(id, client_verb::write, "WRITE x 1", at);
         const std::string signature = run(id, "WRITE x 1", index);
-        onCommit(group_name("g"), id, index);
+        onCommit(group, id, index);
         answer(id, reply_code::done, signature, at);
     }
     void expect(const char *prefix) const
@@ -135,6 +139,25 @@
     history.expect("STALE");
 }
 
+TEST(soak_history, whereARouteMovesASessionSeesItsOwnCommitsInEachGroup)
+{
+    for (const std::size_t seen : {4, 5}) {
+        small_history history;
+        history.rule = read_rule::session;
+        history.routeMoves = true;
+        history.write("w1", 4, start);
+        history.group = group_name("h");
+        history.send("r1", client_verb::read, "READ x", start + 1ms);
+        history.answer("r1", reply_code::done, history.run("r1", "READ x", 0), start + 2ms);
+        history.write("w2", 0, start + 3ms);
+        CHECK_TRUE(history.violations().empty());
+        history.group = group_name("g");
+        history.send("r2", client_verb::read, "READ x", start + 4ms);
+        history.answer("r2", reply_code::done, history.run("r2", "READ x", seen), start + 5ms);
+        CHECK_EQUAL(seen < 5, !history.violations().empty());
+    }
+}
+
 TEST(soak_history, commitsDroppedByAPromotionAreNotRequiredButLaterOnesAre)
 {
     small_history history;
--- a/mustardrouter/Soak/fault_plan.cpp
+++ b/mustardrouter/Soak/fault_plan.cpp
@@ -40,6 +40,14 @@
 constexpr std::uint64_t firstSeedWithWorkspaces = 5'000;
 constexpr std::uint64_t firstSeedWithPlannedWorkOnly = 40'000;
 constexpr std::uint64_t firstSeedWithOldEntries = 60'000;
+constexpr std::uint64_t firstSeedWithRouteMoves = 70'000;
+/// Between two moves of a route.
+constexpr duration minMoveInterval = 300ms;
+constexpr std::size_t moveIntervalSpread = 1'200'000;
+/// Databases whose lag changes then, and its range: 1.1 to 2.3 s.
+constexpr std::uint32_t laggingTargets = 12;
+constexpr std::uint32_t minLagVariant = 250;
+constexpr std::size_t lagVariantSpread = 300;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count)> names{
     "link delay",
@@ -246,6 +254,32 @@
         }
     }
 
+    /// Versions in quick succession, each of which moves routes, while replicas lag and some instances are cut off the store.
+    void addRouteMoves(soak_plan &plan, const soak_round &round)
+    {
+        planned_fault fault;
+        fault.at = round.faultsFrom;
+        fault.length = round.quietFrom - round.faultsFrom;
+        fault.kind = soak_fault::replicaLag;
+        for (fault.target = 0; fault.target < laggingTargets; ++fault.target) {
+            fault.variant = minLagVariant + draw(lagVariantSpread);
+            plan.faults.push_back(fault);
+        }
+        fault.kind = soak_fault::storeRefuses;
+        fault.at += duration(draw(4'000'000));
+        fault.length = minFaultLength + duration(draw(3'000'000));
+        fault.target = draw(1000);
+        fault.variant = draw(1000);
+        plan.faults.push_back(fault);
+        fault.kind = soak_fault::configurationChange;
+        fault.length = minFaultLength;
+        fault.at = round.faultsFrom;
+        while (fault.at + fault.length <= round.quietFrom) {
+            plan.faults.push_back(fault);
+            fault.at += minMoveInterval + duration(draw(moveIntervalSpread));
+        }
+    }
+
     void addPlannedWork(soak_plan &plan, const soak_round &round)
     {
         constexpr std::array<soak_fault, 4> planned{
@@ -327,7 +361,12 @@
 
 bool playsOldEntries(std::uint64_t seed)
 {
-    return seed >= firstSeedWithOldEntries;
+    return seed >= firstSeedWithOldEntries && seed < firstSeedWithRouteMoves;
+}
+
+bool playsRouteMoves(std::uint64_t seed)
+{
+    return seed >= firstSeedWithRouteMoves;
 }
 
 soak_plan makePlan(std::uint64_t seed, duration length)
@@ -338,15 +377,18 @@
     do {
         const soak_round round{at, at + faultPhaseLength, at + faultPhaseLength + quietPhaseLength};
         plan.rounds.push_back(round);
-        if (playsPlannedWorkOnly(seed)) {
+        if (playsRouteMoves(seed)) {
+            builder.addRouteMoves(plan, round);
+        } else if (playsPlannedWorkOnly(seed)) {
             builder.addStopsInSeries(plan, round);
         } else {
             builder.addFaults(plan, round);
         }
-        if ((seed >= firstSeedWithStoreLosses && !playsPlannedWorkOnly(seed)) || (playsWorkspaces(seed) && seed % 2 == 1)) {
+        if ((seed >= firstSeedWithStoreLosses && !playsPlannedWorkOnly(seed) && !playsRouteMoves(seed))
+            || (playsWorkspaces(seed) && seed % 2 == 1)) {
             builder.addStoreLosses(plan, round);
         }
-        if (seed >= firstSeedWithPausedStops && !playsPlannedWorkOnly(seed)) {
+        if (seed >= firstSeedWithPausedStops && !playsPlannedWorkOnly(seed) && !playsRouteMoves(seed)) {
             builder.addPausedStops(plan, round);
         }
         if (playsWorkspaces(seed)) {
--- a/mustardrouter/Soak/soak_client.cpp
+++ b/mustardrouter/Soak/soak_client.cpp
@@ -300,6 +300,7 @@
     m_sent.rule = m_route.sessionRoute.rule;
     m_sent.maxAge = m_route.sessionRoute.maxAge;
     m_sent.group = m_route.sessionRoute.group;
+    m_sent.routeMoves = m_route.moves;
     m_sent.statementText = statement.verb == client_verb::execute ? m_preparedStatements[statement.name] : std::string();
     m_sent.inTransaction = m_inTransaction;
     m_sent.wrote = m_wrote;
--- a/mustardrouter/Soak/soak_deployment.cpp
+++ b/mustardrouter/Soak/soak_deployment.cpp
@@ -48,14 +48,15 @@
     constexpr std::uint64_t passingOn = 7;
     constexpr std::uint64_t firstLarge = 30'000;
     const bool plannedWorkOnly = playsPlannedWorkOnly(seed);
-    const bool isLarge = seed >= firstLarge && !plannedWorkOnly && !playsOldEntries(seed);
+    const bool isLarge = seed >= firstLarge && !plannedWorkOnly && !playsOldEntries(seed) && !playsRouteMoves(seed);
     return {seed % kinds == kinds - 1,
             seed % kinds == 0 || both,
             isLarge || seed % passingOn == 3,
             playsWorkspaces(seed),
             isLarge,
             plannedWorkOnly,
-            playsOldEntries(seed)};
+            playsOldEntries(seed),
+            playsRouteMoves(seed)};
 }
 
 soak_deployment::soak_deployment(
@@ -102,7 +103,9 @@
 {
     constexpr std::uint32_t minSlots = 3;
     constexpr std::uint64_t slotSpread = 3;
-    for (std::size_t index = 0; index < groupCount; ++index) {
+    constexpr std::size_t groupsToMoveBetween = 2;
+    const std::size_t count = m_variant.routesMove ? groupsToMoveBetween : groupCount;
+    for (std::size_t index = 0; index < count; ++index) {
         auto group = std::make_unique<standin_group>();
         group->name = group_name("group" + std::to_string(index + 1));
         group->slots = minSlots + static_cast<std::uint32_t>(m_random() % slotSpread);
@@ -123,6 +126,12 @@
             addDatabase(*m_groups.back(), "db" + std::to_string(m_nextDatabase++), dataCentres[place], place == 0);
         }
     }
+    if (m_variant.routesMove) {
+        // Clients choose among the routes at random: a third of them moves.
+        for (const char *name : {"moving-1", "moving-2", "moving-3"}) {
+            m_routes.push_back({name, {m_groups.front()->name, read_rule::session, 2500ms, usualRouteTimeout, 600ms, 2}, false, true});
+        }
+    }
     publishConfiguration();
     tick();
     return !m_failed;
@@ -310,8 +319,12 @@
 {
     const published_version &newest = m_versions.back();
     std::map<std::string, route> routes{{newest.addedRoute, m_routes.front().sessionRoute}};
+    std::size_t moved = newest.version;
     for (const soak_route &one : m_routes) {
         routes[one.name] = one.sessionRoute;
+        if (one.moves) {
+            routes[one.name].group = m_groups[moved++ % m_groups.size()]->name;
+        }
     }
     for (std::size_t index = 0; m_variant.configurationIsLarge && index < furtherRoutes; ++index) {
         routes["further-" + std::to_string(index)] = m_routes.front().sessionRoute;
--- a/mustardrouter/Soak/soak_deployment.h
+++ b/mustardrouter/Soak/soak_deployment.h
@@ -51,6 +51,8 @@
     bool plannedWorkOnly = false;
     /// The store has entries of lost instances from the start, and answers from old data where it may.
     bool entriesAreOld = false;
+    /// One route moves between two groups.
+    bool routesMove = false;
 };
 
 /// Link of the instances where the configuration is large.
--- a/mustardrouter/Soak/soak_history.cpp
+++ b/mustardrouter/Soak/soak_history.cpp
@@ -125,7 +125,9 @@
     if (run.text != expected) {
         reportViolation("UNASKED: " + run.id + " ran as '" + run.text + "', sent was '" + expected + "'");
     }
-    if (run.group != sent.group) {
+    if (sent.routeMoves) {
+        found->second.sent.group = run.group;
+    } else if (run.group != sent.group) {
         reportViolation("ROUTE: " + run.id + " ran in " + run.group.value());
     }
     checkSessionState(run, found->second);
@@ -317,12 +319,12 @@
     if (statement.clientStatement.verb == client_verb::commit || writes(statement)) {
         return;
     }
-    const watched_group &group = m_groups[statement.group];
+    const watched_group &group = m_groups[run.group];
     const duration age = statement.rule == read_rule::latest ? duration{} : statement.maxAge;
     std::size_t required = acknowledgedLengthBefore(group, statement.startedAt - age);
     if (statement.rule == read_rule::session) {
         const auto &own = m_sessions[statement.session].ownCommits;
-        const auto found = own.find(statement.group);
+        const auto found = own.find(run.group);
         required = std::max(required, found == own.end() ? 0 : found->second);
     }
     const auto dropped = group.branchPointOfDropped.find(run.lastCommit);
--- a/mustardrouter/Soak/soak_history.h
+++ b/mustardrouter/Soak/soak_history.h
@@ -30,7 +30,9 @@
     time_point startedAt{};
     read_rule rule = read_rule::latest;
     duration maxAge{};
+    /// Where the route leads; for one that moves, where the statement ran last.
     group_name group;
+    bool routeMoves = false;
     /// For EXECUTE: access (READ or WRITE) and text of the prepared statement.
     std::string statementText;
     bool inTransaction = false;
--- a/mustardrouter/Soak/soak_route.h
+++ b/mustardrouter/Soak/soak_route.h
@@ -13,6 +13,8 @@
     route sessionRoute;
     /// Serves callers without a known key too.
     bool isPublic = false;
+    /// Leads to another group with each version; `sessionRoute.group` says nothing then.
+    bool moves = false;
 };
 
 } // namespace mustardrouter
--- a/tests.d/soak.sh
+++ b/tests.d/soak.sh
@@ -15,6 +15,7 @@
     "20054 holders that are to stop stand still: late messages of channels that they closed (issue 33)"
     "5010 keys are withdrawn and a limit is lowered while instances can't read it (workspaces)"
     "30000 many routes over narrow links, learnt of from others: differences, and what is too large for a link (issue 36)"
+    "70000 a route moves between two groups and back while replicas lag (issue 58)"
     "60002 entries of lost instances among those of the living, orders refused while a database leaves (issue 52)"
     "203 two rounds: a watch requested while the store was unresponsive was lost, and the configuration update with it"
     "5101 two rounds: the same with returns of the store; once an answer was another's"
