--- a/mustardrouter/Proxy/engine_dispatch.cpp
+++ b/mustardrouter/Proxy/engine_dispatch.cpp
@@ -487,6 +487,15 @@
     return writes || (configured != nullptr && configured->rule == read_rule::latest);
 }
 
+/// Earliest instant of the next attempt with the session's statement or transaction.
+time_point notBeforeOf(const client_session &session)
+{
+    if (session.transaction) {
+        return session.transaction->notBefore;
+    }
+    return session.current ? session.current->notBefore : time_point{};
+}
+
 } // namespace
 
 void dispatch(proxy_engine &engine, group_state &group, time_point now)
@@ -508,9 +517,7 @@
         session.waiting = false;
         if (const group_state *served = groupOf(engine, session); served != nullptr && served != &group) {
             // Its route has changed to another group since it was queued. The timer of a pause belongs to the group before.
-            const time_point notBefore = session.transaction ? session.transaction->notBefore
-                                         : session.current   ? session.current->notBefore
-                                                             : now;
+            const time_point notBefore = notBeforeOf(session);
             scheduleTimer(engine, std::max(now, notBefore), timer_kind::dispatch, 0, served->name);
             queueForConnection(engine, session, now);
             continue;
--- a/mustardrouter/Proxy/engine_replies.cpp
+++ b/mustardrouter/Proxy/engine_replies.cpp
@@ -76,7 +76,7 @@
                    group_state &group,
                    database_connection &connection,
                    client_session &session,
-                   database_reply reply,
+                   const database_reply &reply,
                    time_point now)
 {
     running_statement &running = *session.current;
@@ -276,7 +276,7 @@
 {
     group_state &group = engine.groups.at(connection.group);
     running_statement &running = *session.current;
-    database_reply reply = std::move(*running.reply);
+    const database_reply reply = std::move(*running.reply);
     running.reply.reset();
     running.connection = database_connection_id{};
     connection.session = session_id{};
@@ -295,7 +295,7 @@
     } else if (running.writes) {
         writeSucceeded(engine, group, connection.database, session, reply, now);
     } else {
-        readSucceeded(engine, group, connection, session, std::move(reply), now);
+        readSucceeded(engine, group, connection, session, reply, now);
     }
 }
 
