Tests: what lowers a session's commits, and floors without a group

Two protections that no test noticed when taken out: a read lowers the entry only once it is delivered, and a floor that names no group is not compared with the holder's log.

--- a/UnitTests/Proxy/proxy_world.h
+++ b/UnitTests/Proxy/proxy_world.h
@@ -110,8 +110,9 @@
     duration relayDelay = std::chrono::milliseconds(1);
     /// The process of `engine` stands still; see standStill.
     bool holderStandsStill = false;
-    /// Messages between the instances name no groups, as those of an older build.
-    bool groupsUnknown = false;
+    /// `entry` names no groups, and `engine` does not mark its replies as those of the named group, as older builds.
+    bool groupsNotNamed = false;
+    bool repliesNotMarked = false;
     /// The holder opens no channels for `entry`, as when it has drained.
     bool refusesNewChannels = false;
     std::mt19937_64 random;
--- a/UnitTests/Proxy/relay_world.cpp
+++ b/UnitTests/Proxy/relay_world.cpp
@@ -221,7 +221,7 @@
                            std::move(relayed.statement),
                            now,
                            message.caller,
-                           groupsUnknown ? std::nullopt : message.served);
+                           groupsNotNamed ? std::nullopt : message.served);
     }
 }
 
@@ -237,7 +237,7 @@
         received.signature = reply.signature;
         received.detail = reply.detail;
         received.state = reply.state;
-        received.position = groupsUnknown ? std::nullopt : reply.position;
+        received.position = repliesNotMarked ? std::nullopt : reply.position;
         onDatabaseReply(*entry, connection, std::move(received), now);
     });
 }
--- a/UnitTests/Proxy/route_move_test.cpp
+++ b/UnitTests/Proxy/route_move_test.cpp
@@ -357,7 +357,8 @@
     two_group_world world(true);
     world.fillLog(firstGroup, 20);
     fake_client &client = world.connectToEntry("session");
-    world.groupsUnknown = true;
+    world.groupsNotNamed = true;
+    world.repliesNotMarked = true;
     world.setLag(firstGroup, 1500ms);
     checkDone(world, client, client_verb::read);
     checkDone(world, client, client_verb::write);
@@ -366,3 +367,49 @@
     }
     checkNoViolations(world);
 }
+
+TEST(route_move, aFloorFromABuildThatNamesNoGroupsIsNotComparedWithTheHoldersLog)
+{
+    two_group_world world(true);
+    world.fillLog(secondGroup, 50);
+    fake_client &client = world.connectToEntry("session");
+    world.moveEverywhere(secondGroup);
+    world.setLag(secondGroup, 1500ms);
+    checkDone(world, client, client_verb::read);
+    checkDone(world, client, client_verb::write);
+    world.moveEverywhere(firstGroup);
+    checkDone(world, client, client_verb::write);
+    world.groupsNotNamed = true;
+    world.moveRoutes(secondGroup);
+    world.configure(world.engine, world.lastVersion);
+    for (int reads = 0; reads < 5; ++reads) {
+        checkDone(world, client, client_verb::read);
+    }
+    checkNoViolations(world);
+}
+
+TEST(route_move, aReadLowersASessionsCommitsOnlyOnceItIsVerifiedAndDelivered)
+{
+    // A reply that was abandoned later had lowered them all the same.
+    proxy_world world(7);
+    world.engine.settings.replacedPrimariesStepDown = false;
+    world.replacedPrimariesContinue = true;
+    world.addGroup();
+    world.configure(1);
+    onListing(world.engine, {world.primary().listed}, world.now, world.now);
+    world.runFor(20s);
+    fake_client &client = world.connect("session");
+    checkDone(world, client, client_verb::write);
+    // The primary lacks this entry, so the read is held until the store's claim shows that no other database leads.
+    const log_entry committed{term_number(1), log_position(500)};
+    recordCommit(world.engine.sessions.at(client.id).ownCommits, firstGroup, committed);
+    world.storeUnavailable = true;
+    world.send(client, client_verb::read, "x");
+    world.runFor(300ms);
+    CHECK_TRUE(world.engine.sessions.at(client.id).current && world.engine.sessions.at(client.id).current->replyHeld);
+    CHECK_TRUE(floorOf(world.engine.sessions.at(client.id).ownCommits, firstGroup) == committed);
+    world.storeUnavailable = false;
+    world.runFor(500ms);
+    CHECK_TRUE(client.replies.back().reply.code == reply_code::done);
+    CHECK_TRUE(*floorOf(world.engine.sessions.at(client.id).ownCommits, firstGroup) < committed);
+}
